--- /dev/null
+++ b/crates/entry/src/adopt.rs
@@ -0,0 +1,55 @@
+//! The planner takes over gangs whose holder is gone.
+
+use std::collections::BTreeMap;
+
+use backend::{Holder, Lease, TaskState};
+use model::{BackendServerId, JobId, Moment};
+
+use crate::{EntryBox, Observation};
+
+impl EntryBox {
+    /// Adopts every gang whose holder has been dead for a while, if this box plans.
+    pub(crate) fn adopt_orphans(&mut self, now: Moment) {
+        if *self.view.planner(now) != self.id.box_id || !self.view.may_judge(now) || self.draining {
+            return;
+        }
+        let orphans: Vec<(JobId, BTreeMap<BackendServerId, Lease>)> = self
+            .replicas
+            .by_job()
+            .into_iter()
+            .filter(|(_, lines)| lines.values().any(|lease| is_worth_adopting(lease)))
+            .filter(|(_, lines)| lines.values().max_by_key(|l| l.token).is_some_and(|l| self.is_gone(&l.holder, now)))
+            .map(|(job, lines)| {
+                let lines = lines.into_iter().map(|(id, lease)| (id.clone(), lease.clone())).collect();
+                (job.clone(), lines)
+            })
+            .collect();
+        for (job, lines) in orphans {
+            let before = self.jobs.open_jobs();
+            self.jobs.adopt(&job, &lines, now);
+            if self.jobs.open_jobs() > before {
+                self.observe(Observation::Adopting { job });
+            }
+        }
+    }
+
+    /// Whether the life that holds a lease is gone: silent for long enough, or followed by another.
+    fn is_gone(&self, holder: &Holder, now: Moment) -> bool {
+        if holder.box_id == self.id.box_id {
+            return holder.incarnation < self.id.incarnation;
+        }
+        if self.view.is_live_life(&holder.box_id, holder.incarnation, self.id.incarnation, now) {
+            return false;
+        }
+        match self.view.peers().get(&holder.box_id) {
+            Some(status) if status.incarnation > holder.incarnation => true,
+            Some(status) => now.since(status.last_heard) > self.limits.adopt_after + self.limits.membership.dead_after,
+            // Never heard: this process is young, or the box was gone before it began.
+            None => self.view.may_judge(now),
+        }
+    }
+}
+
+fn is_worth_adopting(lease: &Lease) -> bool {
+    lease.state.holds() || (matches!(lease.state, TaskState::Finished { .. }) && !lease.acknowledged)
+}
--- /dev/null
+++ b/crates/entry/src/claims.rs
@@ -0,0 +1,307 @@
+//! Claims in the platform's store: which ticket a request runs under, for requests that may run
+//! only once or must outlive their box.
+
+use lifecycle::Stage;
+use model::{CustomerId, Duration, JobId, JobSpec, Moment, Outcome, RequestId};
+use platform::{StoreReply, StoreRequest, Versioned};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    CallerReply, EntryBox, JobAnswer, PeerReply, PeerRequest, Submission,
+    entry_box::Op,
+    message::Zone,
+    route::{moved_answer, pending_answer},
+    settle::Afterwards,
+    waiters::Respondent,
+};
+
+/// Every claim's key begins so.
+pub(crate) const CLAIM_PREFIX: &str = "claims/";
+/// How long a claim is kept: as long as a caller may send the same request again.
+const CLAIM_TTL: Duration = Duration::from_secs(24 * 3600);
+/// Calls to the store before a claim is given up.
+const MAX_ROUNDS: u32 = 6;
+/// An end that could not be written is written again after this.
+const END_RETRY: Duration = Duration::from_secs(2);
+
+/// What stands in the store for a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The ticket that it runs under.
+    pub ticket: JobId,
+    /// The availability zone of the box that minted it.
+    pub availability_zone: Zone,
+    /// The request, if it must outlive its box.
+    pub durable: Option<JobSpec>,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// The name of the outcome, once it has ended.
+    pub ended: Option<String>,
+}
+
+impl Claim {
+    /// Reads a claim; `None` if it is none.
+    pub fn parse(text: &str) -> Option<Claim> {
+        serde_json::from_str(text).ok()
+    }
+
+    fn to_text(&self) -> String {
+        serde_json::to_string(self).expect("our own types always serialize")
+    }
+}
+
+pub(crate) fn claim_key(customer: &CustomerId, request: &RequestId) -> String {
+    format!("{CLAIM_PREFIX}{customer}/{request}")
+}
+
+/// A claim being made.
+#[derive(Debug)]
+pub(crate) struct ClaimOp {
+    submission: Submission,
+    to: Respondent,
+    claim: Claim,
+    /// The version that it replaces, if any.
+    over: Option<u64>,
+    rounds: u32,
+}
+
+/// The end of a claimed job on its way into the store.
+#[derive(Debug, Clone)]
+pub(crate) struct EndClaim {
+    job: JobId,
+    key: String,
+    claim: Claim,
+}
+
+impl EntryBox {
+    pub(crate) fn begin_claim(&mut self, submission: Submission, to: Respondent) {
+        let op = self.new_claim(submission, to, None);
+        self.write_claim(op);
+    }
+
+    fn new_claim(&mut self, submission: Submission, to: Respondent, over: Option<u64>) -> ClaimOp {
+        let claim = Claim {
+            ticket: self.jobs.mint(),
+            availability_zone: self.id.availability_zone.clone(),
+            durable: submission.durable.then(|| submission.spec.clone()),
+            repeatable: submission.spec.repeatable,
+            ended: None,
+        };
+        ClaimOp { submission, to, claim, over, rounds: 0 }
+    }
+
+    /// Whether a claim for a request of that name is being made here.
+    pub(crate) fn is_claiming_name(&self, name: &(CustomerId, RequestId)) -> bool {
+        self.ops.values().any(|op| match op {
+            Op::Claim(op) => {
+                let spec = &op.submission.spec;
+                (&spec.customer, &spec.request) == (&name.0, &name.1)
+            }
+            _ => false,
+        })
+    }
+
+    pub(crate) fn is_claiming(&self, spec: &JobSpec) -> bool {
+        self.is_claiming_name(&(spec.customer.clone(), spec.request.clone()))
+    }
+
+    fn write_claim(&mut self, mut op: ClaimOp) {
+        op.rounds += 1;
+        if op.rounds > MAX_ROUNDS {
+            // The ticket in a write that may yet take effect is never started.
+            return self.refuse_for_store(op.to);
+        }
+        let key = op.key();
+        let value = op.claim.to_text();
+        let ttl = Some(CLAIM_TTL);
+        let req = match op.over {
+            None => StoreRequest::Create { key, value, ttl },
+            Some(version) => StoreRequest::CompareAndSwap { key, version, value, ttl },
+        };
+        self.call_store(Op::Claim(Box::new(op)), req);
+    }
+
+    pub(crate) fn on_claim_reply(&mut self, mut op: ClaimOp, reply: Option<StoreReply>, now: Moment) {
+        match reply {
+            Some(StoreReply::Written { .. }) => self.claim_stands(op, now),
+            Some(StoreReply::Conflict { value: Some(found) } | StoreReply::Found { value: Some(found) }) => {
+                self.on_standing_claim(op, found, now);
+            }
+            Some(StoreReply::Found { value: None }) => {
+                op.over = None;
+                self.write_claim(op);
+            }
+            Some(StoreReply::Conflict { value: None }) if op.over.is_some() => {
+                op.over = None;
+                self.write_claim(op);
+            }
+            Some(_) => self.refuse_for_store(op.to),
+            None => self.read_claim(op),
+        }
+    }
+
+    /// An answer was lost: what stands tells whether the write took effect.
+    fn read_claim(&mut self, mut op: ClaimOp) {
+        op.rounds += 1;
+        if op.rounds > MAX_ROUNDS {
+            return self.refuse_for_store(op.to);
+        }
+        let key = op.key();
+        self.call_store(Op::Claim(Box::new(op)), StoreRequest::Get { key });
+    }
+
+    fn claim_stands(&mut self, op: ClaimOp, now: Moment) {
+        let ticket = op.claim.ticket.clone();
+        self.claimed.insert(ticket.clone(), op.claim);
+        self.accept(op.submission, ticket, op.to, now);
+    }
+
+    /// Another ticket holds the request: its holder may live, be elsewhere, or be gone.
+    fn on_standing_claim(&mut self, op: ClaimOp, found: Versioned, now: Moment) {
+        let Some(standing) = Claim::parse(&found.value) else {
+            return self.replace_claim(op, found.version);
+        };
+        if standing.ticket == op.claim.ticket {
+            return self.claim_stands(op, now);
+        }
+        if let Some(outcome) = standing.ended {
+            if outcome == "not_run" {
+                return self.replace_claim(op, found.version);
+            }
+            return self.reply(op.to, CallerReply::Job(JobAnswer::Over { outcome }));
+        }
+        if standing.availability_zone != self.id.availability_zone {
+            return self.pass_on(op, &standing, None);
+        }
+        if self.jobs.minted(&standing.ticket) {
+            return self.on_own_claim(op, &standing, found.version, now);
+        }
+        if self.is_live_ticket(&standing.ticket, now) {
+            let owner = standing.ticket.minted_by.clone();
+            let op = ClaimOp { over: Some(found.version), ..op };
+            let (customer, request) = (op.submission.spec.customer.clone(), op.submission.spec.request.clone());
+            let wait = op.submission.wait;
+            return self.call_peer(Op::Claim(Box::new(op)), &owner, PeerRequest::Lookup { customer, request, wait });
+        }
+        if !self.view.may_judge(now) {
+            return self.reply(op.to, CallerReply::Job(moved_answer()));
+        }
+        let afterwards = Afterwards::Reclaim { submission: op.submission, to: op.to, version: found.version };
+        self.begin_settle(standing.ticket, standing.repeatable, afterwards, now);
+    }
+
+    /// The standing claim is an earlier one of this very process.
+    fn on_own_claim(&mut self, op: ClaimOp, standing: &Claim, version: u64, now: Moment) {
+        let view = self.jobs.view(&standing.ticket);
+        match view.as_ref().map(|view| &view.stage) {
+            // Its ticket was given up before it was started, or the job was not run.
+            None | Some(Stage::Ended(Outcome::NotRun { .. })) => self.replace_claim(op, version),
+            Some(Stage::Ended(_) | Stage::Moved(_)) => {
+                let answer = view.as_ref().map_or(JobAnswer::NotKnown, pending_answer);
+                self.reply(op.to, CallerReply::Job(answer));
+            }
+            Some(_) => {
+                let spec = &op.submission.spec;
+                let name = (spec.customer.clone(), spec.request.clone());
+                self.wait_for_end(name, op.to, now + op.submission.wait);
+            }
+        }
+    }
+
+    pub(crate) fn replace_claim(&mut self, op: ClaimOp, version: u64) {
+        let rounds = op.rounds;
+        let mut op = self.new_claim(op.submission, op.to, Some(version));
+        op.rounds = rounds;
+        self.write_claim(op);
+    }
+
+    /// Makes a claim over one whose ticket has been fenced.
+    pub(crate) fn reclaim(&mut self, submission: Submission, to: Respondent, version: u64) {
+        let op = self.new_claim(submission, to, Some(version));
+        self.write_claim(op);
+    }
+
+    /// What the live box that minted the standing ticket says.
+    pub(crate) fn on_owner_reply(&mut self, op: ClaimOp, reply: Option<PeerReply>, now: Moment) {
+        let Some(version) = op.over else { return };
+        let answer = match reply {
+            // It minted the ticket, and neither started it nor ever will.
+            Some(PeerReply::Job(JobAnswer::NotKnown)) => return self.replace_claim(op, version),
+            Some(PeerReply::Job(JobAnswer::Ended { outcome: Outcome::NotRun { .. }, .. })) => {
+                return self.replace_claim(op, version);
+            }
+            Some(PeerReply::Job(answer)) => answer,
+            _ => moved_answer(),
+        };
+        let _ = now;
+        self.reply(op.to, CallerReply::Job(answer));
+    }
+
+    fn pass_on(&mut self, op: ClaimOp, standing: &Claim, _: Option<()>) {
+        let Some(peer) = self.any_box_of(&standing.availability_zone) else {
+            return self.reply(op.to, CallerReply::Job(moved_answer()));
+        };
+        let route = crate::route::RouteOp::forward(op.submission.clone(), op.to);
+        self.call_peer(Op::Route(Box::new(route)), &peer, PeerRequest::Submit(op.submission));
+    }
+
+    /// Writes the end of a claimed job, so that the request is not run again after its box is gone.
+    pub(crate) fn end_claim(&mut self, job: &JobId, now: Moment) {
+        if self.claimed.contains_key(job) {
+            self.unreported.insert(job.clone());
+            self.write_end(job, now);
+        }
+    }
+
+    fn write_end(&mut self, job: &JobId, _now: Moment) {
+        let Some(claim) = self.claimed.get(job) else { return };
+        let Some(view) = self.jobs.view(job) else { return };
+        let Stage::Ended(outcome) = &view.stage else { return };
+        let mut claim = claim.clone();
+        claim.ended = Some(outcome.name().to_owned());
+        claim.durable = None;
+        let key = claim_key(&view.spec.customer, &view.spec.request);
+        let end = EndClaim { job: job.clone(), key: key.clone(), claim };
+        self.unreported.remove(job);
+        self.call_store(Op::EndClaim(end), StoreRequest::Get { key });
+    }
+
+    pub(crate) fn on_end_claim_reply(&mut self, end: EndClaim, reply: Option<StoreReply>, now: Moment) {
+        match reply {
+            Some(StoreReply::Found { value: Some(found) }) => {
+                let stands = Claim::parse(&found.value);
+                if stands.as_ref().is_none_or(|it| it.ticket != end.claim.ticket || it.ended.is_some()) {
+                    return;
+                }
+                let req = StoreRequest::CompareAndSwap {
+                    key: end.key.clone(),
+                    version: found.version,
+                    value: end.claim.to_text(),
+                    ttl: Some(CLAIM_TTL),
+                };
+                self.call_store(Op::EndClaim(end), req);
+            }
+            Some(StoreReply::Written { .. } | StoreReply::Found { value: None }) => {}
+            _ => {
+                self.unreported.insert(end.job);
+                self.config.retry_ends_at.get_or_insert(now + END_RETRY);
+            }
+        }
+    }
+
+    /// Writes ends again that could not be written.
+    pub(crate) fn tick_claims(&mut self, now: Moment) {
+        if self.config.retry_ends_at.is_some_and(|at| at <= now) {
+            self.config.retry_ends_at = None;
+            for job in std::mem::take(&mut self.unreported) {
+                self.write_end(&job, now);
+            }
+        }
+    }
+}
+
+impl ClaimOp {
+    fn key(&self) -> String {
+        claim_key(&self.submission.spec.customer, &self.submission.spec.request)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/entry_box.rs
@@ -0,0 +1,415 @@
+//! The entry box itself: its parts, and which of them takes which input.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    mem,
+    sync::Arc,
+};
+
+use backend::Holder;
+use lifecycle::{Coordinator, Effect};
+use membership::View;
+use model::{AvailabilityZoneId, BoxId, Duration, Incarnation, Moment, OperatorFile};
+use platform::ListedBox;
+use policy::Planner;
+use spread::{Apply, Current};
+
+use crate::{
+    BackendOp, CallerReply, CallerRequest, Input, JobAnswer, Observation, OpId, Output, PeerReply, PeerRequest,
+    ReplyTo,
+    claims::ClaimOp,
+    offers::{Offered, Offering},
+    planning::Planning,
+    quarantine::Quarantine,
+    replicas::Replicas,
+    route::RouteOp,
+    settle::SettleOp,
+    waiters::{Respondent, Waiters},
+};
+
+/// Who an entry box is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    /// Its box.
+    pub box_id: BoxId,
+    /// The life of this process.
+    pub incarnation: Incarnation,
+    /// Its availability zone.
+    pub availability_zone: AvailabilityZoneId,
+}
+
+/// Time limits of an entry box, those of its parts included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Of jobs.
+    pub lifecycle: lifecycle::Limits,
+    /// Of membership.
+    pub membership: membership::Limits,
+    /// A call to a backend server or peer that does not wait for anything ends within this.
+    pub call: Duration,
+    /// A watch on a lease table or the store waits this long.
+    pub watch: Duration,
+    /// Shortest time between two rounds of planning.
+    pub plan_gap: Duration,
+    /// A grant whose reservations do not show up is forgotten after this.
+    pub grant_ttl: Duration,
+    /// A queue that is not empty is offered at least this often.
+    pub offer_every: Duration,
+    /// A preempted gang is stopped after this, checkpoint or not.
+    pub checkpoint: Duration,
+    /// A backend server that has not answered for this long is given no new work.
+    pub silent_after: Duration,
+    /// How long the fencing of a dead box's ticket may take.
+    pub settle: Duration,
+    /// A holder must be dead for this long before its gangs are adopted.
+    pub adopt_after: Duration,
+    /// A waiting caller's reply is held at most this long.
+    pub max_wait: Duration,
+    /// A backend server in quarantine is tried again after this; doubles each time.
+    pub probe_after: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            lifecycle: lifecycle::Limits::default(),
+            membership: membership::Limits::default(),
+            call: Duration::from_secs(2),
+            watch: Duration::from_secs(20),
+            plan_gap: Duration::from_millis(10),
+            grant_ttl: Duration::from_secs(3),
+            offer_every: Duration::from_secs(1),
+            checkpoint: Duration::from_secs(20),
+            silent_after: Duration::from_secs(5),
+            settle: Duration::from_secs(10),
+            adopt_after: Duration::from_secs(3),
+            max_wait: Duration::from_secs(60),
+            probe_after: Duration::from_secs(30),
+        }
+    }
+}
+
+/// What an operation in progress waits to go on with.
+pub(crate) enum Op {
+    Claim(Box<ClaimOp>),
+    Settle(Box<SettleOp>),
+    Route(Box<RouteOp>),
+    RoutePart(OpId),
+    Apply(Apply, Respondent),
+    EndClaim(crate::claims::EndClaim),
+    Recover,
+    WatchConfiguration,
+    FetchConfiguration,
+    Heartbeat,
+    Offer,
+    Grant,
+}
+
+/// One entry box.
+pub struct EntryBox {
+    pub(crate) id: Identity,
+    pub(crate) limits: Limits,
+    pub(crate) jobs: Coordinator,
+    pub(crate) view: View,
+    pub(crate) current: Current,
+    pub(crate) replicas: Replicas,
+    pub(crate) planning: Planning,
+    pub(crate) offered: BTreeMap<BoxId, Offered>,
+    pub(crate) offering: Offering,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) waiters: Waiters,
+    pub(crate) directory: BTreeMap<BoxId, ListedBox>,
+    pub(crate) ops: BTreeMap<OpId, Op>,
+    pub(crate) claimed: BTreeMap<model::JobId, crate::Claim>,
+    pub(crate) unreported: BTreeSet<model::JobId>,
+    pub(crate) config: crate::config::ConfigState,
+    pub(crate) dead_since: BTreeMap<Holder, Moment>,
+    pub(crate) recover_at: Option<Moment>,
+    pub(crate) draining: bool,
+    pub(crate) last_heartbeat: Option<Moment>,
+    pub(crate) out: Vec<Output>,
+    next_op: u64,
+}
+
+impl EntryBox {
+    /// A box that knows its peers from a list and has no configuration yet.
+    pub fn new(
+        id: Identity,
+        limits: Limits,
+        peers: Vec<ListedBox>,
+        planner: Box<dyn Planner>,
+        now: Moment,
+    ) -> EntryBox {
+        let holder = Holder { box_id: id.box_id.clone(), incarnation: id.incarnation };
+        let mut it = EntryBox {
+            jobs: Coordinator::new(holder, limits.lifecycle),
+            view: View::new(id.box_id.clone(), limits.membership, now),
+            current: Current::default(),
+            replicas: Replicas::default(),
+            planning: Planning::new(planner),
+            offered: BTreeMap::new(),
+            offering: Offering::default(),
+            quarantine: Quarantine::default(),
+            waiters: Waiters::default(),
+            directory: BTreeMap::new(),
+            ops: BTreeMap::new(),
+            claimed: BTreeMap::new(),
+            unreported: BTreeSet::new(),
+            config: Default::default(),
+            dead_since: BTreeMap::new(),
+            recover_at: Some(now + limits.settle),
+            draining: false,
+            last_heartbeat: None,
+            out: Vec::new(),
+            next_op: 0,
+            id,
+            limits,
+        };
+        it.on_listed(peers);
+        it
+    }
+
+    /// Takes one input and gives what is to be done.
+    pub fn handle(&mut self, input: Input, now: Moment) -> Vec<Output> {
+        match input {
+            Input::Tick => self.tick(now),
+            Input::Caller { to, req } => self.on_caller(to, req, now),
+            Input::Peer { to, req } => self.on_peer(to, req, now),
+            Input::PeerReply { op, peer, reply } => self.on_peer_reply(op, peer, reply, now),
+            Input::BackendReply { op, server, req, reply } => match op {
+                BackendOp::Job => self.jobs.on_reply(&server, &req, reply, now),
+                BackendOp::Watch => self.on_watch_reply(&server, reply, now),
+                BackendOp::Configure => self.on_configured(&server, reply, now),
+                BackendOp::Preempt => self.planning.mark_dirty(),
+                BackendOp::Fence(op) => self.on_fenced(op, &server, reply, now),
+            },
+            Input::StoreReply { op, reply } => self.on_store_reply(op, reply, now),
+            Input::Listed(boxes) => self.on_listed(boxes),
+            Input::Drain => self.drain(),
+        }
+        self.carry_effects(now);
+        self.offer_queue(now);
+        self.plan_if_due(now);
+        self.carry_effects(now);
+        mem::take(&mut self.out)
+    }
+
+    /// Whether a leaving box has nothing left that only it can finish.
+    pub fn is_drained(&self) -> bool {
+        self.draining && self.jobs.open_jobs() == 0 && self.waiters.is_empty() && self.unreported.is_empty()
+    }
+
+    /// Whether it can serve: it has a configuration and is not leaving.
+    pub fn is_ready(&self) -> bool {
+        !self.draining && self.current.file().is_some()
+    }
+
+    /// How many of its jobs are neither over nor held elsewhere.
+    pub fn open_jobs(&self) -> usize {
+        self.jobs.open_jobs()
+    }
+
+    fn tick(&mut self, now: Moment) {
+        self.view.tick(now);
+        self.jobs.tick(now);
+        self.send_heartbeats(now);
+        self.note_deaths(now);
+        self.tick_config(now);
+        self.send_watches(now);
+        self.adopt_orphans(now);
+        self.tick_ops(now);
+        self.tick_claims(now);
+        self.expire_waiters(now);
+        self.tick_quarantine(now);
+    }
+
+    fn on_caller(&mut self, to: ReplyTo, req: CallerRequest, now: Moment) {
+        let to = Respondent::Caller(to);
+        match req {
+            CallerRequest::Submit(submission) => self.submit(submission, to, now),
+            CallerRequest::Poll { customer, request, wait } => {
+                self.route(crate::route::Ask::Poll { wait: self.bounded(wait) }, customer, request, to, now);
+            }
+            CallerRequest::Cancel { customer, request } => {
+                self.route(crate::route::Ask::Cancel, customer, request, to, now);
+            }
+            CallerRequest::Acknowledge { customer, request } => {
+                self.route(crate::route::Ask::Acknowledge, customer, request, to, now);
+            }
+            CallerRequest::Mint => {
+                let ticket = self.jobs.mint();
+                self.reply(to, CallerReply::Ticket(ticket));
+            }
+            CallerRequest::Apply { id, base, file } => self.apply(id, base, file, to),
+            CallerRequest::Configuration => {
+                let document = self.current.document().cloned();
+                self.reply(to, CallerReply::Configuration(document));
+            }
+            CallerRequest::Status => {
+                let report = self.status(now);
+                self.reply(to, CallerReply::Status(Box::new(report)));
+            }
+        }
+    }
+
+    fn on_peer(&mut self, to: ReplyTo, req: PeerRequest, now: Moment) {
+        let respondent = Respondent::Peer(to);
+        match req {
+            PeerRequest::Heartbeat { from, incarnation, revision, leaving } => {
+                self.on_heartbeat(&from, incarnation, revision, leaving, now);
+                let reply = self.own_heartbeat();
+                self.out.push(Output::ToPeer { to, reply });
+            }
+            PeerRequest::Offer { from, incarnation, seq, full, added, removed } => {
+                let need_full = self.on_offer(from, incarnation, seq, full, added, removed, now);
+                self.out.push(Output::ToPeer { to, reply: PeerReply::Offered { need_full } });
+            }
+            PeerRequest::Grant { starts, refusals } => {
+                self.on_grant(starts, refusals, now);
+                self.out.push(Output::ToPeer { to, reply: PeerReply::Granted });
+            }
+            PeerRequest::Lookup { customer, request, wait } => {
+                let ask = crate::route::Ask::Poll { wait: self.bounded(wait) };
+                self.answer_locally(ask, customer, request, respondent, now);
+            }
+            PeerRequest::Cancel { customer, request } => {
+                self.answer_locally(crate::route::Ask::Cancel, customer, request, respondent, now);
+            }
+            PeerRequest::Acknowledge { customer, request } => {
+                self.answer_locally(crate::route::Ask::Acknowledge, customer, request, respondent, now);
+            }
+            PeerRequest::Submit(submission) => self.submit(submission, respondent, now),
+            PeerRequest::FetchConfiguration => {
+                let document = self.current.document().cloned();
+                self.out.push(Output::ToPeer { to, reply: PeerReply::Configuration(document) });
+            }
+        }
+    }
+
+    fn on_peer_reply(&mut self, op: OpId, peer: BoxId, reply: Option<PeerReply>, now: Moment) {
+        match (self.ops.remove(&op), reply) {
+            (Some(Op::Heartbeat), Some(PeerReply::Heartbeat { incarnation, revision, leaving })) => {
+                self.on_heartbeat(&peer, incarnation, revision, leaving, now);
+            }
+            (Some(Op::Offer), reply) => self.on_offer_reply(&peer, reply, now),
+            (Some(Op::FetchConfiguration), reply) => self.on_fetched_configuration(reply, now),
+            (Some(Op::Route(route)), reply) => self.on_route_reply(*route, reply),
+            (Some(Op::RoutePart(round)), reply) => self.on_round_reply(round, &peer, reply, now),
+            (Some(Op::Claim(claim)), reply) => self.on_owner_reply(*claim, reply, now),
+            _ => {}
+        }
+    }
+
+    fn on_store_reply(&mut self, op: OpId, reply: Option<platform::StoreReply>, now: Moment) {
+        match self.ops.remove(&op) {
+            Some(Op::Claim(claim)) => self.on_claim_reply(*claim, reply, now),
+            Some(Op::Route(route)) => self.on_route_claim(*route, reply, now),
+            Some(Op::Apply(apply, to)) => self.on_apply_reply(apply, to, reply, now),
+            Some(Op::EndClaim(end)) => self.on_end_claim_reply(end, reply, now),
+            Some(Op::Recover) => self.on_recover_reply(reply, now),
+            Some(Op::WatchConfiguration) => self.on_configuration(reply, now),
+            _ => {}
+        }
+    }
+
+    /// Passes on what the jobs' coordinator wants done.
+    pub(crate) fn carry_effects(&mut self, now: Moment) {
+        for effect in self.jobs.take_effects() {
+            match effect {
+                Effect::Call { server, req } => self.call_backend(BackendOp::Job, server, req),
+                Effect::QueueChanged => self.queue_changed(),
+                Effect::Started { job, delay } => self.on_started(&job, delay),
+                Effect::Ended { job, after } => self.on_ended(&job, after, now),
+                Effect::Moved { job } => self.on_moved(&job),
+                Effect::RunFailed { server, job } => self.on_run_failed(&server, &job, now),
+                Effect::Count(anomaly) => {
+                    self.observe(Observation::Count { name: crate::status::anomaly_name(anomaly) });
+                }
+            }
+        }
+    }
+
+    fn on_started(&mut self, job: &model::JobId, delay: Duration) {
+        let Some(view) = self.jobs.view(job) else { return };
+        let spec = &view.spec;
+        self.observe(Observation::Started { customer: spec.customer.clone(), class: spec.class.clone(), delay });
+    }
+
+    fn on_ended(&mut self, job: &model::JobId, after: Duration, now: Moment) {
+        let Some(view) = self.jobs.view(job) else { return };
+        let lifecycle::Stage::Ended(outcome) = view.stage else { return };
+        let (customer, class) = (view.spec.customer.clone(), view.spec.class.clone());
+        self.observe(Observation::Ended { customer, class, outcome: outcome.name(), after });
+        if matches!(outcome, model::Outcome::Done { .. }) {
+            self.quarantine.succeeded(&view.servers);
+        }
+        let answer = JobAnswer::Ended { job: view.job.clone(), outcome };
+        self.answer_waiters(&view.spec.customer, &view.spec.request, &answer);
+        self.end_claim(&view.job, now);
+    }
+
+    fn on_moved(&mut self, job: &model::JobId) {
+        let Some(view) = self.jobs.view(job) else { return };
+        let answer = crate::route::moved_answer();
+        self.answer_waiters(&view.spec.customer, &view.spec.request, &answer);
+        self.claimed.remove(job);
+    }
+
+    fn drain(&mut self) {
+        self.draining = true;
+        self.view.set_leaving(true);
+        self.last_heartbeat = None;
+    }
+
+    pub(crate) fn file(&self) -> Option<Arc<OperatorFile>> {
+        self.current.file().cloned()
+    }
+
+    pub(crate) fn new_op(&mut self, op: Op) -> OpId {
+        self.next_op += 1;
+        let id = OpId(self.next_op);
+        self.ops.insert(id, op);
+        id
+    }
+
+    pub(crate) fn call_backend(&mut self, op: BackendOp, server: model::BackendServerId, req: backend::BackendRequest) {
+        let limit = match &req {
+            backend::BackendRequest::Watch { wait, .. } => self.limits.call + *wait,
+            _ => self.limits.call,
+        };
+        self.out.push(Output::CallBackend { op, server, req, limit });
+    }
+
+    pub(crate) fn call_store(&mut self, op: Op, req: platform::StoreRequest) {
+        let op = self.new_op(op);
+        self.out.push(Output::CallStore { op, req });
+    }
+
+    pub(crate) fn call_peer(&mut self, op: Op, peer: &BoxId, req: PeerRequest) {
+        let wait = match &req {
+            PeerRequest::Lookup { wait, .. } => *wait,
+            PeerRequest::Submit(submission) => submission.wait,
+            _ => Duration::ZERO,
+        };
+        let op = self.new_op(op);
+        self.out.push(Output::CallPeer { op, peer: peer.clone(), req, limit: self.limits.call + wait });
+    }
+
+    pub(crate) fn observe(&mut self, observation: Observation) {
+        self.out.push(Output::Observe(observation));
+    }
+
+    pub(crate) fn reply(&mut self, to: Respondent, reply: CallerReply) {
+        match (to, reply) {
+            (Respondent::Caller(to), reply) => self.out.push(Output::ToCaller { to, reply }),
+            (Respondent::Peer(to), CallerReply::Job(answer)) => {
+                self.out.push(Output::ToPeer { to, reply: PeerReply::Job(answer) });
+            }
+            (Respondent::Peer(_) | Respondent::Nobody, _) => {}
+        }
+    }
+
+    pub(crate) fn bounded(&self, wait: Duration) -> Duration {
+        wait.min(self.limits.max_wait)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/intake.rs
@@ -0,0 +1,181 @@
+//! Taking jobs in: what is refused at once, what is known already, and what needs a claim.
+
+use lifecycle::Stage;
+use model::{Duration, JobId, JobSpec, Moment, NotRunReason, OperatorFile, Outcome};
+use policy::Room;
+
+use crate::{
+    CallerReply, EntryBox, JobAnswer, PeerRequest, Submission,
+    entry_box::Op,
+    route::{Ask, RouteOp},
+    settle::Afterwards,
+    waiters::Respondent,
+};
+
+/// When to come back to a box that cannot take work just now.
+const RETRY_SOON: Duration = Duration::from_secs(1);
+/// When to come back if the store is out.
+const RETRY_STORE: Duration = Duration::from_secs(5);
+/// Shortest time named to a caller whose queue is full.
+const RETRY_QUEUE_MIN: Duration = Duration::from_secs(1);
+/// Longest time named to a caller whose queue is full.
+const RETRY_QUEUE_MAX: Duration = Duration::from_secs(600);
+
+impl EntryBox {
+    /// Takes a job, or says at once why not.
+    pub(crate) fn submit(&mut self, mut submission: Submission, to: Respondent, now: Moment) {
+        submission.wait = self.bounded(submission.wait);
+        if self.join_known(&submission, to, now) {
+            return;
+        }
+        if let Some((reason, retry_after)) = self.refusal(&submission.spec) {
+            return self.refuse_submission(to, reason, retry_after);
+        }
+        if let Some(ticket) = submission.ticket.clone() {
+            return self.submit_with_ticket(submission, ticket, to, now);
+        }
+        if submission.retry && !self.needs_claim(&submission) {
+            return self.look_around(submission, to, now);
+        }
+        self.submit_new(submission, to, now);
+    }
+
+    /// Takes a job that is known nowhere else, as far as can be told.
+    pub(crate) fn submit_new(&mut self, submission: Submission, to: Respondent, now: Moment) {
+        if self.needs_claim(&submission) {
+            return self.begin_claim(submission, to);
+        }
+        let job = self.jobs.mint();
+        self.accept(submission, job, to, now);
+    }
+
+    /// Puts a job into the queue and lets its caller wait, or tells the caller its ticket.
+    pub(crate) fn accept(&mut self, submission: Submission, job: JobId, to: Respondent, now: Moment) {
+        let Submission { spec, wait, .. } = submission;
+        let name = (spec.customer.clone(), spec.request.clone());
+        self.jobs.submit_as(job.clone(), spec, now);
+        if wait == Duration::ZERO {
+            let answer = JobAnswer::Pending { job: Some(job), stage: "waiting".to_owned() };
+            return self.reply(to, CallerReply::Job(answer));
+        }
+        self.wait_for_end(name, to, now + wait);
+    }
+
+    pub(crate) fn refuse_submission(&mut self, to: Respondent, reason: NotRunReason, retry_after: Option<Duration>) {
+        // The ticket is used up by saying that it was not run.
+        let job = self.jobs.mint();
+        let answer = JobAnswer::Ended { job, outcome: Outcome::NotRun { reason, retry_after } };
+        self.reply(to, CallerReply::Job(answer));
+    }
+
+    pub(crate) fn refuse_for_store(&mut self, to: Respondent) {
+        self.refuse_submission(to, NotRunReason::StoreUnavailable, Some(RETRY_STORE));
+    }
+
+    /// A request that may run only once, or must outlive this box, is claimed in the platform's store.
+    fn needs_claim(&self, submission: &Submission) -> bool {
+        submission.ticket.is_none() && (!submission.spec.repeatable || submission.durable)
+    }
+
+    /// Joins the submission to a job of the same name that this box has; says whether there is one.
+    fn join_known(&mut self, submission: &Submission, to: Respondent, now: Moment) -> bool {
+        let spec = &submission.spec;
+        if let Some(view) = self.jobs.find(&spec.customer, &spec.request) {
+            if *view.spec != *spec {
+                self.reply(to, CallerReply::Job(JobAnswer::NameInUse));
+                return true;
+            }
+            if is_open_to_retry(&view.stage) {
+                return false;
+            }
+        } else if !self.replicas.has_request(&spec.customer, &spec.request) && !self.is_claiming(spec) {
+            return false;
+        }
+        let ask = Ask::Poll { wait: submission.wait };
+        self.route(ask, spec.customer.clone(), spec.request.clone(), to, now);
+        true
+    }
+
+    /// Why a job is not taken now, and when to come back.
+    fn refusal(&self, spec: &JobSpec) -> Option<(NotRunReason, Option<Duration>)> {
+        if self.draining {
+            return Some((NotRunReason::Leaving, Some(RETRY_SOON)));
+        }
+        let Some(file) = self.current.file() else {
+            return Some((NotRunReason::NoConfiguration, Some(RETRY_SOON)));
+        };
+        if !file.customers.contains_key(&spec.customer) {
+            return Some((unknown(format!("customer {}", spec.customer)), None));
+        }
+        let Some(class) = file.classes.get(&spec.class) else {
+            return Some((unknown(format!("class {}", spec.class)), None));
+        };
+        if let Some(why) = self.never_fits(file, spec) {
+            return Some((NotRunReason::CanNeverRun { why }, None));
+        }
+        let queued = self.jobs.queue_len(spec);
+        if queued >= class.queue_limit as usize {
+            let reason = NotRunReason::QueueFull { class: class.id.to_string(), limit: class.queue_limit };
+            return Some((reason, Some(self.drain_time(queued))));
+        }
+        None
+    }
+
+    fn never_fits(&self, file: &OperatorFile, spec: &JobSpec) -> Option<String> {
+        let quota = file.customers.get(&spec.customer).and_then(|c| c.quota);
+        if let Some(quota) = quota
+            && !quota.contains(&spec.gang.total())
+        {
+            return Some(format!("{} is asked for; the customer's quota is {quota}", spec.gang.total()));
+        }
+        let servers = self.servers_of(file);
+        Room::empty(&servers).check_ever_fits(&spec.gang).err().map(|e| e.to_string())
+    }
+
+    /// How long a queue of that length takes at the rate of late.
+    fn drain_time(&self, queued: usize) -> Duration {
+        let per_job = self.planning.time_per_start();
+        let all = Duration::from_millis(per_job.millis().saturating_mul(queued as u64));
+        all.clamp(RETRY_QUEUE_MIN, RETRY_QUEUE_MAX)
+    }
+
+    fn submit_with_ticket(&mut self, submission: Submission, ticket: JobId, to: Respondent, now: Moment) {
+        if self.jobs.minted(&ticket) {
+            return match self.jobs.view(&ticket) {
+                None => self.accept(submission, ticket, to, now),
+                Some(view) if *view.spec == submission.spec => {
+                    let ask = Ask::Poll { wait: submission.wait };
+                    let JobSpec { customer, request, .. } = submission.spec;
+                    self.route(ask, customer, request, to, now);
+                }
+                Some(_) => self.reply(to, CallerReply::Job(JobAnswer::NameInUse)),
+            };
+        }
+        let minter = &ticket.minted_by;
+        let live = self.view.is_live_life(minter, ticket.incarnation, self.id.incarnation, now);
+        let elsewhere = self.directory.get(minter).is_some_and(|b| b.availability_zone != self.id.availability_zone);
+        if live || elsewhere {
+            let minter = minter.clone();
+            let route = RouteOp::forward(submission.clone(), to);
+            return self.call_peer(Op::Route(Box::new(route)), &minter, PeerRequest::Submit(submission));
+        }
+        self.begin_settle(ticket, submission.spec.repeatable, Afterwards::TicketVoid { to }, now);
+    }
+
+    /// Asks the peers whether a repeated request is theirs before it is taken as new.
+    fn look_around(&mut self, submission: Submission, to: Respondent, now: Moment) {
+        let ask = Ask::Poll { wait: Duration::ZERO };
+        let name = (submission.spec.customer.clone(), submission.spec.request.clone());
+        let route = RouteOp::around(ask, name, to, Some(submission));
+        self.ask_peers(route, now);
+    }
+}
+
+/// A request that was not run may be sent again under its name.
+fn is_open_to_retry(stage: &Stage) -> bool {
+    matches!(stage, Stage::Ended(Outcome::NotRun { .. }))
+}
+
+fn unknown(what: String) -> NotRunReason {
+    NotRunReason::Unknown { what }
+}
--- /dev/null
+++ b/crates/entry/src/offers.rs
@@ -0,0 +1,167 @@
+//! Queues on their way to the planner: each box offers its waiting jobs, whole at first and then
+//! by what changed.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use lifecycle::Waiting;
+use model::{BoxId, Incarnation, JobId, Member, Moment, NotRunReason};
+use policy::Queued;
+
+use crate::{EntryBox, PeerReply, PeerRequest, entry_box::Op};
+
+/// Most jobs that one offer adds; the rest follows in the next.
+const MAX_ADDED: usize = 256;
+
+/// What a planner holds of another box's queue.
+pub(crate) struct Offered {
+    incarnation: Incarnation,
+    seq: u64,
+    pub(crate) jobs: BTreeMap<JobId, (Queued, Moment)>,
+}
+
+/// This box's offers to the planner.
+#[derive(Default)]
+pub(crate) struct Offering {
+    to: Option<BoxId>,
+    seq: u64,
+    need_full: bool,
+    sent: BTreeSet<JobId>,
+    in_flight: Option<Moment>,
+    last: Option<Moment>,
+    changed: bool,
+}
+
+/// A waiting job as it is offered.
+pub(crate) fn queued(waiting: Waiting) -> Queued {
+    let spec = &waiting.spec;
+    Queued {
+        job: waiting.job,
+        customer: spec.customer.clone(),
+        class: spec.class.clone(),
+        gang: spec.gang,
+        declared: spec.declared,
+        waited: waiting.waited,
+        repeatable: spec.repeatable,
+        checkpointable: spec.checkpointable,
+        avoid: waiting.avoid,
+    }
+}
+
+impl EntryBox {
+    pub(crate) fn queue_changed(&mut self) {
+        self.offering.changed = true;
+        self.planning.mark_dirty();
+    }
+
+    /// Offers the queue to the planner, if that is another box and there is news.
+    pub(crate) fn offer_queue(&mut self, now: Moment) {
+        let planner = self.view.planner(now).clone();
+        if self.offering.to.as_ref() != Some(&planner) {
+            let seq = self.offering.seq;
+            self.offering =
+                Offering { to: Some(planner.clone()), seq, need_full: true, changed: true, ..Offering::default() };
+        }
+        if planner == self.id.box_id || self.offering.in_flight.is_some_and(|until| until > now) {
+            return;
+        }
+        let due = self.offering.last.is_none_or(|at| now.since(at) >= self.limits.offer_every);
+        if !self.offering.changed && !due {
+            return;
+        }
+        let waiting: BTreeMap<JobId, Waiting> =
+            self.jobs.waiting(now).into_iter().map(|w| (w.job.clone(), w)).collect();
+        if waiting.is_empty() && self.offering.sent.is_empty() {
+            self.offering.changed = false;
+            return;
+        }
+        self.send_offer(&planner, waiting, now);
+    }
+
+    fn send_offer(&mut self, planner: &BoxId, mut waiting: BTreeMap<JobId, Waiting>, now: Moment) {
+        let full = self.offering.need_full;
+        if full {
+            self.offering.sent.clear();
+        }
+        let removed: Vec<JobId> =
+            self.offering.sent.iter().filter(|job| !waiting.contains_key(*job)).cloned().collect();
+        waiting.retain(|job, _| !self.offering.sent.contains(job));
+        let mut fresh: Vec<Waiting> = waiting.into_values().collect();
+        fresh.sort_by_key(|w| std::cmp::Reverse(w.waited));
+        self.offering.changed = fresh.len() > MAX_ADDED;
+        fresh.truncate(MAX_ADDED);
+        for job in &removed {
+            self.offering.sent.remove(job);
+        }
+        self.offering.sent.extend(fresh.iter().map(|w| w.job.clone()));
+        self.offering.seq += 1;
+        self.offering.need_full = false;
+        self.offering.in_flight = Some(now + self.limits.call);
+        self.offering.last = Some(now);
+        let req = PeerRequest::Offer {
+            from: self.id.box_id.clone(),
+            incarnation: self.id.incarnation,
+            seq: self.offering.seq,
+            full,
+            added: fresh.into_iter().map(queued).collect(),
+            removed,
+        };
+        self.call_peer(Op::Offer, planner, req);
+    }
+
+    pub(crate) fn on_offer_reply(&mut self, peer: &BoxId, reply: Option<PeerReply>, _now: Moment) {
+        if self.offering.to.as_ref() != Some(peer) {
+            return;
+        }
+        self.offering.in_flight = None;
+        if !matches!(reply, Some(PeerReply::Offered { need_full: false })) {
+            self.offering.need_full = true;
+            self.offering.changed = true;
+        }
+    }
+
+    /// Takes another box's offer; says whether the whole queue is needed.
+    #[expect(clippy::too_many_arguments, reason = "they are the fields of one message")]
+    pub(crate) fn on_offer(
+        &mut self,
+        from: BoxId,
+        incarnation: Incarnation,
+        seq: u64,
+        full: bool,
+        added: Vec<Queued>,
+        removed: Vec<JobId>,
+        now: Moment,
+    ) -> bool {
+        let fits = self.offered.get(&from).is_some_and(|o| o.incarnation == incarnation && o.seq + 1 == seq);
+        if !full && !fits {
+            return true;
+        }
+        let empty = || Offered { incarnation, seq, jobs: BTreeMap::new() };
+        let offered = self.offered.entry(from).or_insert_with(empty);
+        if full {
+            *offered = empty();
+        }
+        offered.seq = seq;
+        for job in &removed {
+            offered.jobs.remove(job);
+        }
+        let any = !added.is_empty() || !removed.is_empty();
+        for queued in added {
+            let since = now - queued.waited;
+            offered.jobs.insert(queued.job.clone(), (queued, since));
+        }
+        if any {
+            self.planning.mark_dirty();
+        }
+        false
+    }
+
+    /// Takes the planner's decisions about this box's jobs.
+    pub(crate) fn on_grant(&mut self, starts: Vec<(JobId, Vec<Member>)>, refusals: Vec<(JobId, String)>, now: Moment) {
+        for (job, members) in starts {
+            self.jobs.grant(&job, members, now);
+        }
+        for (job, why) in refusals {
+            self.jobs.refuse(&job, NotRunReason::CanNeverRun { why }, None, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/planning.rs
@@ -0,0 +1,201 @@
+//! What a box does while it plans for its availability zone.
+
+use std::collections::BTreeMap;
+
+use backend::{BackendRequest, Lease};
+use model::{BoxId, Duration, JobId, Member, Moment};
+use policy::{Decision, Planner, Queued, Running, Snapshot};
+
+use crate::{BackendOp, EntryBox, Observation, PeerRequest, entry_box::Op, offers::queued};
+
+/// Starts over which the time per start is averaged.
+const RATE_WINDOW: f64 = 32.0;
+/// The time per start before anything is known.
+const RATE_INITIAL: Duration = Duration::from_secs(1);
+
+/// The planner's own state: soft, and gone with the box.
+pub(crate) struct Planning {
+    planner: Box<dyn Planner>,
+    dirty: bool,
+    last: Option<Moment>,
+    granted: BTreeMap<JobId, Granted>,
+    last_start: Option<Moment>,
+    time_per_start: f64,
+}
+
+/// A grant whose reservations have not shown up yet.
+struct Granted {
+    gang: Running,
+    until: Moment,
+}
+
+impl Planning {
+    pub(crate) fn new(planner: Box<dyn Planner>) -> Planning {
+        Planning {
+            planner,
+            dirty: true,
+            last: None,
+            granted: BTreeMap::new(),
+            last_start: None,
+            time_per_start: RATE_INITIAL.millis() as f64,
+        }
+    }
+
+    /// Something changed that may let a job start.
+    pub(crate) fn mark_dirty(&mut self) {
+        self.dirty = true;
+    }
+
+    /// The reservations have shown up, or the attempt is over.
+    pub(crate) fn forget_granted(&mut self, leases: &[Lease]) {
+        for lease in leases {
+            self.granted.remove(&lease.job);
+        }
+    }
+
+    /// Time between starts of late, averaged.
+    pub(crate) fn time_per_start(&self) -> Duration {
+        Duration::from_millis(self.time_per_start as u64)
+    }
+
+    fn note_starts(&mut self, starts: usize, now: Moment) {
+        if starts == 0 {
+            return;
+        }
+        if let Some(last) = self.last_start {
+            let each = now.since(last).millis() as f64 / starts as f64;
+            self.time_per_start += (each - self.time_per_start) / RATE_WINDOW;
+        }
+        self.last_start = Some(now);
+    }
+}
+
+impl EntryBox {
+    /// Plans if this box is the planner, something changed, and the last round is long enough ago.
+    pub(crate) fn plan_if_due(&mut self, now: Moment) {
+        if *self.view.planner(now) != self.id.box_id {
+            return;
+        }
+        let expired = self.planning.granted.values().any(|granted| granted.until <= now);
+        if expired {
+            self.planning.granted.retain(|_, granted| granted.until > now);
+            self.planning.dirty = true;
+        }
+        let early = self.planning.last.is_some_and(|at| now.since(at) < self.limits.plan_gap);
+        if !self.planning.dirty || early {
+            return;
+        }
+        let Some(snapshot) = self.snapshot(now) else { return };
+        self.planning.dirty = false;
+        self.planning.last = Some(now);
+        if snapshot.queue.is_empty() {
+            return;
+        }
+        let decisions = self.planning.planner.plan(&snapshot);
+        self.carry_out(&snapshot, decisions, now);
+    }
+
+    fn snapshot(&self, now: Moment) -> Option<Snapshot> {
+        let file = self.file()?;
+        let mut servers = self.servers_of(&file);
+        for server in &mut servers {
+            server.open = self.is_open(&file, &server.id, now);
+        }
+        let mut running = self.replicas.running();
+        let known: std::collections::BTreeSet<JobId> = running.iter().map(|gang| gang.job.clone()).collect();
+        let granted = self.planning.granted.values().map(|granted| &granted.gang);
+        running.extend(granted.filter(|gang| !known.contains(&gang.job)).cloned());
+        let mut queue: Vec<Queued> = self.jobs.waiting(now).into_iter().map(queued).collect();
+        for (id, offered) in &self.offered {
+            if self.view.is_live(id, now) {
+                queue.extend(offered.jobs.values().map(|(it, since)| aged(it, *since, now)));
+            }
+        }
+        queue.retain(|it| !known.contains(&it.job) && !self.planning.granted.contains_key(&it.job));
+        Some(Snapshot { file, servers, running, queue })
+    }
+
+    fn carry_out(&mut self, snapshot: &Snapshot, decisions: Vec<Decision>, now: Moment) {
+        let by_job: BTreeMap<&JobId, &Queued> = snapshot.queue.iter().map(|it| (&it.job, it)).collect();
+        let mut starts: Vec<(JobId, Vec<Member>)> = Vec::new();
+        let mut refusals = Vec::new();
+        let mut preemptions = 0;
+        for decision in decisions {
+            match decision {
+                Decision::Start { job, members } => {
+                    if let Some(it) = by_job.get(&job) {
+                        let granted = Granted { gang: begun(it, &members), until: now + self.limits.grant_ttl };
+                        self.planning.granted.insert(job.clone(), granted);
+                        starts.push((job, members));
+                    }
+                }
+                Decision::Preempt { job, .. } => {
+                    preemptions += 1;
+                    self.preempt(&job);
+                }
+                Decision::Refuse { job, why } => refusals.push((job, why)),
+            }
+        }
+        self.planning.note_starts(starts.len(), now);
+        if starts.len() + preemptions + refusals.len() > 0 {
+            let queued = snapshot.queue.len();
+            self.observe(Observation::Planned { starts: starts.len(), preemptions, queued });
+        }
+        self.send_grants(starts, refusals, now);
+    }
+
+    fn preempt(&mut self, job: &JobId) {
+        let calls: Vec<_> = self
+            .replicas
+            .iter()
+            .filter_map(|(server, replica)| Some((server.clone(), replica.leases.get(job)?.token)))
+            .collect();
+        for (server, token) in calls {
+            let req = BackendRequest::Checkpoint { job: job.clone(), token, stop_after: self.limits.checkpoint };
+            self.call_backend(BackendOp::Preempt, server, req);
+        }
+    }
+
+    /// Sends each decision to the box whose queue the job is in.
+    fn send_grants(&mut self, starts: Vec<(JobId, Vec<Member>)>, refusals: Vec<(JobId, String)>, now: Moment) {
+        type Grants = (Vec<(JobId, Vec<Member>)>, Vec<(JobId, String)>);
+        let mut by_box: BTreeMap<BoxId, Grants> = BTreeMap::new();
+        for start in starts {
+            by_box.entry(start.0.minted_by.clone()).or_default().0.push(start);
+        }
+        for refusal in refusals {
+            by_box.entry(refusal.0.minted_by.clone()).or_default().1.push(refusal);
+        }
+        for (id, (starts, refusals)) in by_box {
+            if id == self.id.box_id {
+                self.on_grant(starts, refusals, now);
+                continue;
+            }
+            if let Some(offered) = self.offered.get_mut(&id) {
+                for (job, _) in &refusals {
+                    offered.jobs.remove(job);
+                }
+            }
+            self.call_peer(Op::Grant, &id, PeerRequest::Grant { starts, refusals });
+        }
+    }
+}
+
+fn aged(it: &Queued, since: Moment, now: Moment) -> Queued {
+    Queued { waited: now.since(since), ..it.clone() }
+}
+
+fn begun(it: &Queued, members: &[Member]) -> Running {
+    Running {
+        job: it.job.clone(),
+        customer: it.customer.clone(),
+        class: it.class.clone(),
+        per_task: it.gang.per_task,
+        members: members.to_vec(),
+        ran_for: Duration::ZERO,
+        declared: it.declared,
+        repeatable: it.repeatable,
+        checkpointable: it.checkpointable,
+        stopping: false,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/replicas.rs
@@ -0,0 +1,203 @@
+//! Replicas of the lease tables of the availability zone, kept by one waiting watch per backend server.
+//!
+//! Every box keeps them, so that any box can plan at once when the planner is gone, and so that
+//! the holder of a job is known everywhere.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use backend::{BackendReply, BackendRequest, Lease, ServerInfo, TableUpdate, TaskState};
+use model::{BackendServerId, BoxId, CustomerId, Duration, JobId, Moment, OperatorFile, RequestId, ServerMode};
+use policy::{Running, Server};
+
+use crate::{BackendOp, EntryBox};
+
+/// First wait after a failed watch; doubles to [`RETRY_MAX`].
+const RETRY_MIN: Duration = Duration::from_millis(200);
+/// Longest wait after a failed watch.
+const RETRY_MAX: Duration = Duration::from_secs(5);
+
+/// The replicas, by backend server.
+#[derive(Default)]
+pub(crate) struct Replicas {
+    by_server: BTreeMap<BackendServerId, Replica>,
+}
+
+/// What is known of one backend server.
+#[derive(Default)]
+pub(crate) struct Replica {
+    table: u64,
+    version: u64,
+    pub(crate) leases: BTreeMap<JobId, Lease>,
+    pub(crate) info: Option<ServerInfo>,
+    pub(crate) last_reply: Option<Moment>,
+    /// When the watch in flight is given up; `None` if none is.
+    in_flight: Option<Moment>,
+    retry_at: Moment,
+    failures: u32,
+}
+
+impl Replicas {
+    /// Keeps exactly the backend servers of the configuration.
+    pub(crate) fn keep(&mut self, servers: &BTreeSet<BackendServerId>) {
+        self.by_server.retain(|id, _| servers.contains(id));
+        for id in servers {
+            self.by_server.entry(id.clone()).or_default();
+        }
+    }
+
+    pub(crate) fn ids(&self) -> BTreeSet<BackendServerId> {
+        self.by_server.keys().cloned().collect()
+    }
+
+    pub(crate) fn get(&self, id: &BackendServerId) -> Option<&Replica> {
+        self.by_server.get(id)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&BackendServerId, &Replica)> {
+        self.by_server.iter()
+    }
+
+    fn lines(&self) -> impl Iterator<Item = (&BackendServerId, &Lease)> {
+        self.by_server.iter().flat_map(|(id, replica)| replica.leases.values().map(move |lease| (id, lease)))
+    }
+
+    /// The holder of a request that holds resources or keeps an answer.
+    pub(crate) fn holder_of(&self, customer: &CustomerId, request: &RequestId) -> Option<BoxId> {
+        let lines = self.lines().filter(|(_, l)| l.request == *request && l.customer == *customer && is_live(l));
+        lines.max_by_key(|(_, lease)| lease.token).map(|(_, lease)| lease.holder.box_id.clone())
+    }
+
+    pub(crate) fn has_request(&self, customer: &CustomerId, request: &RequestId) -> bool {
+        self.holder_of(customer, request).is_some()
+    }
+
+    pub(crate) fn has_live_line(&self, job: &JobId) -> bool {
+        self.by_server.values().any(|replica| replica.leases.get(job).is_some_and(is_live))
+    }
+
+    /// The lines of every job, by backend server.
+    pub(crate) fn by_job(&self) -> BTreeMap<&JobId, BTreeMap<&BackendServerId, &Lease>> {
+        let mut jobs: BTreeMap<&JobId, BTreeMap<&BackendServerId, &Lease>> = BTreeMap::new();
+        for (server, lease) in self.lines() {
+            jobs.entry(&lease.job).or_default().insert(server, lease);
+        }
+        jobs
+    }
+
+    /// Gangs that hold resources, each told once.
+    pub(crate) fn running(&self) -> Vec<Running> {
+        let mut gangs: BTreeMap<&JobId, Running> = BTreeMap::new();
+        for (server, lease) in self.lines().filter(|(_, lease)| lease.state.holds()) {
+            let gang = gangs.entry(&lease.job).or_insert_with(|| running(server, lease));
+            gang.stopping |= lease.stopping;
+            gang.ran_for = gang.ran_for.max(lease.ran_for);
+        }
+        gangs.into_values().collect()
+    }
+}
+
+fn running(server: &BackendServerId, lease: &Lease) -> Running {
+    let tasks = lease.members.iter().find(|m| m.server == *server).map_or(1, |m| m.tasks.max(1));
+    let per_task = model::Resources::new(
+        lease.resources.accelerators / tasks,
+        lease.resources.cores / tasks,
+        lease.resources.memory_gb / tasks,
+    );
+    Running {
+        job: lease.job.clone(),
+        customer: lease.customer.clone(),
+        class: lease.class.clone(),
+        per_task,
+        members: lease.members.clone(),
+        ran_for: lease.ran_for,
+        declared: lease.declared,
+        repeatable: lease.repeatable,
+        checkpointable: lease.checkpointable,
+        stopping: lease.stopping,
+    }
+}
+
+/// Whether a line holds resources, or keeps an answer that nobody has acknowledged.
+fn is_live(lease: &Lease) -> bool {
+    lease.state.holds() || (matches!(lease.state, TaskState::Finished { .. }) && !lease.acknowledged)
+}
+
+impl EntryBox {
+    /// Sends a watch to each backend server that has none in flight.
+    pub(crate) fn send_watches(&mut self, now: Moment) {
+        let wait = self.limits.watch;
+        let give_up = now + wait + self.limits.call + self.limits.call;
+        let mut calls = Vec::new();
+        for (id, replica) in &mut self.replicas.by_server {
+            if replica.in_flight.is_some_and(|until| until > now) || replica.retry_at > now {
+                continue;
+            }
+            replica.in_flight = Some(give_up);
+            let req = BackendRequest::Watch { table: replica.table, since: replica.version, wait };
+            calls.push((id.clone(), req));
+        }
+        for (id, req) in calls {
+            self.call_backend(BackendOp::Watch, id, req);
+        }
+    }
+
+    pub(crate) fn on_watch_reply(&mut self, server: &BackendServerId, reply: Option<BackendReply>, now: Moment) {
+        let Some(replica) = self.replicas.by_server.get_mut(server) else { return };
+        replica.in_flight = None;
+        let Some(BackendReply::Table(update)) = reply else {
+            replica.failures += 1;
+            let doubled = RETRY_MIN.millis() << replica.failures.min(8);
+            replica.retry_at = now + Duration::from_millis(doubled.min(RETRY_MAX.millis()));
+            return;
+        };
+        replica.failures = 0;
+        replica.last_reply = Some(now);
+        self.take_update(server, update, now);
+        self.send_watches(now);
+    }
+
+    fn take_update(&mut self, server: &BackendServerId, update: TableUpdate, now: Moment) {
+        let Some(replica) = self.replicas.by_server.get_mut(server) else { return };
+        if update.table == replica.table && update.version < replica.version {
+            return;
+        }
+        if update.full {
+            replica.leases.clear();
+        }
+        for job in &update.removed {
+            replica.leases.remove(job);
+        }
+        for lease in &update.leases {
+            replica.leases.insert(lease.job.clone(), lease.clone());
+        }
+        let changed = update.full || !update.leases.is_empty() || !update.removed.is_empty();
+        let info_changed = replica.info.as_ref() != Some(&update.info);
+        replica.table = update.table;
+        replica.version = update.version;
+        let revision = update.info.revision;
+        replica.info = Some(update.info);
+        self.jobs.on_table(server, &update.leases, update.full, now);
+        if changed || info_changed {
+            self.planning.mark_dirty();
+            self.planning.forget_granted(&update.leases);
+        }
+        self.on_server_revision(server, revision, now);
+    }
+
+    /// The backend servers of this availability zone as planners see them.
+    pub(crate) fn servers_of(&self, file: &OperatorFile) -> Vec<Server> {
+        let here = file.backend_servers.values().filter(|s| s.availability_zone == self.id.availability_zone);
+        here.map(|s| Server { id: s.id.clone(), rack: s.rack.clone(), resources: s.resources, open: true }).collect()
+    }
+
+    /// Whether a backend server may be given new work: the tightest of the file, its own word, its
+    /// silence and the quarantine.
+    pub(crate) fn is_open(&self, file: &OperatorFile, id: &BackendServerId, now: Moment) -> bool {
+        let Some(entry) = file.backend_servers.get(id) else { return false };
+        let Some(replica) = self.replicas.get(id) else { return false };
+        let staying = replica.info.as_ref().is_some_and(|info| !info.leaving);
+        let answering = replica.failures == 0
+            && replica.last_reply.is_some_and(|at| now.since(at) < self.limits.watch + self.limits.silent_after);
+        entry.mode == ServerMode::Active && staying && answering && !self.quarantine.is_closed(id)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/route.rs
@@ -0,0 +1,234 @@
+//! Finding the box that holds a request, for polls, cancellations and acknowledgements from any box.
+//!
+//! First this box's own jobs, then the holder named in the lease tables, then all peers of the
+//! availability zone, then the claim in the platform's store.
+
+use std::collections::BTreeSet;
+
+use lifecycle::{JobView, Stage};
+use model::{BoxId, CustomerId, Duration, JobId, Moment, RequestId};
+use platform::{StoreReply, StoreRequest};
+
+use crate::{
+    CallerReply, Claim, EntryBox, JobAnswer, OpId, PeerReply, PeerRequest, Submission, claims::claim_key,
+    entry_box::Op, waiters::Respondent,
+};
+
+/// When to ask again about a job that is changing hands.
+const RETRY_MOVED: Duration = Duration::from_millis(500);
+
+/// What is asked about a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Ask {
+    Poll { wait: Duration },
+    Cancel,
+    Acknowledge,
+}
+
+/// A question on its way around.
+#[derive(Debug)]
+pub(crate) struct RouteOp {
+    ask: Ask,
+    name: (CustomerId, RequestId),
+    to: Respondent,
+    /// Peers whose reply is still to come.
+    open: BTreeSet<BoxId>,
+    /// Taken as new if nobody knows it.
+    submission: Option<Submission>,
+}
+
+impl RouteOp {
+    /// A submission passed to the box that it belongs to.
+    pub(crate) fn forward(submission: Submission, to: Respondent) -> RouteOp {
+        let name = (submission.spec.customer.clone(), submission.spec.request.clone());
+        let ask = Ask::Poll { wait: submission.wait };
+        RouteOp { ask, name, to, open: BTreeSet::new(), submission: None }
+    }
+
+    /// A question to all peers.
+    pub(crate) fn around(
+        ask: Ask,
+        name: (CustomerId, RequestId),
+        to: Respondent,
+        submission: Option<Submission>,
+    ) -> RouteOp {
+        RouteOp { ask, name, to, open: BTreeSet::new(), submission }
+    }
+
+    fn request(&self) -> PeerRequest {
+        let (customer, request) = self.name.clone();
+        match self.ask {
+            Ask::Poll { wait } => PeerRequest::Lookup { customer, request, wait },
+            Ask::Cancel => PeerRequest::Cancel { customer, request },
+            Ask::Acknowledge => PeerRequest::Acknowledge { customer, request },
+        }
+    }
+}
+
+impl EntryBox {
+    /// Answers a question about a request, wherever the request is held.
+    pub(crate) fn route(&mut self, ask: Ask, customer: CustomerId, request: RequestId, to: Respondent, now: Moment) {
+        let name = (customer, request);
+        let local = self.jobs.find(&name.0, &name.1);
+        let moved_to = match local.as_ref().map(|view| &view.stage) {
+            Some(Stage::Moved(holder)) => holder.as_ref().map(|holder| holder.box_id.clone()),
+            Some(_) => return self.answer_locally(ask, name.0, name.1, to, now),
+            None if self.is_claiming_name(&name) => return self.answer_locally(ask, name.0, name.1, to, now),
+            None => None,
+        };
+        let holder = moved_to.or_else(|| self.replicas.holder_of(&name.0, &name.1));
+        let route = RouteOp::around(ask, name, to, None);
+        match holder {
+            Some(holder) if holder != self.id.box_id && self.view.is_live(&holder, now) => {
+                let req = route.request();
+                self.call_peer(Op::Route(Box::new(route)), &holder, req);
+            }
+            Some(holder) if holder != self.id.box_id => self.reply(to, CallerReply::Job(moved_answer())),
+            _ => self.ask_peers(route, now),
+        }
+    }
+
+    /// Answers from this box's own jobs alone.
+    pub(crate) fn answer_locally(
+        &mut self,
+        ask: Ask,
+        customer: CustomerId,
+        request: RequestId,
+        to: Respondent,
+        now: Moment,
+    ) {
+        let Some(view) = self.jobs.find(&customer, &request) else {
+            let claiming = self.is_claiming_name(&(customer, request));
+            let answer = if claiming { claiming_answer() } else { JobAnswer::NotKnown };
+            return self.reply(to, CallerReply::Job(answer));
+        };
+        match ask {
+            Ask::Cancel => self.jobs.cancel(&view.job, now),
+            Ask::Acknowledge => self.jobs.acknowledge(&view.job),
+            Ask::Poll { .. } => {}
+        }
+        let view = self.jobs.view(&view.job).unwrap_or(view);
+        match (&view.stage, ask) {
+            (Stage::Ended(_) | Stage::Moved(_), _) | (_, Ask::Acknowledge) => {
+                self.reply(to, CallerReply::Job(pending_answer(&view)));
+            }
+            (_, Ask::Poll { wait }) if wait == Duration::ZERO => {
+                self.reply(to, CallerReply::Job(pending_answer(&view)));
+            }
+            (_, Ask::Poll { wait }) => self.wait_for_end((customer, request), to, now + wait),
+            (_, Ask::Cancel) => self.wait_for_end((customer, request), to, now + self.limits.call),
+        }
+    }
+
+    /// Asks every live peer of the availability zone.
+    pub(crate) fn ask_peers(&mut self, mut route: RouteOp, now: Moment) {
+        let peers: Vec<BoxId> = self.view.live(now).into_iter().filter(|id| *id != self.id.box_id).collect();
+        if peers.is_empty() {
+            return self.ask_store(route, now);
+        }
+        route.open = peers.iter().cloned().collect();
+        let req = route.request();
+        // The round itself is one operation; each peer's call is another that points to it.
+        let round = self.new_op(Op::Route(Box::new(route)));
+        for peer in peers {
+            self.call_peer(Op::RoutePart(round), &peer, req.clone());
+        }
+    }
+
+    pub(crate) fn on_route_reply(&mut self, route: RouteOp, reply: Option<PeerReply>) {
+        let answer = match reply {
+            Some(PeerReply::Job(answer)) => answer,
+            _ => moved_answer(),
+        };
+        self.reply(route.to, CallerReply::Job(answer));
+    }
+
+    pub(crate) fn on_round_reply(&mut self, round: OpId, peer: &BoxId, reply: Option<PeerReply>, now: Moment) {
+        let Some(Op::Route(route)) = self.ops.get_mut(&round) else { return };
+        route.open.remove(peer);
+        let done = route.open.is_empty();
+        let known = match reply {
+            Some(PeerReply::Job(answer)) if answer != JobAnswer::NotKnown => Some(answer),
+            _ => None,
+        };
+        if known.is_none() && !done {
+            return;
+        }
+        let Some(Op::Route(route)) = self.ops.remove(&round) else { return };
+        match known {
+            Some(answer) => self.reply(route.to, CallerReply::Job(answer)),
+            None => self.ask_store(*route, now),
+        }
+    }
+
+    /// Nobody in the availability zone knows the request: its claim may say more.
+    fn ask_store(&mut self, route: RouteOp, now: Moment) {
+        if let Some(submission) = route.submission {
+            return self.submit_new(submission, route.to, now);
+        }
+        let key = claim_key(&route.name.0, &route.name.1);
+        self.call_store(Op::Route(Box::new(route)), StoreRequest::Get { key });
+    }
+
+    pub(crate) fn on_route_claim(&mut self, route: RouteOp, reply: Option<StoreReply>, now: Moment) {
+        let answer = match reply {
+            Some(StoreReply::Found { value: None }) => JobAnswer::NotKnown,
+            Some(StoreReply::Found { value: Some(found) }) => match Claim::parse(&found.value) {
+                Some(claim) => return self.route_to_claim(route, claim, now),
+                None => JobAnswer::NotKnown,
+            },
+            _ => JobAnswer::Unsettled {
+                why: "the platform's store does not answer".to_owned(),
+                retry_after: RETRY_MOVED,
+            },
+        };
+        self.reply(route.to, CallerReply::Job(answer));
+    }
+
+    fn route_to_claim(&mut self, route: RouteOp, claim: Claim, now: Moment) {
+        if let Some(outcome) = claim.ended {
+            return self.reply(route.to, CallerReply::Job(JobAnswer::Over { outcome }));
+        }
+        if claim.availability_zone != self.id.availability_zone {
+            let Some(peer) = self.any_box_of(&claim.availability_zone) else {
+                return self.reply(route.to, CallerReply::Job(moved_answer()));
+            };
+            let req = route.request();
+            return self.call_peer(Op::Route(Box::new(route)), &peer, req);
+        }
+        let live = self.is_live_ticket(&claim.ticket, now);
+        let answer = if live { moved_answer() } else { orphan_answer() };
+        self.reply(route.to, CallerReply::Job(answer));
+    }
+
+    pub(crate) fn is_live_ticket(&self, ticket: &JobId, now: Moment) -> bool {
+        self.view.is_live_life(&ticket.minted_by, ticket.incarnation, self.id.incarnation, now)
+    }
+}
+
+/// The answer about a job of this box.
+pub(crate) fn pending_answer(view: &JobView) -> JobAnswer {
+    let stage = match &view.stage {
+        Stage::Ended(outcome) => return JobAnswer::Ended { job: view.job.clone(), outcome: outcome.clone() },
+        Stage::Moved(_) => return moved_answer(),
+        Stage::Waiting => "waiting",
+        Stage::Starting => "starting",
+        Stage::Running => "running",
+        Stage::Stopping => "stopping",
+    };
+    JobAnswer::Pending { job: Some(view.job.clone()), stage: stage.to_owned() }
+}
+
+/// The answer about a job that another box is taking over.
+pub(crate) fn moved_answer() -> JobAnswer {
+    JobAnswer::Unsettled { why: "another box is taking the job over".to_owned(), retry_after: RETRY_MOVED }
+}
+
+fn claiming_answer() -> JobAnswer {
+    JobAnswer::Pending { job: None, stage: "claiming".to_owned() }
+}
+
+fn orphan_answer() -> JobAnswer {
+    let why = "the box that took the request is gone; send the request again to have it settled".to_owned();
+    JobAnswer::Unsettled { why, retry_after: RETRY_MOVED }
+}
--- /dev/null
+++ b/crates/entry/src/settle.rs
@@ -0,0 +1,168 @@
+//! Ending the ticket of a box that is gone, so that its request can be said not to have run, or be
+//! run under another ticket.
+//!
+//! Every backend server of the availability zone is told to refuse the ticket from now on, and says
+//! whether it ever ran there. If all have answered and none ran it, it never ran and never will,
+//! also if the box was only paused and wakes.
+
+use std::collections::BTreeSet;
+
+use backend::{BackendReply, BackendRequest};
+use model::{BackendServerId, Duration, JobId, LeaseToken, Moment, NotRunReason, Outcome};
+use platform::{StoreReply, StoreRequest};
+
+use crate::{
+    BackendOp, CallerReply, Claim, EntryBox, JobAnswer, Observation, OpId, Submission, claims::CLAIM_PREFIX,
+    entry_box::Op, route::moved_answer, waiters::Respondent,
+};
+
+/// A fence whose reply was lost is sent again after this.
+const RESEND: Duration = Duration::from_secs(1);
+/// When to ask again about a ticket that could not be settled.
+const RETRY: Duration = Duration::from_secs(2);
+/// Recovery of a dead box's durable jobs is tried again after this.
+const RECOVER_RETRY: Duration = Duration::from_secs(5);
+
+/// What follows once the ticket is settled.
+#[derive(Debug)]
+pub(crate) enum Afterwards {
+    /// Claim the request under a new ticket.
+    Reclaim { submission: Submission, to: Respondent, version: u64 },
+    /// Tell the caller that its ticket is void.
+    TicketVoid { to: Respondent },
+}
+
+/// A ticket being settled.
+#[derive(Debug)]
+pub(crate) struct SettleOp {
+    ticket: JobId,
+    repeatable: bool,
+    open: BTreeSet<BackendServerId>,
+    ran: bool,
+    next: Moment,
+    until: Moment,
+    afterwards: Afterwards,
+}
+
+impl EntryBox {
+    pub(crate) fn begin_settle(&mut self, ticket: JobId, repeatable: bool, afterwards: Afterwards, now: Moment) {
+        if self.replicas.has_live_line(&ticket) {
+            // It runs or has run: it will be adopted rather than fenced.
+            return self.reply(afterwards.to(), CallerReply::Job(moved_answer()));
+        }
+        let open = self.replicas.ids();
+        let until = now + self.limits.settle;
+        let op = SettleOp { ticket, repeatable, open, ran: false, next: now, until, afterwards };
+        let id = self.new_op(Op::Settle(Box::new(op)));
+        self.send_fences(id, now);
+    }
+
+    fn send_fences(&mut self, id: OpId, now: Moment) {
+        let Some(Op::Settle(op)) = self.ops.get_mut(&id) else { return };
+        op.next = now + RESEND;
+        let ticket = op.ticket.clone();
+        for server in op.open.clone() {
+            let req = BackendRequest::Stop { job: ticket.clone(), token: LeaseToken::FENCE };
+            self.call_backend(BackendOp::Fence(id), server, req);
+        }
+    }
+
+    pub(crate) fn on_fenced(&mut self, id: OpId, server: &BackendServerId, reply: Option<BackendReply>, now: Moment) {
+        let Some(Op::Settle(op)) = self.ops.get_mut(&id) else { return };
+        if let Some(BackendReply::Stopped { ran }) = reply {
+            op.open.remove(server);
+            op.ran |= ran;
+        }
+        if op.open.is_empty()
+            && let Some(Op::Settle(op)) = self.ops.remove(&id)
+        {
+            self.settled(*op, now);
+        }
+    }
+
+    pub(crate) fn tick_ops(&mut self, now: Moment) {
+        let settling: Vec<OpId> =
+            self.ops.iter().filter(|(_, op)| matches!(op, Op::Settle(_))).map(|(id, _)| *id).collect();
+        for id in settling {
+            let Some(Op::Settle(op)) = self.ops.get(&id) else { continue };
+            let (next, until) = (op.next, op.until);
+            if until <= now {
+                self.give_up_settling(id);
+            } else if next <= now {
+                self.send_fences(id, now);
+            }
+        }
+        self.recover_if_due(now);
+    }
+
+    fn give_up_settling(&mut self, id: OpId) {
+        let Some(Op::Settle(op)) = self.ops.remove(&id) else { return };
+        let why = format!("{} backend servers do not say whether the ticket ran", op.open.len());
+        self.reply(op.afterwards.to(), CallerReply::Job(JobAnswer::Unsettled { why, retry_after: RETRY }));
+    }
+
+    fn settled(&mut self, op: SettleOp, _now: Moment) {
+        self.observe(Observation::Count { name: "ticket_settled" });
+        if op.ran && !op.repeatable {
+            let why = "it began under a box that is gone, and its answer was not kept".to_owned();
+            let answer = JobAnswer::Ended { job: op.ticket, outcome: Outcome::Unknown { why } };
+            return self.reply(op.afterwards.to(), CallerReply::Job(answer));
+        }
+        match op.afterwards {
+            Afterwards::Reclaim { submission, to, version } => self.reclaim(submission, to, version),
+            Afterwards::TicketVoid { to } => {
+                let reason = NotRunReason::Unknown { what: "ticket: the box that minted it is gone".to_owned() };
+                let outcome = Outcome::NotRun { reason, retry_after: Some(Duration::ZERO) };
+                self.reply(to, CallerReply::Job(JobAnswer::Ended { job: op.ticket, outcome }));
+            }
+        }
+    }
+
+    /// The planner looks for durable jobs whose box is gone.
+    fn recover_if_due(&mut self, now: Moment) {
+        if self.recover_at.is_none_or(|at| at > now) || self.draining || !self.view.may_judge(now) {
+            return;
+        }
+        self.recover_at = None;
+        if *self.view.planner(now) == self.id.box_id && self.current.file().is_some() {
+            self.call_store(Op::Recover, StoreRequest::List { prefix: CLAIM_PREFIX.to_owned() });
+        }
+    }
+
+    pub(crate) fn on_recover_reply(&mut self, reply: Option<StoreReply>, now: Moment) {
+        let Some(StoreReply::Listed { values }) = reply else {
+            self.recover_at = Some(now + RECOVER_RETRY);
+            return;
+        };
+        let mut later = false;
+        for found in values {
+            let Some(claim) = Claim::parse(&found.value) else { continue };
+            let Some(spec) = &claim.durable else { continue };
+            if claim.ended.is_some() || claim.availability_zone != self.id.availability_zone {
+                continue;
+            }
+            if self.jobs.view(&claim.ticket).is_some() || self.is_live_ticket(&claim.ticket, now) {
+                continue;
+            }
+            if self.replicas.has_live_line(&claim.ticket) || self.jobs.find(&spec.customer, &spec.request).is_some() {
+                later = true;
+                continue;
+            }
+            let submission =
+                Submission { spec: spec.clone(), wait: Duration::ZERO, durable: true, retry: false, ticket: None };
+            let afterwards = Afterwards::Reclaim { submission, to: Respondent::Nobody, version: found.version };
+            self.begin_settle(claim.ticket, claim.repeatable, afterwards, now);
+        }
+        if later {
+            self.recover_at = Some(now + RECOVER_RETRY);
+        }
+    }
+}
+
+impl Afterwards {
+    fn to(&self) -> Respondent {
+        match self {
+            Afterwards::Reclaim { to, .. } | Afterwards::TicketVoid { to } => *to,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lifecycle/src/adoption.rs
@@ -0,0 +1,163 @@
+//! Adoption: this box takes over the running gangs of a box that is gone.
+//!
+//! Only gangs whose every member is armed, running or finished are taken over. A gang that was
+//! still being reserved lapses by itself; its box's callers ask again, and the ticket is fenced.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use backend::{BackendReply, BackendRequest, Lease, Refusal, TaskSpec, TaskState};
+use model::{BackendServerId, Epoch, JobId, JobSpec, LeaseToken, Moment};
+
+use crate::{
+    Coordinator,
+    job::{Cause, Job, Part, Phase},
+};
+
+impl Coordinator {
+    /// Takes over a job of which these lines are known, by backend server. Does nothing when the
+    /// job is already held here, or when a member is not known to be armed, running or finished.
+    pub fn adopt(&mut self, id: &JobId, lines: &BTreeMap<BackendServerId, Lease>, now: Moment) {
+        let Some(first) = lines.values().next() else { return };
+        let known_here = self.jobs.get(id).is_some_and(|job| !matches!(job.phase, Phase::Moved { .. }));
+        if known_here || !first.members.iter().all(|m| lines.get(&m.server).is_some_and(is_adoptable)) {
+            return;
+        }
+        let newest = lines.values().map(|lease| lease.token).max().unwrap_or_default();
+        let mut job = Job::new(Arc::new(placeholder(first)), now - first.ran_for);
+        job.attempt = newest.attempt;
+        job.epoch = newest.epoch.next();
+        job.adopted = true;
+        job.ran = lines.values().any(|lease| lease.state.ran());
+        job.started = Some(now);
+        job.parts = first.members.iter().cloned().map(Part::new).collect();
+        let limits = self.limits;
+        job.phase = Phase::Adopting { next: now, until: now + limits.lease_ttl };
+        self.by_request.insert((first.customer.clone(), first.request.clone()), id.clone());
+        self.jobs.insert(id.clone(), job);
+        self.tick_adopting(id, now);
+    }
+
+    pub(crate) fn tick_adopting(&mut self, id: &JobId, now: Moment) {
+        self.finish_adoption(id, now);
+        let resend = now + self.limits.resend_every;
+        let job = self.jobs.get_mut(id).expect("the caller has read the job");
+        let Phase::Adopting { next, until } = &mut job.phase else { return };
+        if *until <= now {
+            let server = job.parts.iter().find(|p| p.state.is_none()).map(|p| p.member.server.clone());
+            let server = server.unwrap_or_else(|| job.parts[0].member.server.clone());
+            return self.stop(id, Cause::MemberLost { server }, now);
+        }
+        if *next <= now {
+            *next = resend;
+            self.send_adoptions(id);
+        }
+    }
+
+    fn send_adoptions(&mut self, id: &JobId) {
+        let ttl = self.limits.lease_ttl;
+        let job = &self.jobs[id];
+        let token = job.token();
+        let open: Vec<_> = job.parts.iter().filter(|p| p.state.is_none()).map(|p| p.member.server.clone()).collect();
+        let first = job.parts[0].member.server.clone();
+        for server in open {
+            let holder = self.me.clone();
+            self.call(&server, BackendRequest::Adopt { job: id.clone(), token, holder, ttl });
+        }
+        self.call(&first, BackendRequest::Describe { job: id.clone() });
+    }
+
+    pub(crate) fn on_adopted(
+        &mut self,
+        server: &BackendServerId,
+        id: &JobId,
+        token: LeaseToken,
+        reply: BackendReply,
+        now: Moment,
+    ) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.token() != token || !matches!(job.phase, Phase::Adopting { .. }) {
+            return;
+        }
+        match reply {
+            BackendReply::Ok { state } => {
+                if let Some(part) = job.part_mut(server) {
+                    part.state = Some(state);
+                }
+                self.finish_adoption(id, now);
+            }
+            BackendReply::Refused(Refusal::Stale { seen, holder }) => {
+                let tie = seen.attempt == token.attempt && seen.epoch == token.epoch;
+                if tie && holder.as_ref().is_some_and(|it| self.me < *it) {
+                    return self.adopt_again(id, seen.epoch, now);
+                }
+                self.on_superseded(id, seen, holder);
+            }
+            // The member forgot or never got as far: the gang is not whole and lapses.
+            BackendReply::Refused(_) => self.stop(id, Cause::MemberLost { server: server.clone() }, now),
+            _ => {}
+        }
+    }
+
+    /// Two boxes adopted at once: the lower one goes above the other's epoch.
+    fn adopt_again(&mut self, id: &JobId, seen: Epoch, now: Moment) {
+        let job = self.jobs.get_mut(id).expect("the caller has read the job");
+        job.epoch = seen.next();
+        for part in &mut job.parts {
+            part.state = None;
+        }
+        self.send_adoptions(id);
+        self.tick_adopting(id, now);
+    }
+
+    fn finish_adoption(&mut self, id: &JobId, now: Moment) {
+        let job = self.jobs.get_mut(id).expect("the caller has read the job");
+        if !matches!(job.phase, Phase::Adopting { .. }) || job.parts.iter().any(|p| p.state.is_none()) {
+            return;
+        }
+        let bad = job.parts.iter().find_map(|p| match &p.state {
+            Some(TaskState::Failed { why }) => Some(Cause::TaskFailed { why: why.clone() }),
+            Some(TaskState::Stopped { .. }) => Some(Cause::Preempted),
+            Some(TaskState::Lapsed { .. }) => Some(Cause::MemberLost { server: p.member.server.clone() }),
+            _ => None,
+        });
+        if let Some(cause) = bad {
+            job.go_sent = job.ran;
+            return self.stop(id, cause, now);
+        }
+        self.go(id, now);
+        self.advance_commit(id, now);
+    }
+
+    pub(crate) fn on_described(&mut self, id: &JobId, task: TaskSpec) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.adopted && !job.is_over() {
+            job.spec = Arc::new(task.spec);
+        }
+    }
+}
+
+fn is_adoptable(lease: &Lease) -> bool {
+    matches!(lease.state, TaskState::Armed | TaskState::Running | TaskState::Finished { .. })
+}
+
+/// What a lease line tells of the request, until the whole of it is read.
+fn placeholder(lease: &Lease) -> JobSpec {
+    let tasks: u32 = lease.members.iter().map(|m| m.tasks).sum();
+    let here = lease.members.first().map_or(1, |m| m.tasks);
+    let per_task = model::Resources::new(
+        lease.resources.accelerators / here.max(1),
+        lease.resources.cores / here.max(1),
+        lease.resources.memory_gb / here.max(1),
+    );
+    JobSpec {
+        customer: lease.customer.clone(),
+        request: lease.request.clone(),
+        class: lease.class.clone(),
+        gang: model::Gang { tasks, per_task, within: model::Within::AvailabilityZone },
+        declared: lease.declared,
+        deadline: None,
+        repeatable: false,
+        checkpointable: false,
+        payload: String::new(),
+    }
+}
--- /dev/null
+++ b/crates/lifecycle/src/commit.rs
@@ -0,0 +1,120 @@
+//! Gang commit: reserve, start, go.
+
+use backend::{BackendRequest, Renewal, TaskSpec, TaskState};
+use model::{JobId, Member, Moment};
+
+use crate::{
+    Coordinator, Effect,
+    job::{Cause, Job, Part, Phase},
+};
+
+impl Coordinator {
+    /// First step: resources on every member.
+    pub(crate) fn reserve(&mut self, id: &JobId, members: Vec<Member>, now: Moment) {
+        let job = self.jobs.get_mut(id).expect("the caller has read the job");
+        job.attempt = job.attempt.next();
+        job.go_sent = false;
+        job.parts = members.iter().cloned().map(Part::new).collect();
+        job.phase = Phase::Reserving { until: now + self.limits.reserve_wait };
+        let calls: Vec<_> = (0..members.len())
+            .map(|index| {
+                let task = TaskSpec { spec: (*job.spec).clone(), members: members.clone(), index, resume: job.resume };
+                let req = BackendRequest::Reserve {
+                    job: id.clone(),
+                    token: job.token(),
+                    holder: self.me.clone(),
+                    task,
+                    ttl: self.limits.reserve_ttl,
+                };
+                Effect::Call { server: members[index].server.clone(), req }
+            })
+            .collect();
+        self.effects.extend(calls);
+        self.effects.push(Effect::QueueChanged);
+    }
+
+    /// Gives reservations back. No start has left, so the attempt can never run.
+    pub(crate) fn abandon_reservations(&mut self, id: &JobId, now: Moment) {
+        self.send_stops(id);
+        let job = self.jobs.get_mut(id).expect("the caller has read the job");
+        job.misses += 1;
+        let silent = job.parts.iter().filter(|p| p.state.is_none());
+        job.silent = silent.map(|p| p.member.server.clone()).collect();
+        self.requeue(id, now);
+    }
+
+    /// Goes on to the next step once every member has confirmed the present one.
+    pub(crate) fn advance_commit(&mut self, id: &JobId, now: Moment) {
+        let job = &self.jobs[id];
+        match &job.phase {
+            Phase::Reserving { .. } if job.all(|s| *s == TaskState::Reserved) => self.start(id, now),
+            Phase::Starting { .. } if job.all(is_armed) => self.go(id, now),
+            Phase::Running { .. } if job.all(|s| matches!(s, TaskState::Finished { .. })) => self.fetch(id, now),
+            _ => {}
+        }
+    }
+
+    fn start(&mut self, id: &JobId, now: Moment) {
+        let ttl = self.limits.lease_ttl;
+        let job = self.jobs.get_mut(id).expect("the caller has read the job");
+        job.phase = Phase::Starting { until: now + self.limits.start_wait };
+        let token = job.token();
+        for member in job.members() {
+            self.call(&member.server, BackendRequest::Start { job: id.clone(), token, ttl });
+        }
+    }
+
+    /// Last step: every member is armed, so each may run.
+    pub(crate) fn go(&mut self, id: &JobId, now: Moment) {
+        let job = self.jobs.get_mut(id).expect("the caller has read the job");
+        job.phase = Phase::Running { since: now };
+        job.go_sent = true;
+        job.ran = true;
+        job.misses = 0;
+        if job.started.is_none() {
+            job.started = Some(now);
+            let delay = now.since(job.submitted);
+            self.effects.push(Effect::Started { job: id.clone(), delay });
+        }
+        self.send_go(id);
+    }
+
+    /// Renews the leases of one job with `go` set; also used to repeat a lost `go`.
+    pub(crate) fn send_go(&mut self, id: &JobId) {
+        let ttl = self.limits.lease_ttl;
+        let job = &self.jobs[id];
+        let lease = Renewal { job: id.clone(), token: job.token(), go: true };
+        for server in not_running(job) {
+            self.call(&server, BackendRequest::Renew { leases: vec![lease.clone()], ttl });
+        }
+    }
+
+    pub(crate) fn fetch(&mut self, id: &JobId, now: Moment) {
+        let next = now + self.limits.resend_every;
+        let job = self.jobs.get_mut(id).expect("the caller has read the job");
+        let until = match job.phase {
+            Phase::Fetching { until, .. } => until,
+            _ => now + self.limits.fetch_wait,
+        };
+        job.phase = Phase::Fetching { next, until };
+        let server = job.parts[0].member.server.clone();
+        self.call(&server, BackendRequest::Fetch { job: id.clone() });
+    }
+
+    pub(crate) fn fetch_again(&mut self, id: &JobId, until: Moment, now: Moment) {
+        if until <= now {
+            let why = "the backend server that keeps the answer does not give it".to_owned();
+            return self.stop(id, Cause::AnswerLost { why }, now);
+        }
+        self.fetch(id, now);
+    }
+}
+
+fn is_armed(state: &TaskState) -> bool {
+    matches!(state, TaskState::Armed | TaskState::Running)
+}
+
+fn not_running(job: &Job) -> Vec<model::BackendServerId> {
+    let armed = |part: &&Part| matches!(part.state, None | Some(TaskState::Armed));
+    job.parts.iter().filter(armed).map(|part| part.member.server.clone()).collect()
+}
--- /dev/null
+++ b/crates/lifecycle/src/replies.rs
@@ -0,0 +1,178 @@
+//! Replies of backend servers.
+
+use backend::{Answer, BackendReply, BackendRequest, Holder, Refusal, Renewal, TaskState};
+use model::{BackendServerId, JobId, LeaseToken, Moment, Outcome};
+
+use crate::{
+    Anomaly, Coordinator, Effect,
+    job::{Cause, Phase},
+};
+
+impl Coordinator {
+    /// Takes the reply to a request that an effect asked for. `None` when none came: the request
+    /// may or may not have taken effect, and the steps' deadlines see to it.
+    pub fn on_reply(
+        &mut self,
+        server: &BackendServerId,
+        req: &BackendRequest,
+        reply: Option<BackendReply>,
+        now: Moment,
+    ) {
+        let Some(reply) = reply else { return };
+        self.contacts.insert(server.clone(), now);
+        match (req, reply) {
+            (BackendRequest::Renew { leases, .. }, BackendReply::Renewed { results }) => {
+                for (lease, result) in leases.iter().zip(results) {
+                    self.on_renewed(server, lease, result, now);
+                }
+            }
+            (BackendRequest::Stop { job, token }, BackendReply::Stopped { ran }) => {
+                self.on_stopped(server, job, *token, ran, now);
+            }
+            (BackendRequest::Fetch { job }, BackendReply::Answer(answer)) => self.on_answer(job, answer, now),
+            (BackendRequest::Describe { job }, BackendReply::Described { task, .. }) => self.on_described(job, *task),
+            (BackendRequest::Adopt { job, token, .. }, reply) => self.on_adopted(server, job, *token, reply, now),
+            (
+                BackendRequest::Reserve { job, token, .. }
+                | BackendRequest::Start { job, token, .. }
+                | BackendRequest::Stop { job, token },
+                reply,
+            ) => self.on_step(server, job, *token, reply, now),
+            _ => {}
+        }
+    }
+
+    /// Whether a reply belongs to the present attempt; a stale one is counted.
+    fn is_current(&mut self, job: &JobId, token: LeaseToken) -> bool {
+        let current = self.jobs.get(job).is_some_and(|it| it.token() == token && !it.is_over());
+        if !current {
+            self.effects.push(Effect::Count(Anomaly::StaleReply));
+        }
+        current
+    }
+
+    fn on_step(&mut self, server: &BackendServerId, job: &JobId, token: LeaseToken, reply: BackendReply, now: Moment) {
+        if !self.is_current(job, token) {
+            return;
+        }
+        match reply {
+            BackendReply::Ok { state } => self.on_state(server, job, state, now),
+            BackendReply::Refused(refusal) => self.on_refused(job, refusal, now),
+            _ => {}
+        }
+    }
+
+    fn on_renewed(
+        &mut self,
+        server: &BackendServerId,
+        lease: &Renewal,
+        result: Result<TaskState, Refusal>,
+        now: Moment,
+    ) {
+        if !self.is_current(&lease.job, lease.token) {
+            return;
+        }
+        match result {
+            Ok(state) => self.on_state(server, &lease.job, state, now),
+            Err(Refusal::UnknownLease) => {
+                // The backend server forgot it, by a restart: nothing of it runs there.
+                self.on_state(server, &lease.job, TaskState::Lapsed { ran: true }, now);
+            }
+            Err(refusal) => self.on_refused(&lease.job, refusal, now),
+        }
+    }
+
+    /// Takes in where a member stands. States of an attempt only move forward.
+    pub(crate) fn on_state(&mut self, server: &BackendServerId, id: &JobId, state: TaskState, now: Moment) {
+        let job = self.jobs.get_mut(id).expect("the caller has read the job");
+        let Some(part) = job.part_mut(server) else { return };
+        if part.state.as_ref().is_some_and(|old| rank(old) > rank(&state)) {
+            return;
+        }
+        part.state = Some(state.clone());
+        match state {
+            TaskState::Failed { why } => {
+                self.note_failure(id, server);
+                self.stop_if_running(id, Cause::TaskFailed { why }, now);
+            }
+            TaskState::Stopped { .. } => self.stop_if_running(id, Cause::Preempted, now),
+            TaskState::Lapsed { .. } => {
+                self.stop_if_running(id, Cause::MemberLost { server: server.clone() }, now);
+            }
+            _ => self.advance_commit(id, now),
+        }
+        if matches!(self.jobs.get(id).map(|job| &job.phase), Some(Phase::Stopping { .. })) {
+            self.settle_stop(id, now);
+        }
+    }
+
+    fn stop_if_running(&mut self, id: &JobId, cause: Cause, now: Moment) {
+        match self.jobs[id].phase {
+            Phase::Reserving { .. } => self.abandon_reservations(id, now),
+            Phase::Starting { .. } => self.stop(id, Cause::StartFailed, now),
+            Phase::Running { .. } => self.stop(id, cause, now),
+            _ => {}
+        }
+    }
+
+    fn on_refused(&mut self, id: &JobId, refusal: Refusal, now: Moment) {
+        if let Refusal::Stale { seen, holder } = refusal
+            && seen > self.jobs[id].token()
+        {
+            return self.on_superseded(id, seen, holder);
+        }
+        match self.jobs[id].phase {
+            Phase::Reserving { .. } => self.abandon_reservations(id, now),
+            Phase::Starting { .. } => self.stop(id, Cause::StartFailed, now),
+            _ => {}
+        }
+    }
+
+    /// A newer token was seen: another box has adopted the job, or fenced its ticket.
+    pub(crate) fn on_superseded(&mut self, id: &JobId, seen: LeaseToken, holder: Option<Holder>) {
+        let to = holder.filter(|holder| seen != LeaseToken::FENCE && *holder != self.me);
+        self.moved(id, to);
+    }
+
+    fn on_stopped(&mut self, server: &BackendServerId, job: &JobId, token: LeaseToken, ran: bool, now: Moment) {
+        if !self.is_current(job, token) {
+            return;
+        }
+        let it = self.jobs.get_mut(job).expect("a current job is known");
+        let Some(part) = it.part_mut(server) else { return };
+        part.stopped = true;
+        let unheard = part.state.as_ref().is_none_or(TaskState::holds);
+        if unheard {
+            part.state = Some(TaskState::Stopped { ran, checkpointed: false });
+        }
+        self.settle_stop(job, now);
+    }
+
+    fn on_answer(&mut self, id: &JobId, answer: Answer, now: Moment) {
+        let Some(job) = self.jobs.get(id) else { return };
+        if !matches!(job.phase, Phase::Fetching { .. }) {
+            return self.effects.push(Effect::Count(Anomaly::StaleReply));
+        }
+        let expected = match &job.parts[0].state {
+            Some(TaskState::Finished { digest, .. }) => digest,
+            _ => return,
+        };
+        if answer.job != *id || answer.token.attempt != job.attempt {
+            return self.effects.push(Effect::Count(Anomaly::ForeignAnswer));
+        }
+        if !answer.is_whole() || answer.digest != *expected {
+            return self.effects.push(Effect::Count(Anomaly::DamagedAnswer));
+        }
+        self.end(id, Outcome::Done { answer: answer.text, digest: answer.digest }, now);
+    }
+}
+
+/// The order in which a lease passes its states.
+fn rank(state: &TaskState) -> u8 {
+    match state {
+        TaskState::Reserved => 0,
+        TaskState::Armed => 1,
+        TaskState::Running => 2,
+        _ => 3,
+    }
+}
--- /dev/null
+++ b/crates/marten/src/main.rs
@@ -0,0 +1,45 @@
+//! `marten`: the command line of operators and callers. `marten --help` lists the commands.
+
+mod client;
+mod commands;
+mod diff;
+mod exit;
+mod options;
+mod output;
+mod submit;
+
+use std::process::ExitCode;
+
+use crate::{exit::Failure, options::Options};
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match Options::parse(&args) {
+        Ok(None) => {
+            print!("{}", options::usage());
+            ExitCode::SUCCESS
+        }
+        Ok(Some(opts)) => {
+            init_logs(&opts);
+            finish(smol::block_on(commands::run(&opts)))
+        }
+        Err(e) => finish(Err(e)),
+    }
+}
+
+fn init_logs(opts: &Options) {
+    let config = simplelog::Config::default();
+    let mode = simplelog::TerminalMode::Stderr;
+    // Another logger cannot stand: this is the first thing the process does.
+    let _ = simplelog::TermLogger::init(opts.log_level, config, mode, simplelog::ColorChoice::Auto);
+}
+
+fn finish(result: Result<(), Failure>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("marten: {failure}");
+            ExitCode::from(failure.code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/marten/src/options.rs
@@ -0,0 +1,134 @@
+//! The command line.
+
+use std::net::SocketAddr;
+
+use log::LevelFilter;
+use model::Revision;
+
+use crate::exit::Failure;
+
+const BRIEF: &str = "usage: marten COMMAND [ARGUMENTS] [OPTIONS]
+
+commands:
+  check FILE              check an operators' file without asking any box
+  diff FILE               show how FILE differs from the configuration in force
+  apply FILE              put FILE in force as a whole
+  status                  show boxes, backend servers, revisions and who lags
+  submit FILE             hand in the job that FILE describes, and wait for its end
+  wait CUSTOMER REQUEST   wait for the end of a job
+  cancel CUSTOMER REQUEST take a job back
+  drain FILE SERVER       write into FILE that the backend server SERVER takes no new work
+
+exit codes: 0 done; 2 wrong command line; 3 refused, nothing changed; 4 another change came first;
+  5 no answer, ask again; 6 the job ended other than done; 7 the job is not over yet";
+
+/// How results are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Format {
+    Table,
+    Json,
+}
+
+/// A command with its arguments.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Command {
+    Check { file: String },
+    Diff { file: String },
+    Apply { file: String, base: Option<Revision> },
+    Status,
+    Submit { file: String, detach: bool },
+    Wait { customer: String, request: String },
+    Cancel { customer: String, request: String },
+    Drain { file: String, server: String },
+}
+
+/// The command line, read.
+#[derive(Debug, Clone)]
+pub(crate) struct Options {
+    pub(crate) command: Command,
+    pub(crate) boxes: Vec<SocketAddr>,
+    pub(crate) format: Format,
+    pub(crate) timeout_s: u64,
+    pub(crate) log_level: LevelFilter,
+}
+
+fn opts() -> getopts::Options {
+    let mut opts = getopts::Options::new();
+    opts.optmulti(
+        "b",
+        "box",
+        "a box's address for callers; may be given again, the next is tried if one fails",
+        "ADDR",
+    );
+    opts.optopt("o", "output", "table (the default) or json", "FORM");
+    opts.optopt("", "from", "apply: the revision that FILE was edited from; by default the one in force", "REVISION");
+    opts.optopt("t", "timeout", "longest time to wait for a job, in seconds (600)", "SECONDS");
+    opts.optflag("", "detach", "submit: return as soon as the job is kept by the platform");
+    opts.optopt("", "log", "error, warn (the default), info, debug or trace", "LEVEL");
+    opts.optflag("h", "help", "show this text");
+    opts
+}
+
+/// The help text.
+pub(crate) fn usage() -> String {
+    opts().usage(BRIEF)
+}
+
+impl Options {
+    /// Reads the command line; `None` if help is asked for.
+    pub(crate) fn parse(args: &[String]) -> Result<Option<Options>, Failure> {
+        let matches = opts().parse(args).map_err(|e| usage_error(&e.to_string()))?;
+        if matches.opt_present("help") {
+            return Ok(None);
+        }
+        let free: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+        let base = parse_opt(&matches, "from", "a revision")?;
+        let command = command(&free, base.map(Revision), matches.opt_present("detach"))?;
+        let boxes = matches.opt_strs("box");
+        let boxes: Result<Vec<SocketAddr>, Failure> = boxes
+            .iter()
+            .map(|text| text.parse().map_err(|_| usage_error(&format!("--box {text}: allowed is IP:PORT"))))
+            .collect();
+        let format = match matches.opt_str("output").as_deref() {
+            None | Some("table") => Format::Table,
+            Some("json") => Format::Json,
+            Some(other) => return Err(usage_error(&format!("--output {other}: allowed are table and json"))),
+        };
+        Ok(Some(Options {
+            command,
+            boxes: boxes?,
+            format,
+            timeout_s: parse_opt(&matches, "timeout", "a number of seconds")?.unwrap_or(600),
+            log_level: parse_opt(&matches, "log", "a level")?.unwrap_or(LevelFilter::Warn),
+        }))
+    }
+}
+
+fn command(free: &[&str], base: Option<Revision>, detach: bool) -> Result<Command, Failure> {
+    let own = |text: &str| text.to_owned();
+    match free {
+        ["check", file] => Ok(Command::Check { file: own(file) }),
+        ["diff", file] => Ok(Command::Diff { file: own(file) }),
+        ["apply", file] => Ok(Command::Apply { file: own(file), base }),
+        ["status"] => Ok(Command::Status),
+        ["submit", file] => Ok(Command::Submit { file: own(file), detach }),
+        ["wait", customer, request] => Ok(Command::Wait { customer: own(customer), request: own(request) }),
+        ["cancel", customer, request] => Ok(Command::Cancel { customer: own(customer), request: own(request) }),
+        ["drain", file, server] => Ok(Command::Drain { file: own(file), server: own(server) }),
+        [] => Err(usage_error("no command is given")),
+        [first, ..] => Err(usage_error(&format!("{first}: no such command, or not with these arguments"))),
+    }
+}
+
+fn parse_opt<T: std::str::FromStr>(
+    matches: &getopts::Matches,
+    name: &str,
+    allowed: &str,
+) -> Result<Option<T>, Failure> {
+    let Some(text) = matches.opt_str(name) else { return Ok(None) };
+    text.parse().map(Some).map_err(|_| usage_error(&format!("--{name} {text}: allowed is {allowed}")))
+}
+
+fn usage_error(why: &str) -> Failure {
+    Failure::Usage { why: format!("{why}\n\n{BRIEF}") }
+}
--- /dev/null
+++ b/crates/marten/src/submit.rs
@@ -0,0 +1,132 @@
+//! The callers' commands.
+
+use std::time::{Duration, Instant};
+
+use hyper::{Method, StatusCode};
+use model::{CustomerId, JobSpec, RequestId};
+use serde_json::Value;
+
+use crate::{
+    client::{Boxes, refused},
+    commands::read_file,
+    exit::Failure,
+    options::Options,
+    output,
+};
+
+/// One call waits this long; then the command asks again.
+const WAIT: Duration = Duration::from_secs(20);
+/// Shortest pause before asking again when the reply names none.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// What to do with a reply about a job.
+enum Next {
+    Over(Value),
+    AskAgain(Duration),
+    SendAgain(Duration),
+}
+
+pub(crate) async fn submit(opts: &Options, path: &str, detach: bool) -> Result<(), Failure> {
+    let refuse = |why: String| Failure::Refused { why: format!("{path}: {why}") };
+    let spec: JobSpec = model::from_json(&read_file(path)?).map_err(|e| refuse(e.to_string()))?;
+    let body = serde_json::to_vec(&spec).expect("our own types always serialize");
+    let boxes = Boxes::new(&opts.boxes)?;
+    let deadline = Instant::now() + Duration::from_secs(opts.timeout_s);
+    let wait = if detach { Duration::ZERO } else { WAIT };
+    let mut retry = false;
+    loop {
+        let query = format!("/v1/jobs?wait_ms={}&durable={detach}&retry={retry}", wait.as_millis());
+        let reply = boxes.call(Method::POST, &query, body.clone(), wait).await?;
+        if detach && reply.status == StatusCode::ACCEPTED {
+            let answer: Value = reply.json().map_err(|e| Failure::Unavailable { why: e.to_string() })?;
+            output::job(opts.format, &answer);
+            return Ok(());
+        }
+        match next(&reply)? {
+            Next::Over(answer) => return over(opts, &boxes, &spec.customer, &spec.request, &answer).await,
+            Next::AskAgain(pause) | Next::SendAgain(pause) => pause_until(pause, deadline).await?,
+        }
+        retry = true;
+    }
+}
+
+pub(crate) async fn wait(opts: &Options, customer: &str, request: &str) -> Result<(), Failure> {
+    let (customer, request) = names(customer, request)?;
+    let boxes = Boxes::new(&opts.boxes)?;
+    let deadline = Instant::now() + Duration::from_secs(opts.timeout_s);
+    loop {
+        let path = format!("/v1/jobs/{customer}/{request}?wait_ms={}", WAIT.as_millis());
+        let reply = boxes.call(Method::GET, &path, Vec::new(), WAIT).await?;
+        match next(&reply)? {
+            Next::Over(answer) => return over(opts, &boxes, &customer, &request, &answer).await,
+            Next::AskAgain(pause) | Next::SendAgain(pause) => pause_until(pause, deadline).await?,
+        }
+    }
+}
+
+pub(crate) async fn cancel(opts: &Options, customer: &str, request: &str) -> Result<(), Failure> {
+    let (customer, request) = names(customer, request)?;
+    let path = format!("/v1/jobs/{customer}/{request}");
+    let reply = Boxes::new(&opts.boxes)?.call(Method::DELETE, &path, Vec::new(), PAUSE).await?;
+    match reply.status {
+        StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND => Err(refused(&reply)),
+        _ => {
+            let answer: Value = reply.json().map_err(|e| Failure::Unavailable { why: e.to_string() })?;
+            output::job(opts.format, &answer);
+            Ok(())
+        }
+    }
+}
+
+fn names(customer: &str, request: &str) -> Result<(CustomerId, RequestId), Failure> {
+    let usage = |e: model::IdError| Failure::Usage { why: e.to_string() };
+    Ok((customer.parse().map_err(usage)?, request.parse().map_err(usage)?))
+}
+
+fn next(reply: &net::http::Reply) -> Result<Next, Failure> {
+    if reply.status == StatusCode::BAD_REQUEST || reply.status == StatusCode::NOT_FOUND {
+        return Err(refused(reply));
+    }
+    let answer: Value = reply.json().map_err(|e| Failure::Unavailable { why: e.to_string() })?;
+    let retry_ms =
+        answer.pointer("/retry_after").or_else(|| answer.pointer("/outcome/retry_after")).and_then(Value::as_u64);
+    let pause = retry_ms.map_or(PAUSE, Duration::from_millis).max(PAUSE);
+    match answer.get("status").and_then(Value::as_str) {
+        Some("pending") => Ok(Next::AskAgain(Duration::ZERO)),
+        Some("unsettled") => Ok(Next::AskAgain(pause)),
+        Some("ended") if retry_ms.is_some() => Ok(Next::SendAgain(pause)),
+        Some("ended" | "over") => Ok(Next::Over(answer)),
+        _ => Err(refused(reply)),
+    }
+}
+
+async fn pause_until(pause: Duration, deadline: Instant) -> Result<(), Failure> {
+    if Instant::now() + pause >= deadline {
+        return Err(Failure::Pending { why: "the job is not over; ask again with `marten wait`".to_owned() });
+    }
+    let jitter = Duration::from_millis(fastrand::u64(0..100));
+    smol::Timer::after(pause + jitter).await;
+    Ok(())
+}
+
+/// Shows the end of a job; a whole answer is acknowledged once it has been written.
+async fn over(
+    opts: &Options,
+    boxes: &Boxes,
+    customer: &CustomerId,
+    request: &RequestId,
+    answer: &Value,
+) -> Result<(), Failure> {
+    output::job(opts.format, answer);
+    match answer.pointer("/outcome/outcome").and_then(Value::as_str) {
+        Some("done") => {
+            let path = format!("/v1/jobs/{customer}/{request}/acknowledge");
+            boxes.call(Method::POST, &path, Vec::new(), Duration::ZERO).await?;
+            Ok(())
+        }
+        outcome => {
+            let outcome = outcome.or_else(|| answer.get("outcome").and_then(Value::as_str)).unwrap_or("over");
+            Err(Failure::JobEnded { why: format!("the job ended: {outcome}") })
+        }
+    }
+}
--- /dev/null
+++ b/crates/martend/examples/quickstart/report.rs
@@ -0,0 +1,70 @@
+//! The table at the end, and the count of broken invariants.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use model::Duration;
+use platform::Clock;
+use standins::Oracle;
+
+use crate::{
+    load::{Done, Load},
+    world::{LEASE_MS, World},
+};
+
+/// Allowed on top of a lease for the rest of a gang whose member was lost: a stop has to arrive.
+const SLACK_MS: u64 = 2000;
+
+/// Prints the report; gives the number of broken invariants.
+pub(crate) fn print(world: &World, load: &Load) -> usize {
+    let done = load.take();
+    print_outcomes(&done);
+    print_times(&done);
+    print_store(world);
+    let mut oracle = Oracle::default();
+    for (id, handle) in &world.servers {
+        oracle.saw_runs(id, &handle.table().runs);
+    }
+    for it in done.iter().filter_map(Done::as_final) {
+        oracle.saw_final(it);
+    }
+    let remainder = Duration::from_millis(LEASE_MS + SLACK_MS);
+    let violations = oracle.check(remainder, world.clock.now());
+    println!("\nbroken invariants: {}", violations.len());
+    for violation in &violations {
+        println!("  {violation}");
+    }
+    violations.len()
+}
+
+fn print_outcomes(done: &[Done]) {
+    let mut outcomes: BTreeMap<&str, usize> = BTreeMap::new();
+    for it in done {
+        let name = it.outcome.as_ref().map_or("caller gave up", model::Outcome::name);
+        *outcomes.entry(name).or_default() += 1;
+    }
+    println!("\njobs by outcome:");
+    for (name, n) in outcomes {
+        println!("  {name:16} {n:4}");
+    }
+}
+
+fn print_times(done: &[Done]) {
+    let mut by_class: BTreeMap<(String, String), Histogram<u64>> = BTreeMap::new();
+    for it in done.iter().filter(|it| matches!(it.outcome, Some(model::Outcome::Done { .. }))) {
+        let key = (it.spec.customer.to_string(), it.spec.class.to_string());
+        let histogram = by_class.entry(key).or_insert_with(|| Histogram::new(3).expect("3 digits are allowed"));
+        histogram.record(it.took.as_millis() as u64).expect("the histogram grows");
+    }
+    println!("\ncompletion time of jobs that were done, in seconds:");
+    println!("  {:20} {:14} {:>5} {:>7} {:>7} {:>7}", "customer", "class", "jobs", "p50", "p95", "p99");
+    for ((customer, class), histogram) in by_class {
+        let at = |quantile: f64| histogram.value_at_quantile(quantile) as f64 / 1000.0;
+        println!("  {customer:20} {class:14} {:5} {:7.2} {:7.2} {:7.2}", histogram.len(), at(0.5), at(0.95), at(0.99));
+    }
+}
+
+fn print_store(world: &World) {
+    let (writes, reads) = world.platform.store().calls;
+    println!("\ncalls on the platform's store: {writes} writes, {reads} reads (a watch counts as it looks)");
+}
--- /dev/null
+++ b/crates/martend/src/host.rs
@@ -0,0 +1,297 @@
+//! The task that owns the entry box, and the I/O around it.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+
+use backend::{Backends, HttpBackend};
+use entry::{
+    BackendOp, CallerReply, CallerRequest, EntryBox, Identity, Input, Output, PeerReply, PeerRequest, ReplyTo,
+};
+use model::{BackendServerId, BoxId, Duration, Incarnation, OperatorFile};
+use net::NetError;
+use platform::{Clock, HttpListing, HttpStore, Listing, Store, SystemClock};
+use policy::Planner;
+use smol::{
+    Task,
+    channel::{Receiver, Sender},
+    net::TcpListener,
+};
+
+use crate::{Settings, http_api::Api, peer_client, peer_client::PeerClients, peer_server::PeerService, telemetry};
+
+/// The platform's list is read this often.
+const LIST_EVERY: std::time::Duration = std::time::Duration::from_secs(5);
+/// Most calls in flight to one backend server, the waiting watch not counted.
+const MAX_BACKEND_CALLS: usize = 64;
+
+/// What reaches the owning task.
+pub(crate) enum Event {
+    Input(Input),
+    BackendReply {
+        op: BackendOp,
+        server: BackendServerId,
+        req: backend::BackendRequest,
+        reply: Option<backend::BackendReply>,
+    },
+    Caller(CallerRequest, Sender<CallerReply>),
+    Peer(PeerRequest, Sender<PeerReply>),
+    Health(Sender<Health>),
+}
+
+/// What health checks and gauges read.
+pub(crate) struct Health {
+    pub(crate) ready: bool,
+    pub(crate) queues: Vec<(String, String, usize)>,
+    pub(crate) revision: u64,
+    pub(crate) open_jobs: usize,
+}
+
+/// Where a daemon is served.
+#[derive(Debug, Clone, Copy)]
+pub struct Addresses {
+    /// For callers and operators.
+    pub callers: SocketAddr,
+    /// For other boxes.
+    pub peers: SocketAddr,
+}
+
+/// The parts of a daemon that can be something else than the usual.
+pub struct Parts {
+    /// Listens for callers and operators.
+    pub callers: TcpListener,
+    /// Listens for other boxes.
+    pub peers: TcpListener,
+    /// Decides where jobs run.
+    pub planner: Box<dyn Planner>,
+}
+
+/// A running daemon; it ends when this is dropped.
+pub struct Daemon {
+    /// Where it is served.
+    pub addresses: Addresses,
+    events: Sender<Event>,
+    host: Task<()>,
+    _servers: Vec<Task<()>>,
+}
+
+impl Daemon {
+    /// Makes the box leave: it takes no new work, and finishes or hands over what it has.
+    pub async fn drain(&self) {
+        // If the owning task is gone, the box has left already.
+        let _ = self.events.send(Event::Input(Input::Drain)).await;
+    }
+
+    /// Waits until the box has left.
+    pub async fn left(self) {
+        self.host.await;
+    }
+}
+
+/// Starts a daemon.
+pub fn start(settings: Settings, parts: Parts) -> std::io::Result<Daemon> {
+    let addresses = Addresses { callers: parts.callers.local_addr()?, peers: parts.peers.local_addr()? };
+    let (tx, rx) = smol::channel::unbounded();
+    let clock = Arc::new(SystemClock::default());
+    let identity = Identity {
+        box_id: settings.box_id.clone(),
+        incarnation: Incarnation(clock.wall_ms()),
+        availability_zone: settings.availability_zone.clone(),
+    };
+    let entry = EntryBox::new(identity, settings.limits, settings.peers.clone(), parts.planner, clock.now());
+    let host = Host {
+        entry,
+        clock,
+        box_id: settings.box_id.clone(),
+        backends: Arc::new(HttpBackend::default()),
+        backend_calls: HashMap::new(),
+        store: Arc::new(HttpStore::new(settings.platform_address)),
+        peers: PeerClients::default(),
+        events: tx.clone(),
+        callers: HashMap::new(),
+        waiting_peers: HashMap::new(),
+        next_reply: 0,
+    };
+    let listing: Arc<dyn Listing> = Arc::new(HttpListing::new(settings.platform_address));
+    let api = Arc::new(Api { events: tx.clone(), box_id: settings.box_id.to_string() });
+    let service = wire::peer_server::PeerServer::new(PeerService { events: tx.clone() });
+    let servers = vec![
+        smol::spawn(net::http::serve(parts.callers, api)),
+        smol::spawn(net::grpc::serve(parts.peers, service)),
+        smol::spawn(tick(settings.tick, tx.clone())),
+        smol::spawn(read_list(listing, tx.clone())),
+    ];
+    let host = smol::spawn(host.run(rx, settings.drain));
+    Ok(Daemon { addresses, events: tx, host, _servers: servers })
+}
+
+async fn tick(every: Duration, events: Sender<Event>) {
+    loop {
+        smol::Timer::after(every.into()).await;
+        if events.send(Event::Input(Input::Tick)).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn read_list(listing: Arc<dyn Listing>, events: Sender<Event>) {
+    loop {
+        if let Ok(boxes) = listing.list().await
+            && events.send(Event::Input(Input::Listed(boxes))).await.is_err()
+        {
+            return;
+        }
+        smol::Timer::after(LIST_EVERY).await;
+    }
+}
+
+struct Host {
+    entry: EntryBox,
+    clock: Arc<SystemClock>,
+    box_id: BoxId,
+    backends: Arc<HttpBackend>,
+    backend_calls: HashMap<BackendServerId, usize>,
+    store: Arc<dyn Store>,
+    peers: PeerClients,
+    events: Sender<Event>,
+    callers: HashMap<ReplyTo, Sender<CallerReply>>,
+    waiting_peers: HashMap<ReplyTo, Sender<PeerReply>>,
+    next_reply: u64,
+}
+
+impl Host {
+    async fn run(mut self, rx: Receiver<Event>, drain: Duration) {
+        let mut leave_by = None;
+        while let Ok(event) = rx.recv().await {
+            if matches!(event, Event::Input(Input::Drain)) {
+                log::info!("event=leaving box={} limit={drain}", self.box_id);
+                leave_by.get_or_insert(self.clock.now() + drain);
+            }
+            self.take(event);
+            let expired = leave_by.is_some_and(|at| at <= self.clock.now());
+            if self.entry.is_drained() || expired {
+                log::info!("event=left box={} open_jobs={}", self.box_id, self.entry.open_jobs());
+                return;
+            }
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let input = match event {
+            Event::Input(input) => input,
+            Event::BackendReply { op, server, req, reply } => {
+                if op != BackendOp::Watch
+                    && let Some(calls) = self.backend_calls.get_mut(&server)
+                {
+                    *calls = calls.saturating_sub(1);
+                }
+                Input::BackendReply { op, server, req, reply }
+            }
+            Event::Caller(req, tx) => {
+                let to = self.reply_to();
+                self.callers.insert(to, tx);
+                Input::Caller { to, req }
+            }
+            Event::Peer(req, tx) => {
+                let to = self.reply_to();
+                self.waiting_peers.insert(to, tx);
+                Input::Peer { to, req }
+            }
+            Event::Health(tx) => {
+                // A health check that no longer waits is no loss.
+                let _ = tx.try_send(self.health());
+                return;
+            }
+        };
+        for output in self.entry.handle(input, self.clock.now()) {
+            self.carry_out(output);
+        }
+    }
+
+    fn reply_to(&mut self) -> ReplyTo {
+        self.next_reply += 1;
+        ReplyTo(self.next_reply)
+    }
+
+    fn health(&self) -> Health {
+        let lengths = self.entry.queue_lengths();
+        let status = self.entry.status(self.clock.now());
+        Health {
+            ready: self.entry.is_ready(),
+            queues: lengths.into_iter().map(|((a, b), n)| (a.to_string(), b.to_string(), n)).collect(),
+            revision: status.revision.0,
+            open_jobs: self.entry.open_jobs(),
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::ToCaller { to, reply } => {
+                if let Some(tx) = self.callers.remove(&to) {
+                    // The caller may have gone; its answer stays until it is acknowledged.
+                    let _ = tx.try_send(reply);
+                }
+            }
+            Output::ToPeer { to, reply } => {
+                if let Some(tx) = self.waiting_peers.remove(&to) {
+                    // The peer may have gone; it will ask again.
+                    let _ = tx.try_send(reply);
+                }
+            }
+            Output::CallPeer { op, peer, req, limit } => self.call_peer(op, peer, req, limit),
+            Output::CallBackend { op, server, req, limit } => self.call_backend(op, server, req, limit),
+            Output::CallStore { op, req } => self.call_store(op, req),
+            Output::Configured(file) => self.set_addresses(&file),
+            Output::Observe(observation) => telemetry::observe(&self.box_id, &observation),
+        }
+    }
+
+    fn set_addresses(&self, file: &OperatorFile) {
+        let addresses = file.backend_servers.values().map(|s| (s.id.clone(), s.address));
+        self.backends.set_addresses(addresses.collect());
+    }
+
+    fn call_peer(&mut self, op: entry::OpId, peer: BoxId, req: PeerRequest, limit: Duration) {
+        let client = self.entry.address_of(&peer).map(|addr| self.peers.client(addr));
+        let events = self.events.clone();
+        smol::spawn(async move {
+            let reply = match client {
+                Some(client) => peer_client::call(client, req, limit).await,
+                None => None,
+            };
+            // If the owning task is gone, nobody waits for this.
+            let _ = events.send(Event::Input(Input::PeerReply { op, peer, reply })).await;
+        })
+        .detach();
+    }
+
+    fn call_backend(&mut self, op: BackendOp, server: BackendServerId, req: backend::BackendRequest, limit: Duration) {
+        let events = self.events.clone();
+        let mut refused = false;
+        if op != BackendOp::Watch {
+            let calls = self.backend_calls.entry(server.clone()).or_default();
+            *calls += 1;
+            refused = *calls > MAX_BACKEND_CALLS;
+        }
+        let call = (!refused).then(|| self.backends.call(&server, req.clone(), limit));
+        smol::spawn(async move {
+            let result = match call {
+                Some(call) => call.await,
+                None => Err(NetError::Unsent { why: format!("{MAX_BACKEND_CALLS} calls are in flight") }),
+            };
+            let reply = result.inspect_err(|e| log::debug!("event=backend_call_failed server={server} why={e:?}")).ok();
+            // If the owning task is gone, nobody waits for this.
+            let _ = events.send(Event::BackendReply { op, server, req, reply }).await;
+        })
+        .detach();
+    }
+
+    fn call_store(&mut self, op: entry::OpId, req: platform::StoreRequest) {
+        let events = self.events.clone();
+        let call = self.store.call(req);
+        smol::spawn(async move {
+            let reply = call.await.inspect_err(|e| log::debug!("event=store_call_failed why={e:?}")).ok();
+            // If the owning task is gone, nobody waits for this.
+            let _ = events.send(Event::Input(Input::StoreReply { op, reply })).await;
+        })
+        .detach();
+    }
+}
--- /dev/null
+++ b/crates/martend/src/main.rs
@@ -0,0 +1,74 @@
+//! `martend`: the daemon of an entry box.
+
+use std::process::ExitCode;
+
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use martend::{Parts, RawSettings, Settings, start, telemetry};
+use policy::FirstFit;
+use smol::net::TcpListener;
+
+const BRIEF: &str = "usage: martend --settings FILE [--check]";
+
+/// The settings cannot be used.
+const EXIT_SETTINGS: u8 = 2;
+/// The daemon could not start.
+const EXIT_START: u8 = 1;
+
+fn main() -> ExitCode {
+    let mut opts = getopts::Options::new();
+    opts.optopt("s", "settings", "the daemon's settings, in JSON (docs/operations.md)", "FILE");
+    opts.optflag("", "check", "check the settings and end");
+    opts.optflag("h", "help", "show this text");
+    let matches = match opts.parse(std::env::args().skip(1)) {
+        Ok(matches) => matches,
+        Err(e) => return fail(EXIT_SETTINGS, &format!("{e}\n{BRIEF}")),
+    };
+    if matches.opt_present("help") {
+        print!("{}", opts.usage(BRIEF));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = matches.opt_str("settings") else {
+        return fail(EXIT_SETTINGS, BRIEF);
+    };
+    let settings = match read_settings(&path) {
+        Ok(settings) => settings,
+        Err(why) => return fail(EXIT_SETTINGS, &why),
+    };
+    if matches.opt_present("check") {
+        println!("{path}: the settings can be used");
+        return ExitCode::SUCCESS;
+    }
+    telemetry::init_logs(&settings.log);
+    telemetry::init_metrics();
+    match smol::block_on(run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => fail(EXIT_START, &format!("martend cannot run: {e}")),
+    }
+}
+
+fn fail(code: u8, why: &str) -> ExitCode {
+    eprintln!("{why}");
+    ExitCode::from(code)
+}
+
+fn read_settings(path: &str) -> Result<Settings, String> {
+    let text = std::fs::read(path).map_err(|e| format!("{path}: {e}"))?;
+    let raw: RawSettings = model::from_json(&text).map_err(|e| format!("{path}: {e}"))?;
+    Settings::try_from(raw).map_err(|e| format!("{path}: {e}"))
+}
+
+async fn run(settings: Settings) -> std::io::Result<()> {
+    let callers = TcpListener::bind(settings.callers_address).await?;
+    let peers = TcpListener::bind(settings.peers_address).await?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+    let name = settings.box_id.clone();
+    let daemon = start(settings, Parts { callers, peers, planner: Box::new(FirstFit) })?;
+    let at = daemon.addresses;
+    log::info!("event=started box={name} callers={} peers={}", at.callers, at.peers);
+    if signals.next().await.is_some() {
+        daemon.drain().await;
+    }
+    daemon.left().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/martend/src/settings.rs
@@ -0,0 +1,185 @@
+//! The daemon's own settings, read once at its start from a JSON file.
+
+use std::net::SocketAddr;
+
+use entry::Limits;
+use model::{AvailabilityZoneId, BoxId, CheckError, Duration, JsonPath};
+use platform::ListedBox;
+use serde::{Deserialize, Serialize};
+
+/// Settings as they stand in JSON. `docs/operations.md` lists them with units, defaults and bounds.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawSettings {
+    /// The box's id.
+    #[serde(rename = "box")]
+    pub box_id: BoxId,
+    /// The box's availability zone.
+    pub availability_zone: AvailabilityZoneId,
+    /// Where callers and operators are served.
+    pub callers_address: SocketAddr,
+    /// Where other boxes are served.
+    pub peers_address: SocketAddr,
+    /// The platform's key-value service and list of boxes.
+    pub platform_address: SocketAddr,
+    /// Boxes known from the start; the platform's list adds to them.
+    #[serde(default)]
+    pub peers: Vec<ListedBox>,
+    /// Logs.
+    #[serde(default)]
+    pub log: LogSettings,
+    /// Time limits that differ from the defaults.
+    #[serde(default)]
+    pub limits: RawLimits,
+}
+
+/// What is logged, and how.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: log::LevelFilter,
+    /// `text` or `json`.
+    pub format: LogFormat,
+}
+
+impl Default for LogSettings {
+    fn default() -> LogSettings {
+        LogSettings { level: log::LevelFilter::Info, format: LogFormat::Text }
+    }
+}
+
+/// How log lines are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// For people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Time limits that differ from the defaults, in milliseconds.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+#[expect(missing_docs, reason = "the fields are those of `entry::Limits` and its parts")]
+pub struct RawLimits {
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lease_ttl_ms: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub renew_every_ms: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub heartbeat_every_ms: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub dead_after_ms: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub steady_after_ms: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub adopt_after_ms: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub checkpoint_ms: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub watch_ms: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub probe_after_ms: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tick_ms: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub drain_ms: Option<u64>,
+}
+
+/// Settings, checked.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The box's id.
+    pub box_id: BoxId,
+    /// The box's availability zone.
+    pub availability_zone: AvailabilityZoneId,
+    /// Where callers and operators are served.
+    pub callers_address: SocketAddr,
+    /// Where other boxes are served.
+    pub peers_address: SocketAddr,
+    /// The platform's key-value service and list of boxes.
+    pub platform_address: SocketAddr,
+    /// Boxes known from the start.
+    pub peers: Vec<ListedBox>,
+    /// Logs.
+    pub log: LogSettings,
+    /// Time limits.
+    pub limits: Limits,
+    /// How often time is told to the entry box.
+    pub tick: Duration,
+    /// Longest time that a leaving box stays.
+    pub drain: Duration,
+}
+
+/// Default of `tick_ms`.
+const TICK: Duration = Duration::from_millis(100);
+/// Default of `drain_ms`.
+const DRAIN: Duration = Duration::from_secs(90);
+
+impl TryFrom<RawSettings> for Settings {
+    type Error = CheckError;
+    fn try_from(raw: RawSettings) -> Result<Settings, CheckError> {
+        let path = JsonPath::root().field("limits");
+        let l = &raw.limits;
+        let mut limits = Limits::default();
+        set(&path, "lease_ttl_ms", l.lease_ttl_ms, 300, 3_600_000, &mut limits.lifecycle.lease_ttl)?;
+        set(&path, "renew_every_ms", l.renew_every_ms, 100, 1_200_000, &mut limits.lifecycle.renew_every)?;
+        set(&path, "heartbeat_every_ms", l.heartbeat_every_ms, 20, 10_000, &mut limits.membership.heartbeat_every)?;
+        set(&path, "dead_after_ms", l.dead_after_ms, 100, 60_000, &mut limits.membership.dead_after)?;
+        set(&path, "steady_after_ms", l.steady_after_ms, 0, 60_000, &mut limits.membership.steady_after)?;
+        set(&path, "adopt_after_ms", l.adopt_after_ms, 100, 60_000, &mut limits.adopt_after)?;
+        set(&path, "checkpoint_ms", l.checkpoint_ms, 10, 600_000, &mut limits.checkpoint)?;
+        set(&path, "watch_ms", l.watch_ms, 50, 60_000, &mut limits.watch)?;
+        set(&path, "probe_after_ms", l.probe_after_ms, 100, 3_600_000, &mut limits.probe_after)?;
+        let (mut tick, mut drain) = (TICK, DRAIN);
+        set(&path, "tick_ms", l.tick_ms, 5, 1000, &mut tick)?;
+        set(&path, "drain_ms", l.drain_ms, 100, 3_600_000, &mut drain)?;
+        check_order(&path, &limits)?;
+        limits.lifecycle.checkpoint_wait = limits.checkpoint + limits.call;
+        Ok(Settings {
+            box_id: raw.box_id,
+            availability_zone: raw.availability_zone,
+            callers_address: raw.callers_address,
+            peers_address: raw.peers_address,
+            platform_address: raw.platform_address,
+            peers: raw.peers,
+            log: raw.log,
+            limits,
+            tick,
+            drain,
+        })
+    }
+}
+
+fn set(
+    path: &JsonPath,
+    name: &str,
+    ms: Option<u64>,
+    min: u64,
+    max: u64,
+    limit: &mut Duration,
+) -> Result<(), CheckError> {
+    let Some(ms) = ms else { return Ok(()) };
+    if !(min..=max).contains(&ms) {
+        return Err(CheckError::new(&path.field(name), ms, format!("allowed is {min} to {max} milliseconds")));
+    }
+    *limit = Duration::from_millis(ms);
+    Ok(())
+}
+
+/// A lease must survive two lost renewals, and a box two lost heartbeats.
+fn check_order(path: &JsonPath, limits: &Limits) -> Result<(), CheckError> {
+    let (ttl, renew) = (limits.lifecycle.lease_ttl, limits.lifecycle.renew_every);
+    if renew.millis() * 3 > ttl.millis() {
+        let allowed = format!("at most a third of lease_ttl_ms, which is {}", ttl.millis());
+        return Err(CheckError::new(&path.field("renew_every_ms"), renew.millis(), allowed));
+    }
+    let (dead, beat) = (limits.membership.dead_after, limits.membership.heartbeat_every);
+    if beat.millis() * 3 > dead.millis() {
+        let allowed = format!("at most a third of dead_after_ms, which is {}", dead.millis());
+        return Err(CheckError::new(&path.field("heartbeat_every_ms"), beat.millis(), allowed));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/martend/src/telemetry.rs
@@ -0,0 +1,138 @@
+//! Metrics and logs.
+
+use std::{io::Write, sync::OnceLock};
+
+use entry::Observation;
+use log::{Level, LevelFilter, Log, Metadata, Record};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use model::BoxId;
+use simplelog::{ColorChoice, CombinedLogger, Config, ConfigBuilder, SharedLogger, TermLogger, TerminalMode};
+
+use crate::{LogFormat, LogSettings, host::Health};
+
+/// Upper bounds of the histograms' buckets, in seconds: from a quick label to a batch of days.
+const BUCKETS: [f64; 16] =
+    [0.01, 0.03, 0.1, 0.3, 0.5, 1.0, 1.5, 3.0, 10.0, 30.0, 100.0, 300.0, 1000.0, 3600.0, 14_400.0, 86_400.0];
+
+static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Makes the metrics' recorder; a second call does nothing.
+pub fn init_metrics() {
+    METRICS.get_or_init(|| {
+        let builder = PrometheusBuilder::new()
+            .set_buckets_for_metric(Matcher::Suffix("_seconds".to_owned()), &BUCKETS)
+            .expect("the list of buckets is not empty");
+        let recorder = builder.build_recorder();
+        let handle = recorder.handle();
+        // Another recorder stands only if the process that embeds this made one.
+        let _ = metrics::set_global_recorder(recorder);
+        handle
+    });
+}
+
+/// The metrics in Prometheus's text format.
+pub fn render() -> String {
+    METRICS.get().map(PrometheusHandle::render).unwrap_or_default()
+}
+
+/// Makes the logger; a second call does nothing.
+pub fn init_logs(settings: &LogSettings) {
+    let logger: Box<dyn SharedLogger> = match settings.format {
+        LogFormat::Text => {
+            let config = ConfigBuilder::new().set_time_format_rfc3339().build();
+            TermLogger::new(settings.level, config, TerminalMode::Stderr, ColorChoice::Auto)
+        }
+        LogFormat::Json => Box::new(JsonLines { level: settings.level }),
+    };
+    // A logger stands already if the process that embeds this made one.
+    let _ = CombinedLogger::init(vec![logger]);
+}
+
+/// One JSON object a line on standard error.
+struct JsonLines {
+    level: LevelFilter,
+}
+
+impl Log for JsonLines {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.level() <= self.level
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let at = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_millis());
+        let line = serde_json::json!({
+            "at_ms": at as u64,
+            "level": record.level().as_str(),
+            "target": record.target(),
+            "message": record.args().to_string(),
+        });
+        // Nothing can be done about a log that cannot be written.
+        let _ = writeln!(std::io::stderr().lock(), "{line}");
+    }
+
+    fn flush(&self) {}
+}
+
+impl SharedLogger for JsonLines {
+    fn level(&self) -> LevelFilter {
+        self.level
+    }
+
+    fn config(&self) -> Option<&Config> {
+        None
+    }
+
+    fn as_log(self: Box<Self>) -> Box<dyn Log> {
+        self
+    }
+}
+
+/// Counts and logs what an entry box saw.
+pub(crate) fn observe(box_id: &BoxId, observation: &Observation) {
+    let id = box_id.to_string();
+    match observation {
+        Observation::Started { customer, class, delay } => {
+            let labels = [("box", id), ("customer", customer.to_string()), ("class", class.to_string())];
+            metrics::histogram!("martenscale_start_delay_seconds", &labels).record(delay.secs_f64());
+        }
+        Observation::Ended { customer, class, outcome, after } => {
+            let labels = [("box", id.clone()), ("customer", customer.to_string()), ("class", class.to_string())];
+            metrics::histogram!("martenscale_completion_seconds", &labels).record(after.secs_f64());
+            let labels = [("box", id), ("outcome", (*outcome).to_owned())];
+            metrics::counter!("martenscale_jobs_ended_total", &labels).increment(1);
+            log::debug!("event=ended box={box_id} customer={customer} class={class} outcome={outcome} after={after}");
+        }
+        Observation::Planned { starts, preemptions, queued } => {
+            metrics::counter!("martenscale_plan_starts_total", "box" => id.clone()).increment(*starts as u64);
+            metrics::counter!("martenscale_plan_preemptions_total", "box" => id).increment(*preemptions as u64);
+            log::debug!("event=planned box={box_id} starts={starts} preemptions={preemptions} queued={queued}");
+        }
+        Observation::InForce { revision } => log::info!("event=in_force box={box_id} revision={revision}"),
+        Observation::Adopting { job } => {
+            metrics::counter!("martenscale_adoptions_total", "box" => id).increment(1);
+            log::info!("event=adopting box={box_id} job={job}");
+        }
+        Observation::Quarantine { server, on } => {
+            let level = if *on { Level::Warn } else { Level::Info };
+            metrics::counter!("martenscale_quarantines_total", "box" => id).increment(u64::from(*on));
+            log::log!(level, "event=quarantine box={box_id} server={server} on={on}");
+        }
+        Observation::Count { name } => {
+            metrics::counter!("martenscale_events_total", "box" => id, "event" => *name).increment(1);
+        }
+    }
+}
+
+/// Sets the gauges that are read off the box when it is asked.
+pub(crate) fn set_gauges(box_id: &str, health: &Health) {
+    let id = box_id.to_owned();
+    metrics::gauge!("martenscale_configuration_revision", "box" => id.clone()).set(health.revision as f64);
+    metrics::gauge!("martenscale_open_jobs", "box" => id.clone()).set(health.open_jobs as f64);
+    for (customer, class, waiting) in &health.queues {
+        let labels = [("box", id.clone()), ("customer", customer.clone()), ("class", class.clone())];
+        metrics::gauge!("martenscale_waiting_jobs", &labels).set(*waiting as f64);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/first_fit.rs
@@ -0,0 +1,26 @@
+//! The baseline: first come, first served, into the first place that fits.
+
+use crate::{Decision, Planner, Queued, Room, Snapshot};
+
+/// Strict order of arrival: a job that does not fit holds up all behind it.
+#[derive(Debug, Default)]
+pub struct FirstFit;
+
+impl Planner for FirstFit {
+    fn plan(&mut self, snapshot: &Snapshot) -> Vec<Decision> {
+        let mut room = Room::beside(&snapshot.servers, &snapshot.running);
+        let mut queue: Vec<&Queued> = snapshot.queue.iter().collect();
+        queue.sort_by(|a, b| b.waited.cmp(&a.waited).then_with(|| a.job.cmp(&b.job)));
+        let mut decisions = Vec::new();
+        for queued in queue {
+            if let Err(e) = room.check_ever_fits(&queued.gang) {
+                decisions.push(Decision::Refuse { job: queued.job.clone(), why: e.to_string() });
+                continue;
+            }
+            let Some(members) = room.first_fit(&queued.gang, &queued.avoid) else { break };
+            room.take(&members, &queued.gang.per_task);
+            decisions.push(Decision::Start { job: queued.job.clone(), members });
+        }
+        decisions
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lease_table.rs
@@ -0,0 +1,518 @@
+//! A backend server's lease table, in memory and virtual time.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::{Arc, Mutex},
+};
+
+use backend::{
+    Answer, BackendReply, BackendRequest, Holder, Lease, Refusal, Renewal, ServerInfo, TableUpdate, TaskSpec, TaskState,
+};
+use model::{BackendServerId, CustomerId, Digest, Duration, JobId, LeaseToken, Moment, RequestId, Resources, Revision};
+
+use crate::Work;
+
+/// How long an ended lease and its answer are kept unless acknowledged.
+const RETENTION: Duration = Duration::from_secs(3600);
+/// How long a token that was seen is remembered; a ticket may wait for a day at most.
+const MEMORY: Duration = Duration::from_secs(48 * 3600);
+/// How long a stand-in task takes to write a checkpoint.
+const CHECKPOINT_COST: Duration = Duration::from_millis(20);
+/// A task on a backend server that fails everything fails after this long.
+const FAIL_AFTER: Duration = Duration::from_millis(10);
+/// Removed lines that a watch can still be told of one by one.
+const REMOVED_KEPT: usize = 1024;
+
+/// Progress of checkpointed jobs, shared by the backend servers of a test: the platform's part.
+pub type Checkpoints = Arc<Mutex<BTreeMap<(CustomerId, RequestId), Duration>>>;
+
+/// One stretch in which a task ran, for oracles.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunRecord {
+    /// The job.
+    pub job: JobId,
+    /// Attempt and epoch when it began.
+    pub token: LeaseToken,
+    /// What ran.
+    pub task: TaskSpec,
+    /// Since when.
+    pub began: Moment,
+    /// Until when, and how it ended; `None` while it runs.
+    pub ended: Option<(Moment, TaskState)>,
+}
+
+/// The table of one backend server.
+pub struct LeaseTable {
+    info: ServerInfo,
+    life: u64,
+    version: u64,
+    rows: BTreeMap<JobId, Row>,
+    seen: BTreeMap<JobId, Seen>,
+    removed: VecDeque<(u64, JobId)>,
+    document: Option<String>,
+    checkpoints: Checkpoints,
+    /// Whether every task fails soon after it began.
+    pub fail_tasks: bool,
+    /// Every stretch in which a task ran.
+    pub runs: Vec<RunRecord>,
+}
+
+struct Row {
+    task: TaskSpec,
+    holder: Holder,
+    token: LeaseToken,
+    state: TaskState,
+    changed: u64,
+    until: Moment,
+    began: Option<Moment>,
+    done_at: Option<Moment>,
+    stop_at: Option<Moment>,
+    ended: Option<Moment>,
+    progress: Duration,
+    run: Option<usize>,
+    acknowledged: bool,
+}
+
+struct Seen {
+    token: LeaseToken,
+    ran: bool,
+    at: Moment,
+}
+
+impl LeaseTable {
+    /// An empty table; `life` differs from that of every earlier table of this backend server.
+    pub fn new(info: ServerInfo, life: u64, checkpoints: Checkpoints) -> LeaseTable {
+        LeaseTable {
+            info,
+            life,
+            version: 1,
+            rows: BTreeMap::new(),
+            seen: BTreeMap::new(),
+            removed: VecDeque::new(),
+            document: None,
+            checkpoints,
+            fail_tasks: false,
+            runs: Vec::new(),
+        }
+    }
+
+    /// The id of the backend server.
+    pub fn id(&self) -> &BackendServerId {
+        &self.info.id
+    }
+
+    /// Marks the backend server as leaving or staying.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        self.info.leaving = leaving;
+        self.version += 1;
+    }
+
+    /// The table's version, which rises with each change.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The configuration that it was last told.
+    pub fn document(&self) -> Option<(Revision, &str)> {
+        Some((self.info.revision, self.document.as_deref()?))
+    }
+
+    /// Free resources.
+    pub fn free(&self) -> Resources {
+        let held: Resources = self.rows.values().filter(|r| r.state.holds()).map(|r| r.task.resources()).sum();
+        self.info.resources.less(&held)
+    }
+
+    /// When [`LeaseTable::advance`] next has something to do.
+    pub fn next_event(&self) -> Option<Moment> {
+        self.rows.values().filter_map(|r| r.next_event(self.fail_tasks)).map(|(at, _)| at).min()
+    }
+
+    /// Lets time pass: tasks end, leases lapse.
+    pub fn advance(&mut self, now: Moment) {
+        let jobs: Vec<JobId> = self.rows.keys().cloned().collect();
+        for job in jobs {
+            while let Some((at, event)) = self.rows[&job].next_event(self.fail_tasks)
+                && at <= now
+            {
+                self.apply(&job, at, event);
+            }
+        }
+        self.purge(now);
+    }
+
+    /// Carries out one request. A `Watch` answers at once, perhaps with no change.
+    pub fn call(&mut self, req: BackendRequest, now: Moment) -> BackendReply {
+        self.advance(now);
+        let result = match req {
+            BackendRequest::Reserve { job, token, holder, task, ttl } => {
+                self.reserve(job, token, holder, task, now + ttl, now)
+            }
+            BackendRequest::Start { job, token, ttl } => self.start(&job, token, now + ttl),
+            BackendRequest::Renew { leases, ttl } => {
+                let results = leases.iter().map(|lease| self.renew(lease, now + ttl, now)).collect();
+                Ok(BackendReply::Renewed { results })
+            }
+            BackendRequest::Checkpoint { job, token, stop_after } => self.checkpoint(&job, token, stop_after, now),
+            BackendRequest::Throttle { job, token, percent: _ } => {
+                self.current(&job, token).map(|row| BackendReply::Ok { state: row.state.clone() })
+            }
+            BackendRequest::Stop { job, token } => self.stop(&job, token, now),
+            BackendRequest::Adopt { job, token, holder, ttl } => self.adopt(&job, token, holder, now + ttl),
+            BackendRequest::Describe { job } => self.describe(&job),
+            BackendRequest::Fetch { job } => self.fetch(&job),
+            BackendRequest::Acknowledge { job } => self.acknowledge(&job),
+            BackendRequest::Watch { table, since, .. } => Ok(BackendReply::Table(self.update(table, since, now))),
+            BackendRequest::Configure { revision, document } => self.configure(revision, document),
+        };
+        result.unwrap_or_else(BackendReply::Refused)
+    }
+
+    fn reserve(
+        &mut self,
+        job: JobId,
+        token: LeaseToken,
+        holder: Holder,
+        task: TaskSpec,
+        until: Moment,
+        now: Moment,
+    ) -> Result<BackendReply, Refusal> {
+        if let Some(row) = self.rows.get(&job) {
+            if row.token == token && row.holder == holder && row.state == TaskState::Reserved {
+                return Ok(BackendReply::Ok { state: TaskState::Reserved });
+            }
+            if row.state.holds() && row.token.attempt < token.attempt {
+                return Err(Refusal::WrongState { state: row.state.clone() });
+            }
+        }
+        if let Some(seen) = self.seen.get(&job)
+            && seen.token.attempt >= token.attempt
+        {
+            return Err(self.stale(&job));
+        }
+        if self.info.leaving {
+            return Err(Refusal::Leaving);
+        }
+        let free = self.free();
+        if !free.contains(&task.resources()) {
+            return Err(Refusal::NoCapacity { free });
+        }
+        let ran = self.seen.get(&job).is_some_and(|s| s.ran);
+        self.seen.insert(job.clone(), Seen { token, ran, at: now });
+        self.version += 1;
+        let row = Row {
+            task,
+            holder,
+            token,
+            state: TaskState::Reserved,
+            changed: self.version,
+            until,
+            began: None,
+            done_at: None,
+            stop_at: None,
+            ended: None,
+            progress: Duration::ZERO,
+            run: None,
+            acknowledged: false,
+        };
+        self.rows.insert(job, row);
+        Ok(BackendReply::Ok { state: TaskState::Reserved })
+    }
+
+    fn start(&mut self, job: &JobId, token: LeaseToken, until: Moment) -> Result<BackendReply, Refusal> {
+        let state = match self.current(job, token)?.state.clone() {
+            TaskState::Reserved => {
+                let row = self.touch(job);
+                row.state = TaskState::Armed;
+                row.until = until;
+                TaskState::Armed
+            }
+            state @ (TaskState::Armed | TaskState::Running) => state,
+            state => return Err(Refusal::WrongState { state }),
+        };
+        Ok(BackendReply::Ok { state })
+    }
+
+    fn renew(&mut self, lease: &Renewal, until: Moment, now: Moment) -> Result<TaskState, Refusal> {
+        let state = self.current(&lease.job, lease.token)?.state.clone();
+        match state {
+            TaskState::Armed if lease.go => {
+                self.touch(&lease.job).until = until;
+                self.begin(&lease.job, now);
+                Ok(TaskState::Running)
+            }
+            TaskState::Armed | TaskState::Running => {
+                self.rows.get_mut(&lease.job).expect("the row was just read").until = until;
+                Ok(state)
+            }
+            state => Ok(state),
+        }
+    }
+
+    fn begin(&mut self, job: &JobId, now: Moment) {
+        let run = self.runs.len();
+        let row = self.rows.get_mut(job).expect("the caller has read the row");
+        let name = request_name(&row.task);
+        let resumed = self.checkpoints.lock().expect("no holder panics").get(&name).copied();
+        row.progress = if row.task.resume { resumed.unwrap_or_default() } else { Duration::ZERO };
+        let left = Work::of(&row.task.spec).run_ms.saturating_sub(row.progress.millis());
+        row.state = TaskState::Running;
+        row.began = Some(now);
+        row.done_at = Some(now + Duration::from_millis(left));
+        row.run = Some(run);
+        self.runs.push(RunRecord {
+            job: job.clone(),
+            token: row.token,
+            task: row.task.clone(),
+            began: now,
+            ended: None,
+        });
+        self.seen.get_mut(job).expect("a reserved job has been seen").ran = true;
+    }
+
+    fn checkpoint(
+        &mut self,
+        job: &JobId,
+        token: LeaseToken,
+        stop_after: Duration,
+        now: Moment,
+    ) -> Result<BackendReply, Refusal> {
+        let row = self.current(job, token)?;
+        if !row.state.holds() {
+            return Err(Refusal::WrongState { state: row.state.clone() });
+        }
+        let cost = if row.task.spec.checkpointable { CHECKPOINT_COST.min(stop_after) } else { stop_after };
+        let row = self.touch(job);
+        row.stop_at = Some(row.stop_at.map_or(now + cost, |at| at.min(now + cost)));
+        Ok(BackendReply::Ok { state: row.state.clone() })
+    }
+
+    fn stop(&mut self, job: &JobId, token: LeaseToken, now: Moment) -> Result<BackendReply, Refusal> {
+        if let Some(row) = self.rows.get(job) {
+            if row.token > token {
+                return Err(self.stale(job));
+            }
+            if row.state.holds() {
+                let ran = row.state.ran();
+                self.end(job, now, TaskState::Stopped { ran, checkpointed: false });
+            }
+        }
+        let seen = self.seen.entry(job.clone()).or_insert(Seen { token, ran: false, at: now });
+        seen.token = seen.token.max(token);
+        seen.at = now;
+        Ok(BackendReply::Stopped { ran: seen.ran })
+    }
+
+    fn adopt(
+        &mut self,
+        job: &JobId,
+        token: LeaseToken,
+        holder: Holder,
+        until: Moment,
+    ) -> Result<BackendReply, Refusal> {
+        let Some(row) = self.rows.get(job) else {
+            return Err(Refusal::UnknownLease);
+        };
+        if row.token == token && row.holder == holder {
+            return Ok(BackendReply::Ok { state: row.state.clone() });
+        }
+        if row.token.attempt != token.attempt || row.token.epoch >= token.epoch {
+            return Err(self.stale(job));
+        }
+        if row.state == TaskState::Reserved {
+            return Err(Refusal::WrongState { state: TaskState::Reserved });
+        }
+        let row = self.touch(job);
+        row.holder = holder;
+        row.token = token;
+        if row.state.holds() {
+            row.until = until;
+        }
+        let state = row.state.clone();
+        let seen = self.seen.get_mut(job).expect("a reserved job has been seen");
+        seen.token = seen.token.max(token);
+        Ok(BackendReply::Ok { state })
+    }
+
+    fn describe(&self, job: &JobId) -> Result<BackendReply, Refusal> {
+        let row = self.rows.get(job).ok_or(Refusal::UnknownLease)?;
+        Ok(BackendReply::Described { task: Box::new(row.task.clone()), token: row.token })
+    }
+
+    fn fetch(&self, job: &JobId) -> Result<BackendReply, Refusal> {
+        let row = self.rows.get(job).ok_or(Refusal::UnknownLease)?;
+        let TaskState::Finished { len, digest } = &row.state else {
+            return Err(Refusal::WrongState { state: row.state.clone() });
+        };
+        Ok(BackendReply::Answer(Answer {
+            job: job.clone(),
+            token: row.token,
+            text: Work::answer(&row.task.spec),
+            len: *len,
+            digest: digest.clone(),
+        }))
+    }
+
+    fn acknowledge(&mut self, job: &JobId) -> Result<BackendReply, Refusal> {
+        if !self.rows.contains_key(job) {
+            return Err(Refusal::UnknownLease);
+        }
+        let row = self.touch(job);
+        row.acknowledged = true;
+        Ok(BackendReply::Ok { state: row.state.clone() })
+    }
+
+    fn configure(&mut self, revision: Revision, document: String) -> Result<BackendReply, Refusal> {
+        if revision < self.info.revision {
+            return Err(Refusal::OlderRevision { revision: self.info.revision });
+        }
+        if revision > self.info.revision {
+            self.info.revision = revision;
+            self.document = Some(document);
+            self.version += 1;
+        }
+        Ok(BackendReply::Configured { revision })
+    }
+
+    /// The row of exactly this token.
+    fn current(&self, job: &JobId, token: LeaseToken) -> Result<&Row, Refusal> {
+        match self.rows.get(job) {
+            Some(row) if row.token == token => Ok(row),
+            Some(row) if row.token > token => Err(self.stale(job)),
+            _ if self.seen.get(job).is_some_and(|s| s.token > token) => Err(self.stale(job)),
+            _ => Err(Refusal::UnknownLease),
+        }
+    }
+
+    fn stale(&self, job: &JobId) -> Refusal {
+        let seen = self.seen.get(job).map_or(LeaseToken::default(), |s| s.token);
+        let holder = self.rows.get(job).map(|row| row.holder.clone());
+        Refusal::Stale { seen, holder }
+    }
+
+    fn touch(&mut self, job: &JobId) -> &mut Row {
+        self.version += 1;
+        let row = self.rows.get_mut(job).expect("the caller has read the row");
+        row.changed = self.version;
+        row
+    }
+
+    fn apply(&mut self, job: &JobId, at: Moment, event: Event) {
+        let row = &self.rows[job];
+        let ran = row.state.ran();
+        let spec = &row.task.spec;
+        let state = match event {
+            Event::Lapse => TaskState::Lapsed { ran },
+            Event::Stop => TaskState::Stopped { ran, checkpointed: spec.checkpointable && ran },
+            Event::BadServer => TaskState::Failed { why: format!("{} fails every task", self.info.id) },
+            Event::Done => match Work::of(spec).fail {
+                Some(why) => TaskState::Failed { why },
+                None => {
+                    let answer = Work::answer(spec);
+                    TaskState::Finished { len: answer.len() as u64, digest: Digest::of(answer.as_bytes()) }
+                }
+            },
+        };
+        if matches!(state, TaskState::Stopped { checkpointed: true, .. })
+            && let Some(began) = row.began
+        {
+            let progress = row.progress + at.since(began);
+            self.checkpoints.lock().expect("no holder panics").insert(request_name(&row.task), progress);
+        }
+        self.end(job, at, state);
+    }
+
+    fn end(&mut self, job: &JobId, at: Moment, state: TaskState) {
+        let row = self.touch(job);
+        row.state = state.clone();
+        row.ended = Some(at);
+        if let Some(run) = row.run.take() {
+            self.runs[run].ended = Some((at, state));
+        }
+    }
+
+    fn purge(&mut self, now: Moment) {
+        let gone = |row: &Row| row.ended.is_some_and(|at| row.acknowledged || now.since(at) > RETENTION);
+        let jobs: Vec<JobId> = self.rows.iter().filter(|(_, row)| gone(row)).map(|(job, _)| job.clone()).collect();
+        for job in jobs {
+            self.rows.remove(&job);
+            self.version += 1;
+            self.removed.push_back((self.version, job));
+        }
+        while self.removed.len() > REMOVED_KEPT {
+            self.removed.pop_front();
+        }
+        self.seen.retain(|job, seen| self.rows.contains_key(job) || now.since(seen.at) < MEMORY);
+    }
+
+    fn update(&self, table: u64, since: u64, now: Moment) -> TableUpdate {
+        let oldest_removed = self.removed.front().map_or(0, |(version, _)| *version);
+        let full = table != self.life || (self.removed.len() == REMOVED_KEPT && since < oldest_removed);
+        let since = if full { 0 } else { since };
+        let changed = |row: &&Row| row.changed > since;
+        let leases = self.rows.iter().filter(|(_, row)| changed(row)).map(|(job, row)| row.line(job, now));
+        let removed = self.removed.iter().filter(|(version, _)| *version > since).map(|(_, job)| job.clone());
+        TableUpdate {
+            table: self.life,
+            version: self.version,
+            full,
+            leases: leases.collect(),
+            removed: if full { Vec::new() } else { removed.collect() },
+            info: self.info.clone(),
+        }
+    }
+}
+
+fn request_name(task: &TaskSpec) -> (CustomerId, RequestId) {
+    (task.spec.customer.clone(), task.spec.request.clone())
+}
+
+enum Event {
+    Lapse,
+    Stop,
+    BadServer,
+    Done,
+}
+
+impl Row {
+    fn next_event(&self, fail_tasks: bool) -> Option<(Moment, Event)> {
+        if !self.state.holds() {
+            return None;
+        }
+        let mut next = (self.until, Event::Lapse);
+        let mut consider = |at: Option<Moment>, event: Event| {
+            if let Some(at) = at
+                && at < next.0
+            {
+                next = (at, event);
+            }
+        };
+        consider(self.stop_at, Event::Stop);
+        consider(self.done_at, Event::Done);
+        if fail_tasks {
+            consider(self.began.map(|began| began + FAIL_AFTER), Event::BadServer);
+        }
+        Some(next)
+    }
+
+    fn line(&self, job: &JobId, now: Moment) -> Lease {
+        let spec = &self.task.spec;
+        Lease {
+            job: job.clone(),
+            token: self.token,
+            holder: self.holder.clone(),
+            customer: spec.customer.clone(),
+            request: spec.request.clone(),
+            class: spec.class.clone(),
+            resources: self.task.resources(),
+            members: self.task.members.clone(),
+            state: self.state.clone(),
+            declared: spec.declared,
+            ran_for: self.began.map_or(Duration::ZERO, |began| self.ended.unwrap_or(now).since(began)),
+            repeatable: spec.repeatable,
+            checkpointable: spec.checkpointable,
+            stopping: self.stop_at.is_some(),
+            acknowledged: self.acknowledged,
+        }
+    }
+}
--- /dev/null
+++ b/xtask/src/tidy.rs
@@ -0,0 +1,6 @@
+//! Checks what the linter cannot.
+
+/// Runs every check.
+pub(crate) fn check() -> Result<String, String> {
+    crate::codegen::check()
+}
