--- a/crates/backend/src/message.rs
+++ b/crates/backend/src/message.rs
@@ -352,8 +352,10 @@
     },
     /// To `Stop`: the attempt is over and cannot come back.
     Stopped {
-        /// Whether any of it had run here.
+        /// Whether any of it had run here, as far as the table remembers.
         ran: bool,
+        /// How far back the table remembers: it cannot speak for what was before.
+        remembers: Duration,
     },
     /// To `Describe`.
     Described {
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -74,14 +74,14 @@
 }
 
 impl EntryBox {
-    pub(crate) fn begin_claim(&mut self, submission: Submission, to: Respondent) {
-        let op = self.new_claim(submission, to, None);
-        self.write_claim(op);
+    pub(crate) fn begin_claim(&mut self, submission: Submission, to: Respondent, now: Moment) {
+        let op = self.new_claim(submission, to, None, now);
+        self.write_claim(op, now);
     }
 
-    fn new_claim(&mut self, submission: Submission, to: Respondent, over: Option<u64>) -> ClaimOp {
+    fn new_claim(&mut self, submission: Submission, to: Respondent, over: Option<u64>, now: Moment) -> ClaimOp {
         let claim = Claim {
-            ticket: self.jobs.mint(),
+            ticket: self.jobs.mint(now),
             availability_zone: self.id.availability_zone.clone(),
             durable: submission.durable.then(|| submission.spec.clone()),
             repeatable: submission.spec.repeatable,
@@ -105,11 +105,11 @@
         self.is_claiming_name(&(spec.customer.clone(), spec.request.clone()))
     }
 
-    fn write_claim(&mut self, mut op: ClaimOp) {
+    fn write_claim(&mut self, mut op: ClaimOp, now: Moment) {
         op.rounds += 1;
         if op.rounds > MAX_ROUNDS {
             // The ticket in a write that may yet take effect is never started.
-            return self.refuse_for_store(op.to);
+            return self.refuse_for_store(&op.submission, op.to, now);
         }
         let key = op.key();
         let value = op.claim.to_text();
@@ -129,22 +129,22 @@
             }
             Some(StoreReply::Found { value: None }) => {
                 op.over = None;
-                self.write_claim(op);
+                self.write_claim(op, now);
             }
             Some(StoreReply::Conflict { value: None }) if op.over.is_some() => {
                 op.over = None;
-                self.write_claim(op);
+                self.write_claim(op, now);
             }
-            Some(_) => self.refuse_for_store(op.to),
-            None => self.read_claim(op),
+            Some(_) => self.refuse_for_store(&op.submission, op.to, now),
+            None => self.read_claim(op, now),
         }
     }
 
     /// An answer was lost: what stands tells whether the write took effect.
-    fn read_claim(&mut self, mut op: ClaimOp) {
+    fn read_claim(&mut self, mut op: ClaimOp, now: Moment) {
         op.rounds += 1;
         if op.rounds > MAX_ROUNDS {
-            return self.refuse_for_store(op.to);
+            return self.refuse_for_store(&op.submission, op.to, now);
         }
         let key = op.key();
         self.call_store(Op::Claim(Box::new(op)), StoreRequest::Get { key });
@@ -159,14 +159,14 @@
     /// Another ticket holds the request: its holder may live, be elsewhere, or be gone.
     fn on_standing_claim(&mut self, op: ClaimOp, found: Versioned, now: Moment) {
         let Some(standing) = Claim::parse(&found.value) else {
-            return self.replace_claim(op, found.version);
+            return self.replace_claim(op, found.version, now);
         };
         if standing.ticket == op.claim.ticket {
             return self.claim_stands(op, now);
         }
         if let Some(outcome) = standing.ended {
             if outcome == "not_run" {
-                return self.replace_claim(op, found.version);
+                return self.replace_claim(op, found.version, now);
             }
             return self.reply(op.to, CallerReply::Job(JobAnswer::Over { outcome }));
         }
@@ -195,7 +195,7 @@
         let view = self.jobs.view(&standing.ticket);
         match view.as_ref().map(|view| &view.stage) {
             // Its ticket was given up before it was started, or the job was not run.
-            None | Some(Stage::Ended(Outcome::NotRun { .. })) => self.replace_claim(op, version),
+            None | Some(Stage::Void | Stage::Ended(Outcome::NotRun { .. })) => self.replace_claim(op, version, now),
             Some(Stage::Ended(_) | Stage::Moved(_)) => {
                 let answer = view.as_ref().map_or(JobAnswer::NotKnown, pending_answer);
                 self.reply(op.to, CallerReply::Job(answer));
@@ -208,17 +208,17 @@
         }
     }
 
-    pub(crate) fn replace_claim(&mut self, op: ClaimOp, version: u64) {
+    pub(crate) fn replace_claim(&mut self, op: ClaimOp, version: u64, now: Moment) {
         let rounds = op.rounds;
-        let mut op = self.new_claim(op.submission, op.to, Some(version));
+        let mut op = self.new_claim(op.submission, op.to, Some(version), now);
         op.rounds = rounds;
-        self.write_claim(op);
+        self.write_claim(op, now);
     }
 
     /// Makes a claim over one whose ticket has been fenced.
-    pub(crate) fn reclaim(&mut self, submission: Submission, to: Respondent, version: u64) {
-        let op = self.new_claim(submission, to, Some(version));
-        self.write_claim(op);
+    pub(crate) fn reclaim(&mut self, submission: Submission, to: Respondent, version: u64, now: Moment) {
+        let op = self.new_claim(submission, to, Some(version), now);
+        self.write_claim(op, now);
     }
 
     /// What the live box that minted the standing ticket says.
@@ -226,14 +226,13 @@
         let Some(version) = op.over else { return };
         let answer = match reply {
             // It minted the ticket, and neither started it nor ever will.
-            Some(PeerReply::Job(JobAnswer::NotKnown)) => return self.replace_claim(op, version),
+            Some(PeerReply::Job(JobAnswer::NotKnown)) => return self.replace_claim(op, version, now),
             Some(PeerReply::Job(JobAnswer::Ended { outcome: Outcome::NotRun { .. }, .. })) => {
-                return self.replace_claim(op, version);
+                return self.replace_claim(op, version, now);
             }
             Some(PeerReply::Job(answer)) => answer,
             _ => moved_answer(),
         };
-        let _ = now;
         self.reply(op.to, CallerReply::Job(answer));
     }
 
--- a/crates/entry/src/entry_box.rs
+++ b/crates/entry/src/entry_box.rs
@@ -95,6 +95,7 @@
     Settle(Box<SettleOp>),
     Route(Box<RouteOp>),
     RoutePart(OpId),
+    HandOver(Box<crate::handover::HandOver>),
     Apply(Apply, Respondent),
     EndClaim(crate::claims::EndClaim),
     Recover,
@@ -108,6 +109,7 @@
 /// One entry box.
 pub struct EntryBox {
     pub(crate) id: Identity,
+    pub(crate) born: Moment,
     pub(crate) limits: Limits,
     pub(crate) jobs: Coordinator,
     pub(crate) view: View,
@@ -142,7 +144,7 @@
     ) -> EntryBox {
         let holder = Holder { box_id: id.box_id.clone(), incarnation: id.incarnation };
         let mut it = EntryBox {
-            jobs: Coordinator::new(holder, limits.lifecycle),
+            jobs: Coordinator::new(holder, limits.lifecycle, now),
             view: View::new(id.box_id.clone(), limits.membership, now),
             current: Current::default(),
             replicas: Replicas::default(),
@@ -159,6 +161,7 @@
             dead_since: BTreeMap::new(),
             recover_at: Some(now + limits.settle),
             draining: false,
+            born: now,
             last_heartbeat: None,
             out: Vec::new(),
             next_op: 0,
@@ -194,11 +197,6 @@
         mem::take(&mut self.out)
     }
 
-    /// Whether a leaving box has nothing left that only it can finish.
-    pub fn is_drained(&self) -> bool {
-        self.draining && self.jobs.open_jobs() == 0 && self.waiters.is_empty() && self.unreported.is_empty()
-    }
-
     /// Whether it can serve: it has a configuration and is not leaving.
     pub fn is_ready(&self) -> bool {
         !self.draining && self.current.file().is_some()
@@ -221,6 +219,7 @@
         self.tick_claims(now);
         self.expire_waiters(now);
         self.tick_quarantine(now);
+        self.hand_over_queue(now);
     }
 
     fn on_caller(&mut self, to: ReplyTo, req: CallerRequest, now: Moment) {
@@ -237,7 +236,7 @@
                 self.route(crate::route::Ask::Acknowledge, customer, request, to, now);
             }
             CallerRequest::Mint => {
-                let ticket = self.jobs.mint();
+                let ticket = self.jobs.mint(now);
                 self.reply(to, CallerReply::Ticket(ticket));
             }
             CallerRequest::Apply { id, base, file } => self.apply(id, base, file, to),
@@ -294,6 +293,7 @@
             (Some(Op::Offer), reply) => self.on_offer_reply(&peer, reply, now),
             (Some(Op::FetchConfiguration), reply) => self.on_fetched_configuration(reply, now),
             (Some(Op::Route(route)), reply) => self.on_route_reply(*route, reply),
+            (Some(Op::HandOver(it)), reply) => self.on_handed_over(*it, peer, reply, now),
             (Some(Op::RoutePart(round)), reply) => self.on_round_reply(round, &peer, reply, now),
             (Some(Op::Claim(claim)), reply) => self.on_owner_reply(*claim, reply, now),
             _ => {}
@@ -320,7 +320,7 @@
                 Effect::QueueChanged => self.queue_changed(),
                 Effect::Started { job, delay } => self.on_started(&job, delay),
                 Effect::Ended { job, after } => self.on_ended(&job, after, now),
-                Effect::Moved { job } => self.on_moved(&job),
+                Effect::Moved { job } => self.on_moved(&job, now),
                 Effect::RunFailed { server, job } => self.on_run_failed(&server, &job, now),
                 Effect::Count(anomaly) => {
                     self.observe(Observation::Count { name: crate::status::anomaly_name(anomaly) });
@@ -348,17 +348,15 @@
         self.end_claim(&view.job, now);
     }
 
-    fn on_moved(&mut self, job: &model::JobId) {
+    fn on_moved(&mut self, job: &model::JobId, now: Moment) {
         let Some(view) = self.jobs.view(job) else { return };
-        let answer = crate::route::moved_answer();
-        self.answer_waiters(&view.spec.customer, &view.spec.request, &answer);
+        self.follow_moved(&view, now);
         self.claimed.remove(job);
     }
 
-    fn drain(&mut self) {
-        self.draining = true;
-        self.view.set_leaving(true);
-        self.last_heartbeat = None;
+    /// Wall-clock milliseconds, carried on from the start by the monotonic clock.
+    pub(crate) fn wall_ms(&self, now: Moment) -> u64 {
+        self.id.incarnation.0 + now.since(self.born).millis()
     }
 
     pub(crate) fn file(&self) -> Option<Arc<OperatorFile>> {
--- /dev/null
+++ b/crates/entry/src/handover.rs
@@ -0,0 +1,117 @@
+//! Leaving: waiting jobs go to another box of the availability zone, and callers that wait follow them.
+//!
+//! Running gangs are adopted by the planner once it hears that their holder is leaving.
+
+use lifecycle::Origin;
+use model::{BoxId, Duration, Moment};
+
+use crate::{
+    CallerReply, EntryBox, JobAnswer, PeerReply, PeerRequest, Submission, entry_box::Op, route::Ask,
+    waiters::Respondent,
+};
+
+/// A waiting job on its way to another box.
+#[derive(Debug)]
+pub(crate) struct HandOver {
+    submission: Submission,
+    /// Boxes that did not take it.
+    refused: Vec<BoxId>,
+}
+
+impl EntryBox {
+    /// Begins to leave.
+    pub(crate) fn drain(&mut self) {
+        self.draining = true;
+        self.view.set_leaving(true);
+        // Peers hear of it at once.
+        self.last_heartbeat = None;
+    }
+
+    /// Whether a leaving box has nothing left that only it can finish.
+    pub fn is_drained(&self) -> bool {
+        let owes = |op: &Op| {
+            matches!(
+                op,
+                Op::Claim(_) | Op::Settle(_) | Op::Route(_) | Op::Apply(..) | Op::HandOver(_) | Op::EndClaim(_)
+            )
+        };
+        self.draining
+            && self.jobs.open_jobs() == 0
+            && self.waiters.is_empty()
+            && self.unreported.is_empty()
+            && !self.ops.values().any(owes)
+    }
+
+    /// Hands waiting jobs over while this box is leaving.
+    pub(crate) fn hand_over_queue(&mut self, now: Moment) {
+        if !self.draining || self.successor(&[], now).is_none() {
+            return;
+        }
+        for waiting in self.jobs.waiting(now) {
+            let Some((spec, Origin { resume, certain })) = self.jobs.release(&waiting.job) else { continue };
+            let durable = self.claimed.remove(&waiting.job).is_some_and(|claim| claim.durable.is_some());
+            let submission = Submission {
+                spec: (*spec).clone(),
+                wait: Duration::ZERO,
+                durable,
+                retry: false,
+                ticket: None,
+                resume,
+                may_have_run: !certain,
+            };
+            self.hand_over(HandOver { submission, refused: Vec::new() }, now);
+        }
+    }
+
+    fn hand_over(&mut self, it: HandOver, now: Moment) {
+        match self.successor(&it.refused, now) {
+            Some(peer) => {
+                let req = PeerRequest::Submit(it.submission.clone());
+                self.call_peer(Op::HandOver(Box::new(it)), &peer, req);
+            }
+            // Nobody takes it: this box keeps it after all.
+            None => self.submit_new(it.submission, Respondent::Nobody, now),
+        }
+    }
+
+    pub(crate) fn on_handed_over(&mut self, mut it: HandOver, peer: BoxId, reply: Option<PeerReply>, now: Moment) {
+        let taken = matches!(
+            reply,
+            Some(PeerReply::Job(JobAnswer::Pending { .. } | JobAnswer::Over { .. } | JobAnswer::Ended { .. }))
+        );
+        if !taken {
+            it.refused.push(peer);
+            return self.hand_over(it, now);
+        }
+        let spec = &it.submission.spec;
+        for (to, until) in self.waiters.take(&(spec.customer.clone(), spec.request.clone())) {
+            let req = PeerRequest::Lookup {
+                customer: spec.customer.clone(),
+                request: spec.request.clone(),
+                wait: until.since(now),
+            };
+            let route = crate::route::RouteOp::forward(it.submission.clone(), to);
+            self.call_peer(Op::Route(Box::new(route)), &peer, req);
+        }
+    }
+
+    /// Callers that wait for a job follow it to its new holder.
+    pub(crate) fn follow_moved(&mut self, view: &lifecycle::JobView, now: Moment) {
+        let name = (view.spec.customer.clone(), view.spec.request.clone());
+        let known = matches!(view.stage, lifecycle::Stage::Moved(_));
+        for (to, until) in self.waiters.take(&name) {
+            if known {
+                let ask = Ask::Poll { wait: until.since(now) };
+                self.route(ask, name.0.clone(), name.1.clone(), to, now);
+            } else {
+                self.reply(to, CallerReply::Job(crate::route::moved_answer()));
+            }
+        }
+    }
+
+    /// A live box of the availability zone that is staying.
+    fn successor(&self, except: &[BoxId], now: Moment) -> Option<BoxId> {
+        let staying = |id: &BoxId| self.view.peers().get(id).is_some_and(|status| !status.leaving);
+        self.view.live(now).into_iter().find(|id| staying(id) && !except.contains(id))
+    }
+}
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -1,6 +1,6 @@
 //! Taking jobs in: what is refused at once, what is known already, and what needs a claim.
 
-use lifecycle::Stage;
+use lifecycle::{Origin, Stage};
 use model::{Duration, JobId, JobSpec, Moment, NotRunReason, OperatorFile, Outcome};
 use policy::Room;
 
@@ -25,11 +25,15 @@
     /// Takes a job, or says at once why not.
     pub(crate) fn submit(&mut self, mut submission: Submission, to: Respondent, now: Moment) {
         submission.wait = self.bounded(submission.wait);
+        submission.may_have_run |= submission.retry && !self.needs_claim(&submission);
         if self.join_known(&submission, to, now) {
             return;
         }
         if let Some((reason, retry_after)) = self.refusal(&submission.spec) {
-            return self.refuse_submission(to, reason, retry_after);
+            return match submission.retry || submission.may_have_run {
+                true => self.refuse_in_doubt(to, &reason, retry_after, now),
+                false => self.refuse_submission(to, reason, retry_after, now),
+            };
         }
         if let Some(ticket) = submission.ticket.clone() {
             return self.submit_with_ticket(submission, ticket, to, now);
@@ -43,17 +47,18 @@
     /// Takes a job that is known nowhere else, as far as can be told.
     pub(crate) fn submit_new(&mut self, submission: Submission, to: Respondent, now: Moment) {
         if self.needs_claim(&submission) {
-            return self.begin_claim(submission, to);
+            return self.begin_claim(submission, to, now);
         }
-        let job = self.jobs.mint();
+        let job = self.jobs.mint(now);
         self.accept(submission, job, to, now);
     }
 
     /// Puts a job into the queue and lets its caller wait, or tells the caller its ticket.
     pub(crate) fn accept(&mut self, submission: Submission, job: JobId, to: Respondent, now: Moment) {
-        let Submission { spec, wait, .. } = submission;
+        let Submission { spec, wait, resume, may_have_run, .. } = submission;
+        let origin = Origin { resume, certain: !may_have_run };
         let name = (spec.customer.clone(), spec.request.clone());
-        self.jobs.submit_as(job.clone(), spec, now);
+        self.jobs.submit_as(job.clone(), spec, origin, now);
         if wait == Duration::ZERO {
             let answer = JobAnswer::Pending { job: Some(job), stage: "waiting".to_owned() };
             return self.reply(to, CallerReply::Job(answer));
@@ -61,15 +66,35 @@
         self.wait_for_end(name, to, now + wait);
     }
 
-    pub(crate) fn refuse_submission(&mut self, to: Respondent, reason: NotRunReason, retry_after: Option<Duration>) {
+    pub(crate) fn refuse_submission(
+        &mut self,
+        to: Respondent,
+        reason: NotRunReason,
+        retry_after: Option<Duration>,
+        now: Moment,
+    ) {
         // The ticket is used up by saying that it was not run.
-        let job = self.jobs.mint();
+        let job = self.jobs.mint(now);
         let answer = JobAnswer::Ended { job, outcome: Outcome::NotRun { reason, retry_after } };
         self.reply(to, CallerReply::Job(answer));
     }
 
-    pub(crate) fn refuse_for_store(&mut self, to: Respondent) {
-        self.refuse_submission(to, NotRunReason::StoreUnavailable, Some(RETRY_STORE));
+    /// Refuses a request that was sent before: an earlier try, through another box, may have run.
+    fn refuse_in_doubt(&mut self, to: Respondent, reason: &NotRunReason, retry_after: Option<Duration>, now: Moment) {
+        let why = format!("not taken now: {reason}; whether an earlier try ran is not known here");
+        let answer = match retry_after {
+            Some(retry_after) => JobAnswer::Unsettled { why, retry_after },
+            None => JobAnswer::Ended { job: self.jobs.mint(now), outcome: Outcome::Unknown { why } },
+        };
+        self.reply(to, CallerReply::Job(answer));
+    }
+
+    pub(crate) fn refuse_for_store(&mut self, submission: &Submission, to: Respondent, now: Moment) {
+        let reason = NotRunReason::StoreUnavailable;
+        match submission.retry || submission.may_have_run {
+            true => self.refuse_in_doubt(to, &reason, Some(RETRY_STORE), now),
+            false => self.refuse_submission(to, reason, Some(RETRY_STORE), now),
+        }
     }
 
     /// A request that may run only once, or must outlive this box, is claimed in the platform's store.
@@ -85,10 +110,12 @@
                 self.reply(to, CallerReply::Job(JobAnswer::NameInUse));
                 return true;
             }
-            if is_open_to_retry(&view.stage) {
+            // A job that moved may be known to its new holder no more.
+            let moved = matches!(view.stage, Stage::Moved(_));
+            if is_open_to_retry(&view.stage) || (moved && !self.is_held(spec, now)) {
                 return false;
             }
-        } else if !self.replicas.has_request(&spec.customer, &spec.request) && !self.is_claiming(spec) {
+        } else if !self.is_held(spec, now) && !self.is_claiming(spec) {
             return false;
         }
         let ask = Ask::Poll { wait: submission.wait };
@@ -96,6 +123,12 @@
         true
     }
 
+    /// Whether the lease tables show a request with a live holder, or whole and waiting for adoption.
+    fn is_held(&self, spec: &JobSpec, now: Moment) -> bool {
+        let found = self.replicas.find(&spec.customer, &spec.request);
+        found.is_some_and(|found| found.whole || self.is_live_holder(&found.holder, now))
+    }
+
     /// Why a job is not taken now, and when to come back.
     fn refusal(&self, spec: &JobSpec) -> Option<(NotRunReason, Option<Duration>)> {
         if self.draining {
@@ -173,7 +206,7 @@
 
 /// A request that was not run may be sent again under its name.
 fn is_open_to_retry(stage: &Stage) -> bool {
-    matches!(stage, Stage::Ended(Outcome::NotRun { .. }))
+    matches!(stage, Stage::Void | Stage::Ended(Outcome::NotRun { .. }))
 }
 
 fn unknown(what: String) -> NotRunReason {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod claims;
 mod config;
 mod entry_box;
+mod handover;
 mod intake;
 mod message;
 mod offers;
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -51,6 +51,10 @@
     pub retry: bool,
     /// A ticket minted earlier, with which a request that may run only once needs no store.
     pub ticket: Option<JobId>,
+    /// Whether it goes on from a checkpoint; set only by a box that hands it over.
+    pub resume: bool,
+    /// Whether an earlier ticket for it may have run, so that it can never be said not to have run.
+    pub may_have_run: bool,
 }
 
 /// What a caller or an operator asks.
--- a/crates/entry/src/offers.rs
+++ b/crates/entry/src/offers.rs
@@ -70,7 +70,8 @@
         }
         let waiting: BTreeMap<JobId, Waiting> =
             self.jobs.waiting(now).into_iter().map(|w| (w.job.clone(), w)).collect();
-        if waiting.is_empty() && self.offering.sent.is_empty() {
+        // A planner that knew this box before must hear that its queue is empty now.
+        if waiting.is_empty() && self.offering.sent.is_empty() && !self.offering.need_full {
             self.offering.changed = false;
             return;
         }
--- a/crates/entry/src/planning.rs
+++ b/crates/entry/src/planning.rs
@@ -8,6 +8,8 @@
 
 use crate::{BackendOp, EntryBox, Observation, PeerRequest, entry_box::Op, offers::queued};
 
+/// A round of planning is made at least this often.
+const REPLAN_AFTER: Duration = Duration::from_secs(2);
 /// Starts over which the time per start is averaged.
 const RATE_WINDOW: f64 = 32.0;
 /// The time per start before anything is known.
@@ -81,6 +83,9 @@
             self.planning.granted.retain(|_, granted| granted.until > now);
             self.planning.dirty = true;
         }
+        // Some things change by time alone, such as whether a backend server is taken for silent.
+        let stale = self.planning.last.is_none_or(|at| now.since(at) >= REPLAN_AFTER);
+        self.planning.dirty |= stale;
         let early = self.planning.last.is_some_and(|at| now.since(at) < self.limits.plan_gap);
         if !self.planning.dirty || early {
             return;
--- a/crates/entry/src/replicas.rs
+++ b/crates/entry/src/replicas.rs
@@ -5,8 +5,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use backend::{BackendReply, BackendRequest, Lease, ServerInfo, TableUpdate, TaskState};
-use model::{BackendServerId, BoxId, CustomerId, Duration, JobId, Moment, OperatorFile, RequestId, ServerMode};
+use backend::{BackendReply, BackendRequest, Holder, Lease, ServerInfo, TableUpdate, TaskState};
+use model::{BackendServerId, CustomerId, Duration, JobId, Moment, OperatorFile, RequestId, ServerMode};
 use policy::{Running, Server};
 
 use crate::{BackendOp, EntryBox};
@@ -22,6 +22,13 @@
     by_server: BTreeMap<BackendServerId, Replica>,
 }
 
+/// Who holds a request.
+pub(crate) struct Found {
+    pub(crate) holder: Holder,
+    /// Whether the whole gang still stands.
+    pub(crate) whole: bool,
+}
+
 /// What is known of one backend server.
 #[derive(Default)]
 pub(crate) struct Replica {
@@ -61,18 +68,19 @@
         self.by_server.iter().flat_map(|(id, replica)| replica.leases.values().map(move |lease| (id, lease)))
     }
 
-    /// The holder of a request that holds resources or keeps an answer.
-    pub(crate) fn holder_of(&self, customer: &CustomerId, request: &RequestId) -> Option<BoxId> {
+    /// The holder of a request's newest attempt, if any line of it is live.
+    pub(crate) fn find(&self, customer: &CustomerId, request: &RequestId) -> Option<Found> {
         let lines = self.lines().filter(|(_, l)| l.request == *request && l.customer == *customer && is_live(l));
-        lines.max_by_key(|(_, lease)| lease.token).map(|(_, lease)| lease.holder.box_id.clone())
-    }
-
-    pub(crate) fn has_request(&self, customer: &CustomerId, request: &RequestId) -> bool {
-        self.holder_of(customer, request).is_some()
+        let (_, newest) = lines.max_by_key(|(_, lease)| lease.token)?;
+        Some(Found { holder: newest.holder.clone(), whole: self.is_whole(&newest.job) })
     }
 
-    pub(crate) fn has_live_line(&self, job: &JobId) -> bool {
-        self.by_server.values().any(|replica| replica.leases.get(job).is_some_and(is_live))
+    /// Whether every member of a gang has a live line, so that it can be adopted. A gang that lost a
+    /// member cannot: what is left of it ends by itself.
+    pub(crate) fn is_whole(&self, job: &JobId) -> bool {
+        let line = |server: &BackendServerId| self.by_server.get(server)?.leases.get(job);
+        let Some((_, any)) = self.lines().find(|(_, lease)| lease.job == *job) else { return false };
+        any.members.iter().all(|m| line(&m.server).is_some_and(is_live))
     }
 
     /// The lines of every job, by backend server.
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeSet;
 
+use backend::Holder;
 use lifecycle::{JobView, Stage};
 use model::{BoxId, CustomerId, Duration, JobId, Moment, RequestId};
 use platform::{StoreReply, StoreRequest};
@@ -71,23 +72,31 @@
         let name = (customer, request);
         let local = self.jobs.find(&name.0, &name.1);
         let moved_to = match local.as_ref().map(|view| &view.stage) {
-            Some(Stage::Moved(holder)) => holder.as_ref().map(|holder| holder.box_id.clone()),
+            Some(Stage::Moved(holder)) => Some(holder.clone()),
+            Some(Stage::Void) => None,
             Some(_) => return self.answer_locally(ask, name.0, name.1, to, now),
             None if self.is_claiming_name(&name) => return self.answer_locally(ask, name.0, name.1, to, now),
             None => None,
         };
-        let holder = moved_to.or_else(|| self.replicas.holder_of(&name.0, &name.1));
+        // The lease tables are fresher than what this box was told when the job moved.
+        let found = self.replicas.find(&name.0, &name.1);
+        let live = |holder: &Holder| holder.box_id != self.id.box_id && self.is_live_holder(holder, now);
+        let holder = found.as_ref().map(|found| found.holder.clone()).or(moved_to).filter(live);
         let route = RouteOp::around(ask, name, to, None);
         match holder {
-            Some(holder) if holder != self.id.box_id && self.view.is_live(&holder, now) => {
+            Some(holder) => {
                 let req = route.request();
-                self.call_peer(Op::Route(Box::new(route)), &holder, req);
+                self.call_peer(Op::Route(Box::new(route)), &holder.box_id, req);
             }
-            Some(holder) if holder != self.id.box_id => self.reply(to, CallerReply::Job(moved_answer())),
-            _ => self.ask_peers(route, now),
+            None if found.is_some_and(|found| found.whole) => self.reply(to, CallerReply::Job(moved_answer())),
+            None => self.ask_peers(route, now),
         }
     }
 
+    pub(crate) fn is_live_holder(&self, holder: &Holder, now: Moment) -> bool {
+        self.view.is_live_life(&holder.box_id, holder.incarnation, self.id.incarnation, now)
+    }
+
     /// Answers from this box's own jobs alone.
     pub(crate) fn answer_locally(
         &mut self,
@@ -109,7 +118,7 @@
         }
         let view = self.jobs.view(&view.job).unwrap_or(view);
         match (&view.stage, ask) {
-            (Stage::Ended(_) | Stage::Moved(_), _) | (_, Ask::Acknowledge) => {
+            (Stage::Ended(_) | Stage::Moved(_) | Stage::Void, _) | (_, Ask::Acknowledge) => {
                 self.reply(to, CallerReply::Job(pending_answer(&view)));
             }
             (_, Ask::Poll { wait }) if wait == Duration::ZERO => {
@@ -211,6 +220,7 @@
     let stage = match &view.stage {
         Stage::Ended(outcome) => return JobAnswer::Ended { job: view.job.clone(), outcome: outcome.clone() },
         Stage::Moved(_) => return moved_answer(),
+        Stage::Void => return JobAnswer::NotKnown,
         Stage::Waiting => "waiting",
         Stage::Starting => "starting",
         Stage::Running => "running",
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -18,6 +18,8 @@
 
 /// A fence whose reply was lost is sent again after this.
 const RESEND: Duration = Duration::from_secs(1);
+/// Most that the clocks of two boxes differ by.
+const SKEW: Duration = Duration::from_secs(2);
 /// When to ask again about a ticket that could not be settled.
 const RETRY: Duration = Duration::from_secs(2);
 /// Recovery of a dead box's durable jobs is tried again after this.
@@ -46,7 +48,7 @@
 
 impl EntryBox {
     pub(crate) fn begin_settle(&mut self, ticket: JobId, repeatable: bool, afterwards: Afterwards, now: Moment) {
-        if self.replicas.has_live_line(&ticket) {
+        if self.replicas.is_whole(&ticket) {
             // It runs or has run: it will be adopted rather than fenced.
             return self.reply(afterwards.to(), CallerReply::Job(moved_answer()));
         }
@@ -68,10 +70,13 @@
     }
 
     pub(crate) fn on_fenced(&mut self, id: OpId, server: &BackendServerId, reply: Option<BackendReply>, now: Moment) {
+        let wall_ms = self.wall_ms(now);
         let Some(Op::Settle(op)) = self.ops.get_mut(&id) else { return };
-        if let Some(BackendReply::Stopped { ran }) = reply {
+        let age = op.ticket.age_at(wall_ms) + SKEW;
+        if let Some(BackendReply::Stopped { ran, remembers }) = reply {
             op.open.remove(server);
-            op.ran |= ran;
+            // A table that is younger than the ticket cannot speak for all of its time.
+            op.ran |= ran || remembers < age;
         }
         if op.open.is_empty()
             && let Some(Op::Settle(op)) = self.ops.remove(&id)
@@ -101,15 +106,18 @@
         self.reply(op.afterwards.to(), CallerReply::Job(JobAnswer::Unsettled { why, retry_after: RETRY }));
     }
 
-    fn settled(&mut self, op: SettleOp, _now: Moment) {
+    fn settled(&mut self, op: SettleOp, now: Moment) {
         self.observe(Observation::Count { name: "ticket_settled" });
         if op.ran && !op.repeatable {
-            let why = "it began under a box that is gone, and its answer was not kept".to_owned();
+            let why = "it may have run under a box that is gone, and its answer was not kept".to_owned();
             let answer = JobAnswer::Ended { job: op.ticket, outcome: Outcome::Unknown { why } };
             return self.reply(op.afterwards.to(), CallerReply::Job(answer));
         }
         match op.afterwards {
-            Afterwards::Reclaim { submission, to, version } => self.reclaim(submission, to, version),
+            Afterwards::Reclaim { mut submission, to, version } => {
+                submission.may_have_run |= op.ran;
+                self.reclaim(submission, to, version, now);
+            }
             Afterwards::TicketVoid { to } => {
                 let reason = NotRunReason::Unknown { what: "ticket: the box that minted it is gone".to_owned() };
                 let outcome = Outcome::NotRun { reason, retry_after: Some(Duration::ZERO) };
@@ -144,12 +152,19 @@
             if self.jobs.view(&claim.ticket).is_some() || self.is_live_ticket(&claim.ticket, now) {
                 continue;
             }
-            if self.replicas.has_live_line(&claim.ticket) || self.jobs.find(&spec.customer, &spec.request).is_some() {
+            if self.replicas.is_whole(&claim.ticket) || self.jobs.find(&spec.customer, &spec.request).is_some() {
                 later = true;
                 continue;
             }
-            let submission =
-                Submission { spec: spec.clone(), wait: Duration::ZERO, durable: true, retry: false, ticket: None };
+            let submission = Submission {
+                spec: spec.clone(),
+                wait: Duration::ZERO,
+                durable: true,
+                retry: false,
+                ticket: None,
+                resume: false,
+                may_have_run: false,
+            };
             let afterwards = Afterwards::Reclaim { submission, to: Respondent::Nobody, version: found.version };
             self.begin_settle(claim.ticket, claim.repeatable, afterwards, now);
         }
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -160,7 +160,7 @@
                 Stage::Running => &mut counts.running,
                 Stage::Stopping => &mut counts.stopping,
                 Stage::Ended(_) => &mut counts.ended,
-                Stage::Moved(_) => &mut counts.moved,
+                Stage::Moved(_) | Stage::Void => &mut counts.moved,
             };
             *count += 1;
         }
--- a/crates/entry/src/waiters.rs
+++ b/crates/entry/src/waiters.rs
@@ -32,7 +32,7 @@
         self.by_name.entry(name).or_default().push((to, until));
     }
 
-    fn take(&mut self, name: &Name) -> Vec<(Respondent, Moment)> {
+    pub(crate) fn take(&mut self, name: &Name) -> Vec<(Respondent, Moment)> {
         self.by_name.remove(name).unwrap_or_default()
     }
 
--- /dev/null
+++ b/crates/entry/tests/failures.rs
@@ -0,0 +1,86 @@
+//! Failures that fuzzing found, each as a test of its own.
+
+mod common;
+
+use common::{SHAPE, limits, operator_file, planner, spec};
+use model::{BoxId, Duration, Outcome};
+use test_utils::Cluster;
+
+fn cluster(seed: u64) -> Cluster {
+    let mut cluster = Cluster::new(SHAPE, operator_file(), limits(), planner, seed);
+    cluster.advance(Duration::from_secs(5));
+    cluster
+}
+
+fn a_box(name: &str) -> BoxId {
+    name.parse().expect("a valid id")
+}
+
+/// Ends all faults, and checks that every caller learns its end and no promise was broken.
+fn check_settles(mut cluster: Cluster) -> Cluster {
+    cluster.heal();
+    for _ in 0..180 {
+        if cluster.open_callers().is_empty() {
+            break;
+        }
+        cluster.advance(Duration::from_secs(10));
+    }
+    assert_eq!(cluster.violations(), vec![]);
+    let open: Vec<String> = cluster.open_callers().into_iter().map(|id| cluster.story(id)).collect();
+    assert!(open.is_empty(), "callers without an end:\n{}\n{}", open.join("\n"), cluster.statuses());
+    cluster
+}
+
+/// A job that failed on some backend servers and cannot be placed without them waited for ever.
+#[test]
+fn a_job_that_cannot_avoid_where_it_failed_ends_as_its_own_fault() {
+    let mut cluster = cluster(0);
+    let caller = cluster.submit(spec(0, 5, 250, 20), false, &a_box("az-1-box-1"));
+    let cluster = check_settles(cluster);
+    assert!(matches!(cluster.outcome(caller), Some(Outcome::Failed { .. })));
+}
+
+/// A wait before another try ended, and nothing told the planner.
+#[test]
+fn a_job_is_placed_again_after_its_backoff() {
+    let mut cluster = cluster(1);
+    cluster.cut_server(&"s21".parse().expect("a valid id"), true);
+    let caller = cluster.submit(spec(0, 7, 0, 20), false, &a_box("az-2-box-1"));
+    cluster.advance(Duration::from_secs(8));
+    let cluster = check_settles(cluster);
+    assert!(matches!(cluster.outcome(caller), Some(Outcome::Done { .. })));
+}
+
+/// The planner was taken for dead and came back; it went on granting a job that had ended in
+/// between, whose box had nothing left to offer.
+#[test]
+fn a_planner_that_comes_back_forgets_jobs_that_ended() {
+    let mut cluster = cluster(4163212868618089775);
+    cluster.pause_box(&a_box("az-2-box-1"));
+    cluster.submit(spec(0, 0, 0, 7842), false, &a_box("az-2-box-2"));
+    cluster.advance(Duration::from_millis(2104));
+    cluster.submit(spec(1, 7, 0, 20), false, &a_box("az-2-box-1"));
+    check_settles(cluster);
+}
+
+/// A box took another for dead, began to fence its tickets and could not finish; the other one lives,
+/// and its callers were sent in circles.
+#[test]
+fn a_fenced_ticket_whose_box_lives_is_void() {
+    let mut cluster = cluster(7577299314224100807);
+    let b = ["az-1-box-1", "az-1-box-2", "az-2-box-1", "az-2-box-2"];
+    cluster.set_network(39, 253);
+    cluster.submit(spec(0, 92, 0, 20), true, &a_box(b[3]));
+    cluster.set_network(38, 14);
+    cluster.cut_box_from_peers(&a_box(b[2]), true);
+    cluster.advance(Duration::from_millis(998));
+    cluster.submit(spec(1, 164, 24, 20), false, &a_box(b[0]));
+    cluster.submit(spec(2, 108, 56, 20), false, &a_box(b[2]));
+    cluster.submit(spec(3, 31, 0, 20), true, &a_box(b[3]));
+    cluster.cancel(test_utils::CallerId(1));
+    cluster.cut_server(&"s21".parse().expect("a valid id"), true);
+    cluster.submit(spec(4, 163, 106, 2987), false, &a_box(b[3]));
+    cluster.advance(Duration::from_millis(4714));
+    cluster.advance(Duration::from_millis(8388));
+    check_settles(cluster);
+}
--- a/crates/lifecycle/src/adoption.rs
+++ b/crates/lifecycle/src/adoption.rs
@@ -90,7 +90,7 @@
                 if tie && holder.as_ref().is_some_and(|it| self.me < *it) {
                     return self.adopt_again(id, seen.epoch, now);
                 }
-                self.on_superseded(id, seen, holder);
+                self.on_superseded(id, seen, holder, now);
             }
             // The member forgot or never got as far: the gang is not whole and lapses.
             BackendReply::Refused(_) => self.stop(id, Cause::MemberLost { server: server.clone() }, now),
--- a/crates/lifecycle/src/commit.rs
+++ b/crates/lifecycle/src/commit.rs
@@ -14,6 +14,7 @@
         let job = self.jobs.get_mut(id).expect("the caller has read the job");
         job.attempt = job.attempt.next();
         job.go_sent = false;
+        job.attempt_began = now;
         job.parts = members.iter().cloned().map(Part::new).collect();
         job.phase = Phase::Reserving { until: now + self.limits.reserve_wait };
         let calls: Vec<_> = (0..members.len())
@@ -67,7 +68,7 @@
     /// Last step: every member is armed, so each may run.
     pub(crate) fn go(&mut self, id: &JobId, now: Moment) {
         let job = self.jobs.get_mut(id).expect("the caller has read the job");
-        job.phase = Phase::Running { since: now };
+        job.phase = Phase::Running { since: now, next: now + self.limits.resend_every };
         job.go_sent = true;
         job.ran = true;
         job.misses = 0;
@@ -79,7 +80,19 @@
         self.send_go(id);
     }
 
-    /// Renews the leases of one job with `go` set; also used to repeat a lost `go`.
+    /// Repeats `go` to members that have not confirmed it.
+    pub(crate) fn go_again(&mut self, id: &JobId, now: Moment) {
+        let resend = now + self.limits.resend_every;
+        let job = self.jobs.get_mut(id).expect("the caller has read the job");
+        if let Phase::Running { next, .. } = &mut job.phase
+            && *next <= now
+        {
+            *next = resend;
+            self.send_go(id);
+        }
+    }
+
+    /// Renews the leases of one job with `go` set, where that is not confirmed.
     pub(crate) fn send_go(&mut self, id: &JobId) {
         let ttl = self.limits.lease_ttl;
         let job = &self.jobs[id];
--- a/crates/lifecycle/src/coordinator.rs
+++ b/crates/lifecycle/src/coordinator.rs
@@ -41,7 +41,7 @@
         /// Time from acceptance.
         after: Duration,
     },
-    /// Another box holds a job now.
+    /// Another box holds a job now, or its ticket is void.
     Moved {
         /// The job.
         job: JobId,
@@ -90,6 +90,21 @@
     pub avoid: BTreeSet<BackendServerId>,
 }
 
+/// What a job brings along from before its ticket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Origin {
+    /// Whether its first attempt goes on from a checkpoint.
+    pub resume: bool,
+    /// Whether it is certain that the request has not run under another ticket.
+    pub certain: bool,
+}
+
+impl Default for Origin {
+    fn default() -> Origin {
+        Origin { resume: false, certain: true }
+    }
+}
+
 /// A job, as callers and operators see it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct JobView {
@@ -115,12 +130,14 @@
     pub(crate) contacts: BTreeMap<BackendServerId, Moment>,
     pub(crate) next_renewal: Moment,
     pub(crate) effects: Vec<Effect>,
+    last_tick: Moment,
+    born: Moment,
     last_serial: u64,
 }
 
 impl Coordinator {
     /// A coordinator without jobs.
-    pub fn new(me: Holder, limits: Limits) -> Coordinator {
+    pub fn new(me: Holder, limits: Limits, born: Moment) -> Coordinator {
         Coordinator {
             me,
             limits,
@@ -130,6 +147,8 @@
             contacts: BTreeMap::new(),
             next_renewal: Moment::ZERO,
             effects: Vec::new(),
+            last_tick: Moment::ZERO,
+            born,
             last_serial: 0,
         }
     }
@@ -140,8 +159,10 @@
     }
 
     /// Makes a ticket that only this coordinator may start.
-    pub fn mint(&mut self) -> JobId {
-        self.last_serial += 1;
+    pub fn mint(&mut self, now: Moment) -> JobId {
+        // Many tickets in a burst run ahead of the clock: a ticket then seems younger than it is by
+        // a millisecond each, which the allowance for skew covers.
+        self.last_serial = (self.last_serial + 1).max(now.since(self.born).millis());
         JobId { minted_by: self.me.box_id.clone(), incarnation: self.me.incarnation, serial: self.last_serial }
     }
 
@@ -153,16 +174,17 @@
     /// Takes a job into the queue under a new ticket. The host has seen to it that the request is
     /// not known elsewhere.
     pub fn submit(&mut self, spec: JobSpec, now: Moment) -> JobId {
-        let job = self.mint();
-        self.submit_as(job.clone(), spec, now);
+        let job = self.mint(now);
+        self.submit_as(job.clone(), spec, Origin::default(), now);
         job
     }
 
     /// Takes a job into the queue under a ticket that this coordinator minted before.
-    pub fn submit_as(&mut self, job: JobId, spec: JobSpec, now: Moment) {
+    pub fn submit_as(&mut self, job: JobId, spec: JobSpec, origin: Origin, now: Moment) {
         assert!(self.minted(&job), "only the minting process may start a ticket");
         self.by_request.insert((spec.customer.clone(), spec.request.clone()), job.clone());
-        self.jobs.insert(job, Job::new(Arc::new(spec), now));
+        let Origin { resume, certain } = origin;
+        self.jobs.insert(job, Job { resume, ran: resume, certain, ..Job::new(Arc::new(spec), now) });
         self.effects.push(Effect::QueueChanged);
     }
 
@@ -220,6 +242,21 @@
         }
     }
 
+    /// Gives a waiting job up to another box: it is forgotten here and its ticket is never started.
+    /// `None` if the job has to stay.
+    pub fn release(&mut self, job: &JobId) -> Option<(Arc<JobSpec>, Origin)> {
+        let it = self.jobs.get(job)?;
+        let fresh = !it.ran || it.resume || it.spec.repeatable;
+        if !matches!(it.phase, Phase::Waiting { .. }) || !fresh || (!it.certain && !it.spec.repeatable) {
+            return None;
+        }
+        let origin = Origin { resume: it.resume, certain: it.certain && !it.ran };
+        let found = (Arc::clone(&it.spec), origin);
+        self.forget(job);
+        self.effects.push(Effect::QueueChanged);
+        Some(found)
+    }
+
     /// Ends a waiting job that has never run, for instance because it can never be placed.
     pub fn refuse(&mut self, job: &JobId, reason: NotRunReason, retry_after: Option<Duration>, now: Moment) {
         let Some(it) = self.jobs.get(job) else { return };
@@ -235,7 +272,7 @@
         let id = self.renamed.get(job).unwrap_or(job).clone();
         let Some(it) = self.jobs.get_mut(&id) else { return };
         match &it.phase {
-            Phase::Ended { .. } | Phase::Moved { .. } | Phase::Fetching { .. } => {}
+            Phase::Ended { .. } | Phase::Moved { .. } | Phase::Void { .. } | Phase::Fetching { .. } => {}
             Phase::Waiting { .. } => {
                 let outcome = Outcome::Cancelled { ran: it.ran || !it.certain };
                 self.end(&id, outcome, now);
@@ -265,6 +302,7 @@
             self.tick_job(id, now);
         }
         self.renew_due(now);
+        self.last_tick = now;
     }
 
     /// What there is to do since the last call.
@@ -275,11 +313,15 @@
     fn tick_job(&mut self, id: &JobId, now: Moment) {
         let job = &self.jobs[id];
         match &job.phase {
-            Phase::Waiting { .. } => self.tick_waiting(id, now),
+            Phase::Waiting { not_before } => {
+                let ready = *not_before > self.last_tick && *not_before <= now;
+                self.tick_waiting(id, ready, now);
+            }
             Phase::Reserving { until } if *until <= now => self.abandon_reservations(id, now),
             Phase::Starting { until } if *until <= now => self.stop(id, Cause::StartFailed, now),
-            Phase::Running { since } => {
+            Phase::Running { since, .. } => {
                 let since = *since;
+                self.go_again(id, now);
                 self.check_contacts(id, since, now);
             }
             Phase::Fetching { next, until } if *next <= now => {
@@ -288,12 +330,20 @@
             }
             Phase::Stopping { .. } => self.tick_stopping(id, now),
             Phase::Adopting { .. } => self.tick_adopting(id, now),
-            Phase::Ended { at, .. } if now.since(*at) > self.limits.retention => self.forget(id),
+            Phase::Ended { at, .. } | Phase::Moved { at, .. } | Phase::Void { at }
+                if now.since(*at) > self.limits.retention =>
+            {
+                self.forget(id);
+            }
             _ => {}
         }
     }
 
-    fn tick_waiting(&mut self, id: &JobId, now: Moment) {
+    /// `ready` says that the wait before another try has just ended.
+    fn tick_waiting(&mut self, id: &JobId, ready: bool, now: Moment) {
+        if ready {
+            self.effects.push(Effect::QueueChanged);
+        }
         let job = &self.jobs[id];
         let waited = now.since(job.submitted);
         let limit = job.spec.deadline.unwrap_or(self.limits.max_wait).min(self.limits.max_wait);
@@ -320,9 +370,9 @@
         self.effects.push(Effect::QueueChanged);
     }
 
-    pub(crate) fn moved(&mut self, id: &JobId, to: Option<Holder>) {
+    pub(crate) fn moved(&mut self, id: &JobId, to: Holder, now: Moment) {
         let job = self.jobs.get_mut(id).expect("only known jobs move");
-        job.phase = Phase::Moved { to };
+        job.phase = Phase::Moved { to, at: now };
         self.effects.push(Effect::Moved { job: id.clone() });
     }
 
--- a/crates/lifecycle/src/ending.rs
+++ b/crates/lifecycle/src/ending.rs
@@ -144,13 +144,13 @@
         job.phase = Phase::Waiting { not_before: now + backoff };
         job.parts.clear();
         if job.adopted {
-            self.rename(id);
+            self.rename(id, now);
         }
         self.effects.push(Effect::QueueChanged);
     }
 
-    fn rename(&mut self, old: &JobId) {
-        let new = self.mint();
+    fn rename(&mut self, old: &JobId, now: Moment) {
+        let new = self.mint(now);
         let mut job = self.jobs.remove(old).expect("the caller has read the job");
         job.adopted = false;
         job.attempt = model::Attempt(0);
--- a/crates/lifecycle/src/job.rs
+++ b/crates/lifecycle/src/job.rs
@@ -18,8 +18,10 @@
     Running,
     /// Its gang is being stopped.
     Stopping,
-    /// Another box holds it now, if known.
-    Moved(Option<Holder>),
+    /// Another box holds it now.
+    Moved(Holder),
+    /// Its ticket was fenced before anything of it ran: it will not run under this ticket.
+    Void,
     /// Over.
     Ended(Outcome),
 }
@@ -32,6 +34,7 @@
     pub(crate) epoch: Epoch,
     /// Whether another box made the first start, so that a further try needs a ticket of this box.
     pub(crate) adopted: bool,
+    pub(crate) attempt_began: Moment,
     /// The members of the present attempt.
     pub(crate) parts: Vec<Part>,
     pub(crate) phase: Phase,
@@ -100,11 +103,12 @@
     Waiting { not_before: Moment },
     Reserving { until: Moment },
     Starting { until: Moment },
-    Running { since: Moment },
+    Running { since: Moment, next: Moment },
     Fetching { next: Moment, until: Moment },
     Stopping { cause: Cause, next: Moment, until: Moment },
     Adopting { next: Moment, until: Moment },
-    Moved { to: Option<Holder> },
+    Moved { to: Holder, at: Moment },
+    Void { at: Moment },
     Ended { outcome: Outcome, at: Moment },
 }
 
@@ -116,6 +120,7 @@
             attempt: Attempt(0),
             epoch: Epoch(0),
             adopted: false,
+            attempt_began: now,
             parts: Vec::new(),
             phase: Phase::Waiting { not_before: now },
             go_sent: false,
@@ -147,7 +152,7 @@
     }
 
     pub(crate) fn is_over(&self) -> bool {
-        matches!(self.phase, Phase::Ended { .. } | Phase::Moved { .. })
+        matches!(self.phase, Phase::Ended { .. } | Phase::Moved { .. } | Phase::Void { .. })
     }
 
     /// Whether its leases are to be renewed.
@@ -166,7 +171,8 @@
             Phase::Reserving { .. } | Phase::Starting { .. } => Stage::Starting,
             Phase::Running { .. } | Phase::Fetching { .. } | Phase::Adopting { .. } => Stage::Running,
             Phase::Stopping { .. } => Stage::Stopping,
-            Phase::Moved { to } => Stage::Moved(to.clone()),
+            Phase::Moved { to, .. } => Stage::Moved(to.clone()),
+            Phase::Void { .. } => Stage::Void,
             Phase::Ended { outcome, .. } => Stage::Ended(outcome.clone()),
         }
     }
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -16,7 +16,7 @@
 //! use model::{Incarnation, Moment};
 //!
 //! let me = Holder { box_id: "box-1".parse().expect("a valid id"), incarnation: Incarnation(1) };
-//! let mut coordinator = Coordinator::new(me, Limits::default());
+//! let mut coordinator = Coordinator::new(me, Limits::default(), Moment::ZERO);
 //! let spec = model::from_json(
 //!     br#"{"customer":"city-court","request":"r-1","class":"labelling",
 //!         "gang":{"tasks":1,"per_task":{"accelerators":1}},
@@ -38,7 +38,7 @@
 mod tables;
 
 pub use crate::{
-    coordinator::{Anomaly, Coordinator, Effect, JobView, Waiting},
+    coordinator::{Anomaly, Coordinator, Effect, JobView, Origin, Waiting},
     job::Stage,
     limits::Limits,
 };
--- a/crates/lifecycle/src/replies.rs
+++ b/crates/lifecycle/src/replies.rs
@@ -26,7 +26,10 @@
                     self.on_renewed(server, lease, result, now);
                 }
             }
-            (BackendRequest::Stop { job, token }, BackendReply::Stopped { ran }) => {
+            (BackendRequest::Stop { job, token }, BackendReply::Stopped { ran, remembers }) => {
+                // A table younger than the attempt cannot say that nothing ran.
+                let began = self.jobs.get(job).map_or(now, |it| it.attempt_began);
+                let ran = ran || remembers < now.since(began);
                 self.on_stopped(server, job, *token, ran, now);
             }
             (BackendRequest::Fetch { job }, BackendReply::Answer(answer)) => self.on_answer(job, answer, now),
@@ -119,7 +122,7 @@
         if let Refusal::Stale { seen, holder } = refusal
             && seen > self.jobs[id].token()
         {
-            return self.on_superseded(id, seen, holder);
+            return self.on_superseded(id, seen, holder, now);
         }
         match self.jobs[id].phase {
             Phase::Reserving { .. } => self.abandon_reservations(id, now),
@@ -129,9 +132,30 @@
     }
 
     /// A newer token was seen: another box has adopted the job, or fenced its ticket.
-    pub(crate) fn on_superseded(&mut self, id: &JobId, seen: LeaseToken, holder: Option<Holder>) {
-        let to = holder.filter(|holder| seen != LeaseToken::FENCE && *holder != self.me);
-        self.moved(id, to);
+    pub(crate) fn on_superseded(&mut self, id: &JobId, seen: LeaseToken, holder: Option<Holder>, now: Moment) {
+        match holder {
+            Some(holder) if seen != LeaseToken::FENCE && holder != self.me => self.moved(id, holder, now),
+            _ => self.on_fenced(id, now),
+        }
+    }
+
+    /// The ticket can run no more. A request that may run only once is now for whoever fenced it to
+    /// decide on; any other goes on under a new ticket.
+    fn on_fenced(&mut self, id: &JobId, now: Moment) {
+        let job = self.jobs.get_mut(id).expect("the caller has read the job");
+        let ran = job.ran || job.go_sent || job.adopted;
+        if job.spec.repeatable {
+            job.ran = ran;
+            job.certain &= !ran;
+            job.adopted = true;
+            return self.requeue(id, now);
+        }
+        if ran {
+            let why = "its ticket was fenced by a box that took this one for dead".to_owned();
+            return self.end(id, Outcome::Unknown { why }, now);
+        }
+        job.phase = Phase::Void { at: now };
+        self.effects.push(Effect::Moved { job: id.clone() });
     }
 
     fn on_stopped(&mut self, server: &BackendServerId, job: &JobId, token: LeaseToken, ran: bool, now: Moment) {
--- a/crates/lifecycle/src/tables.rs
+++ b/crates/lifecycle/src/tables.rs
@@ -27,7 +27,7 @@
             return;
         }
         if lease.token > job.token() && lease.holder != self.me {
-            return self.on_superseded(&lease.job, lease.token, Some(lease.holder.clone()));
+            return self.on_superseded(&lease.job, lease.token, Some(lease.holder.clone()), now);
         }
         if lease.token == job.token() {
             self.on_state(server, &lease.job, lease.state.clone(), now);
--- a/crates/martend/src/convert.rs
+++ b/crates/martend/src/convert.rs
@@ -82,6 +82,8 @@
         durable: m.durable,
         retry: m.retry,
         ticket,
+        resume: m.resume,
+        may_have_run: m.may_have_run,
     }))
 }
 
@@ -91,6 +93,8 @@
         wait_ms: it.wait.millis(),
         durable: it.durable,
         retry: it.retry,
+        resume: it.resume,
+        may_have_run: it.may_have_run,
         ticket: it.ticket.as_ref().map(JobId::to_string).unwrap_or_default(),
     }
 }
--- a/crates/martend/src/host.rs
+++ b/crates/martend/src/host.rs
@@ -167,7 +167,9 @@
             }
             self.take(event);
             let expired = leave_by.is_some_and(|at| at <= self.clock.now());
-            if self.entry.is_drained() || expired {
+            // A caller whose request has arrived, or who waits for a reply, is not cut off.
+            let free = self.callers.is_empty() && rx.is_empty();
+            if (self.entry.is_drained() && free) || expired {
                 log::info!("event=left box={} open_jobs={}", self.box_id, self.entry.open_jobs());
                 return;
             }
--- a/crates/martend/src/http_api.rs
+++ b/crates/martend/src/http_api.rs
@@ -109,6 +109,8 @@
                 durable: query.durable,
                 retry: query.retry,
                 ticket: query.ticket,
+                resume: false,
+                may_have_run: false,
             }))
         }
         (&Method::POST, ["v1", "tickets"]) => Ok(CallerRequest::Mint),
--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -5,6 +5,8 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
+use crate::Duration;
+
 /// Longest identifier, in bytes.
 const MAX_ID_LEN: usize = 64;
 
@@ -132,10 +134,18 @@
     pub minted_by: BoxId,
     /// The life of that box.
     pub incarnation: Incarnation,
-    /// Counts the jobs of that life, from 1.
+    /// Rises with each ticket of that life, and is at least the life's age in milliseconds when the
+    /// ticket was minted, so that the ticket's own age can be bounded.
     pub serial: u64,
 }
 
+impl JobId {
+    /// The ticket's age at a wall-clock time, never too low but for the skew between clocks.
+    pub fn age_at(&self, wall_ms: u64) -> Duration {
+        Duration::from_millis(wall_ms.saturating_sub(self.incarnation.0.saturating_add(self.serial)))
+    }
+}
+
 impl fmt::Display for JobId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{:x}.{}", self.minted_by, self.incarnation.0, self.serial)
--- a/crates/model/src/outcome.rs
+++ b/crates/model/src/outcome.rs
@@ -73,7 +73,8 @@
     /// The caller took it back; it may have run in part.
     #[display("cancelled")]
     Cancelled {
-        /// Whether any task had begun.
+        /// Whether any task had begun under this ticket. A repeatable request that was sent more
+        /// than once may have had other tickets.
         ran: bool,
     },
     /// Whether it ran cannot be told.
--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -150,9 +150,16 @@
         None
     }
 
+    /// Whether a gang could ever be placed without the backend servers that it is to avoid. If it
+    /// could not, they are not avoided: a job must not wait for ever for having failed somewhere.
+    pub fn can_avoid(&self, gang: &Gang, avoid: &BTreeSet<BackendServerId>) -> bool {
+        avoid.is_empty() || self.most(gang, |i| self.open[i] && !avoid.contains(&self.ids[i])) >= gang.tasks
+    }
+
     /// The first placement in the order of ids.
     pub fn first_fit(&self, gang: &Gang, avoid: &BTreeSet<BackendServerId>) -> Option<Vec<Member>> {
-        let allowed = |i: &usize| !avoid.contains(&self.ids[*i]);
+        let heed = self.can_avoid(gang, avoid);
+        let allowed = |i: &usize| !heed || !avoid.contains(&self.ids[*i]);
         match gang.within {
             Within::AvailabilityZone => self.fill((0..self.len()).filter(allowed), gang),
             Within::Rack => self.racks.iter().find_map(|rack| self.fill(rack.iter().copied().filter(allowed), gang)),
@@ -162,16 +169,21 @@
 
     /// Checks that a gang would fit if everything were free and open.
     pub fn check_ever_fits(&self, gang: &Gang) -> Result<(), NeverFits> {
-        let count = |i: usize| self.capacity[i].count_of(&gang.per_task);
+        let most = self.most(gang, |_| true);
+        if most >= gang.tasks {
+            return Ok(());
+        }
+        Err(NeverFits { gang: *gang, within: gang.within, most })
+    }
+
+    /// The most tasks of a gang's kind that its extent holds when everything that is allowed is free.
+    fn most(&self, gang: &Gang, allowed: impl Fn(usize) -> bool) -> u32 {
+        let count = |i: usize| if allowed(i) { self.capacity[i].count_of(&gang.per_task) } else { 0 };
         let add = |places: &[usize]| places.iter().fold(0u32, |sum, i| sum.saturating_add(count(*i)));
-        let most = match gang.within {
+        match gang.within {
             Within::Worker => (0..self.len()).map(count).max().unwrap_or(0),
             Within::Rack => self.racks.iter().map(|rack| add(rack)).max().unwrap_or(0),
             Within::AvailabilityZone => (0..self.len()).fold(0u32, |sum, i| sum.saturating_add(count(i))),
-        };
-        if most >= gang.tasks {
-            return Ok(());
         }
-        Err(NeverFits { gang: *gang, within: gang.within, most })
     }
 }
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -50,7 +50,7 @@
 impl BackendShared {
     fn table(&self) -> MutexGuard<'_, LeaseTable> {
         let mut table = self.table.lock().expect("no holder panics");
-        table.fail_tasks = self.faults.fail_tasks();
+        table.set_fail_tasks(self.faults.fail_tasks(), self.clock.now());
         table.advance(self.clock.now());
         table
     }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -138,6 +138,10 @@
     pub retry: bool,
     #[prost(string, tag = "5")]
     pub ticket: ::prost::alloc::string::String,
+    #[prost(bool, tag = "6")]
+    pub resume: bool,
+    #[prost(bool, tag = "7")]
+    pub may_have_run: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct JobReply {
