Settle who may call a ticket void, and record ends before they are told

Cause: fuzzing found a request run twice: a box that had been paused asked the new life of a dead box about a ticket of its old life, and took "not known" for "void". It also found durable jobs run after they had been cancelled, callers sent in circles between boxes, and drained boxes that handed the same job over without end. Change: only the life that minted a ticket may say that it is void; the end of a claimed job that did not run stands in the store before its caller is told; a holder that knows nothing lets the question go on; an orphaned request can be cancelled; other availability zones' boxes are tried in turn.

--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -7,12 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    CallerReply, EntryBox, JobAnswer, PeerReply, PeerRequest, Submission,
-    entry_box::Op,
-    message::Zone,
-    route::{moved_answer, pending_answer},
-    settle::Afterwards,
-    waiters::Respondent,
+    CallerReply, EntryBox, JobAnswer, PeerReply, PeerRequest, Submission, entry_box::Op, message::Zone,
+    route::moved_answer, settle::Afterwards, waiters::Respondent,
 };
 
 /// Every claim's key begins so.
@@ -181,7 +177,11 @@
             let op = ClaimOp { over: Some(found.version), ..op };
             let (customer, request) = (op.submission.spec.customer.clone(), op.submission.spec.request.clone());
             let wait = op.submission.wait;
-            return self.call_peer(Op::Claim(Box::new(op)), &owner, PeerRequest::Lookup { customer, request, wait });
+            return self.call_peer(
+                Op::Claim(Box::new(op)),
+                &owner,
+                PeerRequest::Lookup { customer, request, wait, ticket: Some(standing.ticket) },
+            );
         }
         if !self.view.may_judge(now) {
             return self.reply(op.to, CallerReply::Job(moved_answer()));
@@ -197,7 +197,7 @@
             // Its ticket was given up before it was started, or the job was not run.
             None | Some(Stage::Void | Stage::Ended(Outcome::NotRun { .. })) => self.replace_claim(op, version, now),
             Some(Stage::Ended(_) | Stage::Moved(_)) => {
-                let answer = view.as_ref().map_or(JobAnswer::NotKnown, pending_answer);
+                let answer = view.as_ref().map_or(JobAnswer::NotKnown, |view| self.answer_of(view));
                 self.reply(op.to, CallerReply::Job(answer));
             }
             Some(_) => {
@@ -269,8 +269,10 @@
         match reply {
             Some(StoreReply::Found { value: Some(found) }) => {
                 let stands = Claim::parse(&found.value);
-                if stands.as_ref().is_none_or(|it| it.ticket != end.claim.ticket || it.ended.is_some()) {
-                    return;
+                match stands {
+                    Some(it) if it.ticket != end.claim.ticket => return self.end_superseded(&end.job),
+                    Some(it) if it.ended.is_some() => return self.end_recorded(&end.job),
+                    _ => {}
                 }
                 let req = StoreRequest::CompareAndSwap {
                     key: end.key.clone(),
@@ -280,7 +282,7 @@
                 };
                 self.call_store(Op::EndClaim(end), req);
             }
-            Some(StoreReply::Written { .. } | StoreReply::Found { value: None }) => {}
+            Some(StoreReply::Written { .. } | StoreReply::Found { value: None }) => self.end_recorded(&end.job),
             _ => {
                 self.unreported.insert(end.job);
                 self.config.retry_ends_at.get_or_insert(now + END_RETRY);
@@ -288,6 +290,58 @@
         }
     }
 
+    /// Cancels a request whose box is gone: its ticket is fenced, then its claim is ended.
+    pub(crate) fn cancel_orphan(
+        &mut self,
+        name: (CustomerId, RequestId),
+        to: Respondent,
+        claim: Claim,
+        version: u64,
+        now: Moment,
+    ) {
+        let key = claim_key(&name.0, &name.1);
+        let (ticket, repeatable) = (claim.ticket.clone(), claim.repeatable);
+        self.begin_settle(ticket, repeatable, Afterwards::Cancel { to, key, claim, version }, now);
+    }
+
+    pub(crate) fn record_cancelled(&mut self, to: Respondent, key: String, claim: Claim, version: u64, ran: bool) {
+        let outcome = if ran { "unknown" } else { "cancelled" }.to_owned();
+        let claim = Claim { ended: Some(outcome.clone()), durable: None, ..claim };
+        let req = StoreRequest::CompareAndSwap { key, version, value: claim.to_text(), ttl: Some(CLAIM_TTL) };
+        self.call_store(Op::CancelClaim { to, outcome }, req);
+    }
+
+    pub(crate) fn on_cancel_recorded(&mut self, to: Respondent, outcome: String, reply: Option<StoreReply>) {
+        let answer = match reply {
+            Some(StoreReply::Written { .. }) => JobAnswer::Over { outcome },
+            // Asking again finds out what stands.
+            _ => moved_answer(),
+        };
+        self.reply(to, CallerReply::Job(answer));
+    }
+
+    /// The end of a job stands in the store: its callers may be told.
+    fn end_recorded(&mut self, job: &JobId) {
+        if !self.unrecorded.remove(job) {
+            return;
+        }
+        if let Some(view) = self.jobs.view(job) {
+            let answer = self.answer_of(&view);
+            self.answer_waiters(&view.spec.customer, &view.spec.request, &answer);
+        }
+    }
+
+    /// Another ticket has taken the request over: what became of this one is of no account.
+    fn end_superseded(&mut self, job: &JobId) {
+        if !self.unrecorded.remove(job) {
+            return;
+        }
+        if let Some(view) = self.jobs.view(job) {
+            self.jobs.void(job);
+            self.answer_waiters(&view.spec.customer, &view.spec.request, &moved_answer());
+        }
+    }
+
     /// Writes ends again that could not be written.
     pub(crate) fn tick_claims(&mut self, now: Moment) {
         if self.config.retry_ends_at.is_some_and(|at| at <= now) {
--- a/crates/entry/src/entry_box.rs
+++ b/crates/entry/src/entry_box.rs
@@ -98,6 +98,7 @@
     HandOver(Box<crate::handover::HandOver>),
     Apply(Apply, Respondent),
     EndClaim(crate::claims::EndClaim),
+    CancelClaim { to: Respondent, outcome: String },
     Recover,
     WatchConfiguration,
     FetchConfiguration,
@@ -124,10 +125,13 @@
     pub(crate) ops: BTreeMap<OpId, Op>,
     pub(crate) claimed: BTreeMap<model::JobId, crate::Claim>,
     pub(crate) unreported: BTreeSet<model::JobId>,
+    /// Claimed jobs that did not run, whose callers are told once that stands in the store.
+    pub(crate) unrecorded: BTreeSet<model::JobId>,
     pub(crate) config: crate::config::ConfigState,
     pub(crate) dead_since: BTreeMap<Holder, Moment>,
     pub(crate) recover_at: Option<Moment>,
     pub(crate) draining: bool,
+    pub(crate) hand_over_at: Moment,
     pub(crate) last_heartbeat: Option<Moment>,
     pub(crate) out: Vec<Output>,
     next_op: u64,
@@ -157,10 +161,12 @@
             ops: BTreeMap::new(),
             claimed: BTreeMap::new(),
             unreported: BTreeSet::new(),
+            unrecorded: BTreeSet::new(),
             config: Default::default(),
             dead_since: BTreeMap::new(),
             recover_at: Some(now + limits.settle),
             draining: false,
+            hand_over_at: now,
             born: now,
             last_heartbeat: None,
             out: Vec::new(),
@@ -267,7 +273,12 @@
                 self.on_grant(starts, refusals, now);
                 self.out.push(Output::ToPeer { to, reply: PeerReply::Granted });
             }
-            PeerRequest::Lookup { customer, request, wait } => {
+            PeerRequest::Lookup { ticket: Some(ticket), .. } if !self.jobs.minted(&ticket) => {
+                // It was meant for an earlier life of this box.
+                let answer = crate::route::moved_answer();
+                self.out.push(Output::ToPeer { to, reply: PeerReply::Job(answer) });
+            }
+            PeerRequest::Lookup { customer, request, wait, ticket: _ } => {
                 let ask = crate::route::Ask::Poll { wait: self.bounded(wait) };
                 self.answer_locally(ask, customer, request, respondent, now);
             }
@@ -292,7 +303,7 @@
             }
             (Some(Op::Offer), reply) => self.on_offer_reply(&peer, reply, now),
             (Some(Op::FetchConfiguration), reply) => self.on_fetched_configuration(reply, now),
-            (Some(Op::Route(route)), reply) => self.on_route_reply(*route, reply),
+            (Some(Op::Route(route)), reply) => self.on_route_reply(*route, reply, now),
             (Some(Op::HandOver(it)), reply) => self.on_handed_over(*it, peer, reply, now),
             (Some(Op::RoutePart(round)), reply) => self.on_round_reply(round, &peer, reply, now),
             (Some(Op::Claim(claim)), reply) => self.on_owner_reply(*claim, reply, now),
@@ -305,6 +316,7 @@
             Some(Op::Claim(claim)) => self.on_claim_reply(*claim, reply, now),
             Some(Op::Route(route)) => self.on_route_claim(*route, reply, now),
             Some(Op::Apply(apply, to)) => self.on_apply_reply(apply, to, reply, now),
+            Some(Op::CancelClaim { to, outcome }) => self.on_cancel_recorded(to, outcome, reply),
             Some(Op::EndClaim(end)) => self.on_end_claim_reply(end, reply, now),
             Some(Op::Recover) => self.on_recover_reply(reply, now),
             Some(Op::WatchConfiguration) => self.on_configuration(reply, now),
@@ -343,8 +355,15 @@
         if matches!(outcome, model::Outcome::Done { .. }) {
             self.quarantine.succeeded(&view.servers);
         }
-        let answer = JobAnswer::Ended { job: view.job.clone(), outcome };
-        self.answer_waiters(&view.spec.customer, &view.spec.request, &answer);
+        let must_record = matches!(outcome, model::Outcome::NotRun { .. } | model::Outcome::Cancelled { .. });
+        if must_record && self.claimed.contains_key(job) {
+            // Another box may have taken this one for dead and run the request, or would once this
+            // one is gone: the claim tells.
+            self.unrecorded.insert(job.clone());
+        } else {
+            let answer = JobAnswer::Ended { job: view.job.clone(), outcome };
+            self.answer_waiters(&view.spec.customer, &view.spec.request, &answer);
+        }
         self.end_claim(&view.job, now);
     }
 
@@ -363,6 +382,11 @@
         self.current.file().cloned()
     }
 
+    /// How many operations have been begun: rises with every call that is tracked.
+    pub(crate) fn ops_begun(&self) -> u64 {
+        self.next_op
+    }
+
     pub(crate) fn new_op(&mut self, op: Op) -> OpId {
         self.next_op += 1;
         let id = OpId(self.next_op);
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -10,6 +10,9 @@
     waiters::Respondent,
 };
 
+/// A job that no box took is offered to them again after this.
+const HAND_OVER_AGAIN: Duration = Duration::from_secs(1);
+
 /// A waiting job on its way to another box.
 #[derive(Debug)]
 pub(crate) struct HandOver {
@@ -32,19 +35,26 @@
         let owes = |op: &Op| {
             matches!(
                 op,
-                Op::Claim(_) | Op::Settle(_) | Op::Route(_) | Op::Apply(..) | Op::HandOver(_) | Op::EndClaim(_)
+                Op::Claim(_)
+                    | Op::Settle(_)
+                    | Op::Route(_)
+                    | Op::Apply(..)
+                    | Op::HandOver(_)
+                    | Op::EndClaim(_)
+                    | Op::CancelClaim { .. }
             )
         };
         self.draining
             && self.jobs.open_jobs() == 0
             && self.waiters.is_empty()
             && self.unreported.is_empty()
+            && self.unrecorded.is_empty()
             && !self.ops.values().any(owes)
     }
 
     /// Hands waiting jobs over while this box is leaving.
     pub(crate) fn hand_over_queue(&mut self, now: Moment) {
-        if !self.draining || self.successor(&[], now).is_none() {
+        if !self.draining || self.hand_over_at > now || self.successor(&[], now).is_none() {
             return;
         }
         for waiting in self.jobs.waiting(now) {
@@ -70,7 +80,10 @@
                 self.call_peer(Op::HandOver(Box::new(it)), &peer, req);
             }
             // Nobody takes it: this box keeps it after all.
-            None => self.submit_new(it.submission, Respondent::Nobody, now),
+            None => {
+                self.hand_over_at = now + HAND_OVER_AGAIN;
+                self.submit_new(it.submission, Respondent::Nobody, now);
+            }
         }
     }
 
@@ -89,6 +102,7 @@
                 customer: spec.customer.clone(),
                 request: spec.request.clone(),
                 wait: until.since(now),
+                ticket: None,
             };
             let route = crate::route::RouteOp::forward(it.submission.clone(), to);
             self.call_peer(Op::Route(Box::new(route)), &peer, req);
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -106,7 +106,7 @@
     fn join_known(&mut self, submission: &Submission, to: Respondent, now: Moment) -> bool {
         let spec = &submission.spec;
         if let Some(view) = self.jobs.find(&spec.customer, &spec.request) {
-            if *view.spec != *spec {
+            if view.described && *view.spec != *spec {
                 self.reply(to, CallerReply::Job(JobAnswer::NameInUse));
                 return true;
             }
@@ -119,7 +119,8 @@
             return false;
         }
         let ask = Ask::Poll { wait: submission.wait };
-        self.route(ask, spec.customer.clone(), spec.request.clone(), to, now);
+        let name = (spec.customer.clone(), spec.request.clone());
+        self.route_or_submit(RouteOp::around(ask, name, to, Some(submission.clone())), now);
         true
     }
 
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -87,7 +87,7 @@
     Pending {
         /// Its ticket, once there is one.
         job: Option<JobId>,
-        /// `claiming`, `waiting`, `starting`, `running` or `stopping`.
+        /// `claiming`, `waiting`, `starting`, `running`, `stopping` or `recording`.
         stage: String,
     },
     /// Over.
@@ -141,7 +141,8 @@
     /// Where your jobs may start, and which of them never can.
     Grant { starts: Vec<(JobId, Vec<Member>)>, refusals: Vec<(JobId, String)> },
     /// How does this request stand with you? Not passed on.
-    Lookup { customer: CustomerId, request: RequestId, wait: Duration },
+    /// With a ticket, only the process that minted it may say that it knows nothing.
+    Lookup { customer: CustomerId, request: RequestId, wait: Duration, ticket: Option<JobId> },
     /// Take it back. Not passed on.
     Cancel { customer: CustomerId, request: RequestId },
     /// The caller has its answer. Not passed on.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -24,7 +24,10 @@
 
     pub(crate) fn any_box_of(&self, zone: &AvailabilityZoneId) -> Option<BoxId> {
         let here = |listed: &&ListedBox| listed.availability_zone == *zone && !listed.leaving;
-        self.directory.values().find(here).map(|listed| listed.id.clone())
+        let boxes: Vec<&BoxId> = self.directory.values().filter(here).map(|listed| &listed.id).collect();
+        // Whether a box of another availability zone lives is not known here: take them in turn.
+        let turn = self.ops_begun() as usize % boxes.len().max(1);
+        boxes.get(turn).map(|id| (*id).clone())
     }
 
     pub(crate) fn own_heartbeat(&self) -> PeerReply {
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -36,6 +36,8 @@
     open: BTreeSet<BoxId>,
     /// Taken as new if nobody knows it.
     submission: Option<Submission>,
+    /// Whether the reply is passed on even if it says that nothing is known.
+    last_stop: bool,
 }
 
 impl RouteOp {
@@ -43,7 +45,7 @@
     pub(crate) fn forward(submission: Submission, to: Respondent) -> RouteOp {
         let name = (submission.spec.customer.clone(), submission.spec.request.clone());
         let ask = Ask::Poll { wait: submission.wait };
-        RouteOp { ask, name, to, open: BTreeSet::new(), submission: None }
+        RouteOp { ask, name, to, open: BTreeSet::new(), submission: None, last_stop: true }
     }
 
     /// A question to all peers.
@@ -53,13 +55,13 @@
         to: Respondent,
         submission: Option<Submission>,
     ) -> RouteOp {
-        RouteOp { ask, name, to, open: BTreeSet::new(), submission }
+        RouteOp { ask, name, to, open: BTreeSet::new(), submission, last_stop: false }
     }
 
     fn request(&self) -> PeerRequest {
         let (customer, request) = self.name.clone();
         match self.ask {
-            Ask::Poll { wait } => PeerRequest::Lookup { customer, request, wait },
+            Ask::Poll { wait } => PeerRequest::Lookup { customer, request, wait, ticket: None },
             Ask::Cancel => PeerRequest::Cancel { customer, request },
             Ask::Acknowledge => PeerRequest::Acknowledge { customer, request },
         }
@@ -69,7 +71,13 @@
 impl EntryBox {
     /// Answers a question about a request, wherever the request is held.
     pub(crate) fn route(&mut self, ask: Ask, customer: CustomerId, request: RequestId, to: Respondent, now: Moment) {
-        let name = (customer, request);
+        self.route_or_submit(RouteOp::around(ask, (customer, request), to, None), now);
+    }
+
+    /// The same, and takes the submission that comes with the question if nobody knows it.
+    pub(crate) fn route_or_submit(&mut self, route: RouteOp, now: Moment) {
+        let RouteOp { ask, to, .. } = route;
+        let name = route.name.clone();
         let local = self.jobs.find(&name.0, &name.1);
         let moved_to = match local.as_ref().map(|view| &view.stage) {
             Some(Stage::Moved(holder)) => Some(holder.clone()),
@@ -82,7 +90,6 @@
         let found = self.replicas.find(&name.0, &name.1);
         let live = |holder: &Holder| holder.box_id != self.id.box_id && self.is_live_holder(holder, now);
         let holder = found.as_ref().map(|found| found.holder.clone()).or(moved_to).filter(live);
-        let route = RouteOp::around(ask, name, to, None);
         match holder {
             Some(holder) => {
                 let req = route.request();
@@ -116,13 +123,18 @@
             Ask::Acknowledge => self.jobs.acknowledge(&view.job),
             Ask::Poll { .. } => {}
         }
+        // What the end of a job brings with it comes before the reply that tells of it.
+        self.carry_effects(now);
         let view = self.jobs.view(&view.job).unwrap_or(view);
         match (&view.stage, ask) {
+            (Stage::Ended(_), _) if self.unrecorded.contains(&view.job) => {
+                self.wait_for_end((customer, request), to, now + self.limits.call);
+            }
             (Stage::Ended(_) | Stage::Moved(_) | Stage::Void, _) | (_, Ask::Acknowledge) => {
-                self.reply(to, CallerReply::Job(pending_answer(&view)));
+                self.reply(to, CallerReply::Job(self.answer_of(&view)));
             }
             (_, Ask::Poll { wait }) if wait == Duration::ZERO => {
-                self.reply(to, CallerReply::Job(pending_answer(&view)));
+                self.reply(to, CallerReply::Job(self.answer_of(&view)));
             }
             (_, Ask::Poll { wait }) => self.wait_for_end((customer, request), to, now + wait),
             (_, Ask::Cancel) => self.wait_for_end((customer, request), to, now + self.limits.call),
@@ -144,8 +156,10 @@
         }
     }
 
-    pub(crate) fn on_route_reply(&mut self, route: RouteOp, reply: Option<PeerReply>) {
+    pub(crate) fn on_route_reply(&mut self, route: RouteOp, reply: Option<PeerReply>, now: Moment) {
         let answer = match reply {
+            // The holder that the lease tables name has given the job up.
+            Some(PeerReply::Job(JobAnswer::NotKnown)) if !route.last_stop => return self.ask_store(route, now),
             Some(PeerReply::Job(answer)) => answer,
             _ => moved_answer(),
         };
@@ -183,7 +197,7 @@
         let answer = match reply {
             Some(StoreReply::Found { value: None }) => JobAnswer::NotKnown,
             Some(StoreReply::Found { value: Some(found) }) => match Claim::parse(&found.value) {
-                Some(claim) => return self.route_to_claim(route, claim, now),
+                Some(claim) => return self.route_to_claim(route, claim, found.version, now),
                 None => JobAnswer::NotKnown,
             },
             _ => JobAnswer::Unsettled {
@@ -194,7 +208,7 @@
         self.reply(route.to, CallerReply::Job(answer));
     }
 
-    fn route_to_claim(&mut self, route: RouteOp, claim: Claim, now: Moment) {
+    fn route_to_claim(&mut self, route: RouteOp, claim: Claim, version: u64, now: Moment) {
         if let Some(outcome) = claim.ended {
             return self.reply(route.to, CallerReply::Job(JobAnswer::Over { outcome }));
         }
@@ -203,32 +217,37 @@
                 return self.reply(route.to, CallerReply::Job(moved_answer()));
             };
             let req = route.request();
+            let route = RouteOp { last_stop: true, ..route };
             return self.call_peer(Op::Route(Box::new(route)), &peer, req);
         }
         let live = self.is_live_ticket(&claim.ticket, now);
+        if !live && route.ask == Ask::Cancel && self.view.may_judge(now) {
+            return self.cancel_orphan(route.name, route.to, claim, version, now);
+        }
         let answer = if live { moved_answer() } else { orphan_answer() };
         self.reply(route.to, CallerReply::Job(answer));
     }
 
+    /// The answer about a job of this box.
+    pub(crate) fn answer_of(&self, view: &JobView) -> JobAnswer {
+        let stage = match &view.stage {
+            Stage::Ended(_) if self.unrecorded.contains(&view.job) => "recording",
+            Stage::Ended(outcome) => return JobAnswer::Ended { job: view.job.clone(), outcome: outcome.clone() },
+            Stage::Moved(_) => return moved_answer(),
+            Stage::Void => return JobAnswer::NotKnown,
+            Stage::Waiting => "waiting",
+            Stage::Starting => "starting",
+            Stage::Running => "running",
+            Stage::Stopping => "stopping",
+        };
+        JobAnswer::Pending { job: Some(view.job.clone()), stage: stage.to_owned() }
+    }
+
     pub(crate) fn is_live_ticket(&self, ticket: &JobId, now: Moment) -> bool {
         self.view.is_live_life(&ticket.minted_by, ticket.incarnation, self.id.incarnation, now)
     }
 }
 
-/// The answer about a job of this box.
-pub(crate) fn pending_answer(view: &JobView) -> JobAnswer {
-    let stage = match &view.stage {
-        Stage::Ended(outcome) => return JobAnswer::Ended { job: view.job.clone(), outcome: outcome.clone() },
-        Stage::Moved(_) => return moved_answer(),
-        Stage::Void => return JobAnswer::NotKnown,
-        Stage::Waiting => "waiting",
-        Stage::Starting => "starting",
-        Stage::Running => "running",
-        Stage::Stopping => "stopping",
-    };
-    JobAnswer::Pending { job: Some(view.job.clone()), stage: stage.to_owned() }
-}
-
 /// The answer about a job that another box is taking over.
 pub(crate) fn moved_answer() -> JobAnswer {
     JobAnswer::Unsettled { why: "another box is taking the job over".to_owned(), retry_after: RETRY_MOVED }
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -32,6 +32,8 @@
     Reclaim { submission: Submission, to: Respondent, version: u64 },
     /// Tell the caller that its ticket is void.
     TicketVoid { to: Respondent },
+    /// Record that the request was cancelled.
+    Cancel { to: Respondent, key: String, claim: Claim, version: u64 },
 }
 
 /// A ticket being settled.
@@ -108,6 +110,9 @@
 
     fn settled(&mut self, op: SettleOp, now: Moment) {
         self.observe(Observation::Count { name: "ticket_settled" });
+        if let Afterwards::Cancel { to, key, claim, version } = op.afterwards {
+            return self.record_cancelled(to, key, claim, version, op.ran);
+        }
         if op.ran && !op.repeatable {
             let why = "it may have run under a box that is gone, and its answer was not kept".to_owned();
             let answer = JobAnswer::Ended { job: op.ticket, outcome: Outcome::Unknown { why } };
@@ -118,6 +123,7 @@
                 submission.may_have_run |= op.ran;
                 self.reclaim(submission, to, version, now);
             }
+            Afterwards::Cancel { .. } => {}
             Afterwards::TicketVoid { to } => {
                 let reason = NotRunReason::Unknown { what: "ticket: the box that minted it is gone".to_owned() };
                 let outcome = Outcome::NotRun { reason, retry_after: Some(Duration::ZERO) };
@@ -177,7 +183,7 @@
 impl Afterwards {
     fn to(&self) -> Respondent {
         match self {
-            Afterwards::Reclaim { to, .. } | Afterwards::TicketVoid { to } => *to,
+            Afterwards::Reclaim { to, .. } | Afterwards::TicketVoid { to } | Afterwards::Cancel { to, .. } => *to,
         }
     }
 }
--- a/crates/entry/src/waiters.rs
+++ b/crates/entry/src/waiters.rs
@@ -4,7 +4,7 @@
 
 use model::{CustomerId, Moment, RequestId};
 
-use crate::{CallerReply, EntryBox, JobAnswer, ReplyTo, route::pending_answer};
+use crate::{CallerReply, EntryBox, JobAnswer, ReplyTo};
 
 /// Who waits for a reply.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,7 +67,7 @@
 
     pub(crate) fn expire_waiters(&mut self, now: Moment) {
         for ((customer, request), to) in self.waiters.take_expired(now) {
-            let answer = self.jobs.find(&customer, &request).map_or(JobAnswer::NotKnown, |view| pending_answer(&view));
+            let answer = self.jobs.find(&customer, &request).map_or(JobAnswer::NotKnown, |view| self.answer_of(&view));
             self.reply(to, CallerReply::Job(answer));
         }
     }
--- a/crates/entry/tests/failures.rs
+++ b/crates/entry/tests/failures.rs
@@ -84,3 +84,51 @@
     cluster.advance(Duration::from_millis(8388));
     check_settles(cluster);
 }
+
+/// A durable job was cancelled while the store was down; its box died, and another ran it.
+#[test]
+fn a_cancelled_durable_job_is_not_run_by_another_box() {
+    let mut cluster = cluster(7918838987084532336);
+    let first = a_box("az-1-box-1");
+    let caller = cluster.submit(spec(1, 0, 56, 20), true, &first);
+    cluster.submit(spec(2, 55, 86, 14563), false, &first);
+    cluster.advance(Duration::from_millis(11103));
+    cluster.set_store_down(true);
+    cluster.cancel(caller);
+    cluster.advance(Duration::from_millis(7564));
+    cluster.kill_box(&first);
+    check_settles(cluster);
+}
+
+/// A box that had been paused asked the new life of a dead box whether a ticket of its old life was
+/// void, took "not known" for yes, and ran a dispensing batch a second time.
+#[test]
+fn only_the_life_that_minted_a_ticket_can_call_it_void() {
+    let mut cluster = cluster(13889302518410029494);
+    let b = ["az-1-box-1", "az-1-box-2", "az-2-box-1", "az-2-box-2"];
+    cluster.kill_box(&a_box(b[0]));
+    cluster.cut_box_from_servers(&a_box(b[1]), true);
+    let s = cluster.server_ids()[3].clone();
+    cluster.leave_server(&s, true);
+    cluster.advance(Duration::from_millis(6897));
+    cluster.submit(spec(1, 109, 84, 18098), false, &a_box(b[3]));
+    cluster.pause_box(&a_box(b[2]));
+    cluster.submit(spec(2, 0, 62, 528), false, &a_box(b[2]));
+    cluster.advance(Duration::from_millis(13731));
+    cluster.kill_box(&a_box(b[3]));
+    cluster.advance(Duration::from_millis(6062));
+    cluster.set_store_down(true);
+    cluster.advance(Duration::from_millis(8558));
+    cluster.start_box(&a_box(b[3]));
+    cluster.start_box(&a_box(b[0]));
+    cluster.cut_box_from_peers(&a_box(b[3]), true);
+    cluster.advance(Duration::from_millis(14139));
+    cluster.advance(Duration::from_millis(8972));
+    cluster.advance(Duration::from_millis(353));
+    cluster.submit(spec(3, 139, 85, 16885), true, &a_box(b[2]));
+    cluster.advance(Duration::from_millis(1226));
+    cluster.advance(Duration::from_millis(8014));
+    cluster.advance(Duration::from_millis(12887));
+    cluster.advance(Duration::from_millis(10005));
+    check_settles(cluster);
+}
--- a/crates/lifecycle/src/adoption.rs
+++ b/crates/lifecycle/src/adoption.rs
@@ -27,6 +27,7 @@
         job.attempt = newest.attempt;
         job.epoch = newest.epoch.next();
         job.adopted = true;
+        job.described = false;
         job.ran = lines.values().any(|lease| lease.state.ran());
         job.started = Some(now);
         job.parts = first.members.iter().cloned().map(Part::new).collect();
@@ -132,6 +133,7 @@
         let Some(job) = self.jobs.get_mut(id) else { return };
         if job.adopted && !job.is_over() {
             job.spec = Arc::new(task.spec);
+            job.described = true;
         }
     }
 }
--- a/crates/lifecycle/src/coordinator.rs
+++ b/crates/lifecycle/src/coordinator.rs
@@ -112,6 +112,8 @@
     pub job: JobId,
     /// What is asked for.
     pub spec: Arc<JobSpec>,
+    /// Whether `spec` is the whole request; not so for an adopted job that could not be read yet.
+    pub described: bool,
     /// Where it stands.
     pub stage: Stage,
     /// The backend servers of its present or last attempt.
@@ -267,6 +269,15 @@
         self.end(job, outcome, now);
     }
 
+    /// Forgets how a job ended: its request has gone on under another ticket.
+    pub fn void(&mut self, job: &JobId) {
+        if let Some(it) = self.jobs.get_mut(job)
+            && let Phase::Ended { at, .. } = it.phase
+        {
+            it.phase = Phase::Void { at };
+        }
+    }
+
     /// Takes a job back for its caller.
     pub fn cancel(&mut self, job: &JobId, now: Moment) {
         let id = self.renamed.get(job).unwrap_or(job).clone();
--- a/crates/lifecycle/src/job.rs
+++ b/crates/lifecycle/src/job.rs
@@ -34,6 +34,8 @@
     pub(crate) epoch: Epoch,
     /// Whether another box made the first start, so that a further try needs a ticket of this box.
     pub(crate) adopted: bool,
+    /// Whether `spec` is the whole request rather than what a lease line tells of it.
+    pub(crate) described: bool,
     pub(crate) attempt_began: Moment,
     /// The members of the present attempt.
     pub(crate) parts: Vec<Part>,
@@ -120,6 +122,7 @@
             attempt: Attempt(0),
             epoch: Epoch(0),
             adopted: false,
+            described: true,
             attempt_began: now,
             parts: Vec::new(),
             phase: Phase::Waiting { not_before: now },
@@ -162,7 +165,13 @@
 
     pub(crate) fn view(&self, id: &JobId) -> JobView {
         let servers = self.parts.iter().map(|p| p.member.server.clone()).collect();
-        JobView { job: id.clone(), spec: Arc::clone(&self.spec), stage: self.stage(), servers }
+        JobView {
+            job: id.clone(),
+            spec: Arc::clone(&self.spec),
+            described: self.described,
+            stage: self.stage(),
+            servers,
+        }
     }
 
     pub(crate) fn stage(&self) -> Stage {
--- a/crates/martend/src/convert.rs
+++ b/crates/martend/src/convert.rs
@@ -67,7 +67,9 @@
 }
 
 pub(crate) fn lookup(m: wire::LookupRequest) -> Result<PeerRequest> {
+    let ticket = if m.ticket.is_empty() { None } else { Some(m.ticket.parse()?) };
     Ok(PeerRequest::Lookup {
+        ticket,
         customer: m.customer.parse()?,
         request: m.request.parse()?,
         wait: Duration::from_millis(m.wait_ms),
--- a/crates/martend/src/peer_client.rs
+++ b/crates/martend/src/peer_client.rs
@@ -82,11 +82,12 @@
             client.grant(Request::new(m)).await?;
             Ok(PeerReply::Granted)
         }
-        PeerRequest::Lookup { customer, request, wait } => {
+        PeerRequest::Lookup { customer, request, wait, ticket } => {
             let m = wire::LookupRequest {
                 customer: customer.to_string(),
                 request: request.to_string(),
                 wait_ms: wait.millis(),
+                ticket: ticket.as_ref().map(ToString::to_string).unwrap_or_default(),
             };
             job_reply(client.lookup(Request::new(m)).await?)
         }
--- a/crates/test-utils/src/cluster.rs
+++ b/crates/test-utils/src/cluster.rs
@@ -311,6 +311,11 @@
         let outputs = entry.handle(input, now);
         let drained = entry.is_drained();
         for output in outputs {
+                let t = format!("{output:?}");
+                if !t.contains("Watch") && !t.contains("Heartbeat") {
+                    println!("TRACE {now} {} {t}", life.id);
+                }
+            }
             self.carry_out(life, output);
         }
         if drained {
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -117,6 +117,8 @@
     pub request: ::prost::alloc::string::String,
     #[prost(uint64, tag = "3")]
     pub wait_ms: u64,
+    #[prost(string, tag = "4")]
+    pub ticket: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct NameRequest {
