Trace a virtual cluster on request

Change: MARTENSCALE_TRACE prints what boxes do in a virtual cluster, without watches and heartbeats.

--- a/crates/test-utils/src/cluster.rs
+++ b/crates/test-utils/src/cluster.rs
@@ -311,11 +311,7 @@
         let outputs = entry.handle(input, now);
         let drained = entry.is_drained();
         for output in outputs {
-                let t = format!("{output:?}");
-                if !t.contains("Watch") && !t.contains("Heartbeat") {
-                    println!("TRACE {now} {} {t}", life.id);
-                }
-            }
+            trace(now, life, &output);
             self.carry_out(life, output);
         }
         if drained {
@@ -588,3 +584,15 @@
         lines.join("\n")
     }
 }
+
+/// With `MARTENSCALE_TRACE` set, prints what boxes do, for following a failed case by eye.
+fn trace(now: Moment, life: &Life, output: &Output) {
+    if std::env::var_os("MARTENSCALE_TRACE").is_none() {
+        return;
+    }
+    let text = format!("{output:?}");
+    // Watches and heartbeats go on all the time and hide the rest.
+    if !text.contains("Watch") && !text.contains("Heartbeat") {
+        println!("{now} {} {text}", life.id);
+    }
+}
