Settle jobs whose new holder died; never retry what was not read

Cause: fuzzing found a job that its box had given up to another, which died: every box sent its callers back to the first. It also found an adopted job started again from its lease line alone. Change: a box says that such a job is orphaned, and whoever asked settles its ticket; an adopted job whose request could not be read goes back to its caller instead of into the queue. A named test for each.

--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -58,6 +58,8 @@
     claim: Claim,
     /// The version that it replaces, if any.
     over: Option<u64>,
+    /// The ticket that stands there, and whether its request may run more than once.
+    standing: Option<(JobId, bool)>,
     rounds: u32,
 }
 
@@ -83,7 +85,7 @@
             repeatable: submission.spec.repeatable,
             ended: None,
         };
-        ClaimOp { submission, to, claim, over, rounds: 0 }
+        ClaimOp { submission, to, claim, over, standing: None, rounds: 0 }
     }
 
     /// Whether a claim for a request of that name is being made here.
@@ -174,7 +176,8 @@
         }
         if self.is_live_ticket(&standing.ticket, now) {
             let owner = standing.ticket.minted_by.clone();
-            let op = ClaimOp { over: Some(found.version), ..op };
+            let ticket = (standing.ticket.clone(), standing.repeatable);
+            let op = ClaimOp { over: Some(found.version), standing: Some(ticket), ..op };
             let (customer, request) = (op.submission.spec.customer.clone(), op.submission.spec.request.clone());
             let wait = op.submission.wait;
             return self.call_peer(
@@ -186,8 +189,8 @@
         if !self.view.may_judge(now) {
             return self.reply(op.to, CallerReply::Job(moved_answer()));
         }
-        let afterwards = Afterwards::Reclaim { submission: op.submission, to: op.to, version: found.version };
-        self.begin_settle(standing.ticket, standing.repeatable, afterwards, now);
+        let ticket = (standing.ticket, standing.repeatable);
+        self.settle_standing(ClaimOp { standing: Some(ticket), ..op }, found.version, now);
     }
 
     /// The standing claim is an earlier one of this very process.
@@ -196,6 +199,10 @@
         match view.as_ref().map(|view| &view.stage) {
             // Its ticket was given up before it was started, or the job was not run.
             None | Some(Stage::Void | Stage::Ended(Outcome::NotRun { .. })) => self.replace_claim(op, version, now),
+            Some(Stage::Moved(holder)) if self.is_orphaned(&standing.ticket, holder) => {
+                let ticket = (standing.ticket.clone(), standing.repeatable);
+                self.settle_standing(ClaimOp { standing: Some(ticket), ..op }, version, now);
+            }
             Some(Stage::Ended(_) | Stage::Moved(_)) => {
                 let answer = view.as_ref().map_or(JobAnswer::NotKnown, |view| self.answer_of(view));
                 self.reply(op.to, CallerReply::Job(answer));
@@ -230,12 +237,19 @@
             Some(PeerReply::Job(JobAnswer::Ended { outcome: Outcome::NotRun { .. }, .. })) => {
                 return self.replace_claim(op, version, now);
             }
+            Some(PeerReply::Job(JobAnswer::Orphaned)) => return self.settle_standing(op, version, now),
             Some(PeerReply::Job(answer)) => answer,
             _ => moved_answer(),
         };
         self.reply(op.to, CallerReply::Job(answer));
     }
 
+    fn settle_standing(&mut self, op: ClaimOp, version: u64, now: Moment) {
+        let Some((ticket, repeatable)) = op.standing else { return };
+        let afterwards = Afterwards::Reclaim { submission: op.submission, to: op.to, version };
+        self.begin_settle(ticket, repeatable, afterwards, now);
+    }
+
     fn pass_on(&mut self, op: ClaimOp, standing: &Claim, _: Option<()>) {
         let Some(peer) = self.any_box_of(&standing.availability_zone) else {
             return self.reply(op.to, CallerReply::Job(moved_answer()));
--- a/crates/entry/src/entry_box.rs
+++ b/crates/entry/src/entry_box.rs
@@ -423,6 +423,10 @@
 
     pub(crate) fn reply(&mut self, to: Respondent, reply: CallerReply) {
         match (to, reply) {
+            (Respondent::Caller(to), CallerReply::Job(JobAnswer::Orphaned)) => {
+                let reply = CallerReply::Job(crate::route::orphan_answer());
+                self.out.push(Output::ToCaller { to, reply });
+            }
             (Respondent::Caller(to), reply) => self.out.push(Output::ToCaller { to, reply }),
             (Respondent::Peer(to), CallerReply::Job(answer)) => {
                 self.out.push(Output::ToPeer { to, reply: PeerReply::Job(answer) });
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -104,6 +104,9 @@
         /// When to ask again.
         retry_after: Duration,
     },
+    /// Its box gave it up to another, which is gone, and its gang does not stand: its ticket has to
+    /// be settled. Told among boxes only; a caller is told to send its request again.
+    Orphaned,
     /// No such request is known.
     NotKnown,
     /// The request name stands for another request of this customer.
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -36,6 +36,8 @@
     open: BTreeSet<BoxId>,
     /// Taken as new if nobody knows it.
     submission: Option<Submission>,
+    /// Whether a box said that the request is orphaned.
+    orphaned: bool,
     /// Whether the reply is passed on even if it says that nothing is known.
     last_stop: bool,
 }
@@ -45,7 +47,7 @@
     pub(crate) fn forward(submission: Submission, to: Respondent) -> RouteOp {
         let name = (submission.spec.customer.clone(), submission.spec.request.clone());
         let ask = Ask::Poll { wait: submission.wait };
-        RouteOp { ask, name, to, open: BTreeSet::new(), submission: None, last_stop: true }
+        RouteOp { ask, name, to, open: BTreeSet::new(), submission: None, last_stop: true, orphaned: false }
     }
 
     /// A question to all peers.
@@ -55,7 +57,7 @@
         to: Respondent,
         submission: Option<Submission>,
     ) -> RouteOp {
-        RouteOp { ask, name, to, open: BTreeSet::new(), submission, last_stop: false }
+        RouteOp { ask, name, to, open: BTreeSet::new(), submission, last_stop: false, orphaned: false }
     }
 
     fn request(&self) -> PeerRequest {
@@ -171,6 +173,10 @@
         route.open.remove(peer);
         let done = route.open.is_empty();
         let known = match reply {
+            Some(PeerReply::Job(JobAnswer::Orphaned)) => {
+                route.orphaned = true;
+                None
+            }
             Some(PeerReply::Job(answer)) if answer != JobAnswer::NotKnown => Some(answer),
             _ => None,
         };
@@ -220,7 +226,7 @@
             let route = RouteOp { last_stop: true, ..route };
             return self.call_peer(Op::Route(Box::new(route)), &peer, req);
         }
-        let live = self.is_live_ticket(&claim.ticket, now);
+        let live = self.is_live_ticket(&claim.ticket, now) && !route.orphaned;
         if !live && route.ask == Ask::Cancel && self.view.may_judge(now) {
             return self.cancel_orphan(route.name, route.to, claim, version, now);
         }
@@ -233,6 +239,7 @@
         let stage = match &view.stage {
             Stage::Ended(_) if self.unrecorded.contains(&view.job) => "recording",
             Stage::Ended(outcome) => return JobAnswer::Ended { job: view.job.clone(), outcome: outcome.clone() },
+            Stage::Moved(holder) if self.is_orphaned(&view.job, holder) => return JobAnswer::Orphaned,
             Stage::Moved(_) => return moved_answer(),
             Stage::Void => return JobAnswer::NotKnown,
             Stage::Waiting => "waiting",
@@ -243,6 +250,13 @@
         JobAnswer::Pending { job: Some(view.job.clone()), stage: stage.to_owned() }
     }
 
+    /// Whether a job's holder is gone, and its gang does not stand so that it could be adopted.
+    pub(crate) fn is_orphaned(&self, job: &JobId, holder: &Holder) -> bool {
+        let gone = self.dead_since.contains_key(holder)
+            || self.view.peers().get(&holder.box_id).is_some_and(|status| status.incarnation > holder.incarnation);
+        gone && !self.replicas.is_whole(job)
+    }
+
     pub(crate) fn is_live_ticket(&self, ticket: &JobId, now: Moment) -> bool {
         self.view.is_live_life(&ticket.minted_by, ticket.incarnation, self.id.incarnation, now)
     }
@@ -257,7 +271,7 @@
     JobAnswer::Pending { job: None, stage: "claiming".to_owned() }
 }
 
-fn orphan_answer() -> JobAnswer {
+pub(crate) fn orphan_answer() -> JobAnswer {
     let why = "the box that took the request is gone; send the request again to have it settled".to_owned();
     JobAnswer::Unsettled { why, retry_after: RETRY_MOVED }
 }
--- a/crates/entry/tests/failures.rs
+++ b/crates/entry/tests/failures.rs
@@ -132,3 +132,59 @@
     cluster.advance(Duration::from_millis(10005));
     check_settles(cluster);
 }
+
+/// A box gave a job up to another, which died before it could finish it.
+#[test]
+fn a_job_whose_new_holder_died_is_settled() {
+    let mut cluster = cluster(9253838553343280705);
+    let b = ["az-1-box-1", "az-1-box-2", "az-2-box-1", "az-2-box-2"];
+    cluster.advance(Duration::from_millis(12500));
+    cluster.submit(spec(1, 0, 0, 20031), false, &a_box(b[1]));
+    cluster.submit(spec(2, 184, 0, 18838), false, &a_box(b[1]));
+    cluster.advance(Duration::from_millis(13784));
+    cluster.submit(spec(3, 71, 217, 8156), true, &a_box(b[0]));
+    cluster.submit(spec(4, 64, 49, 14231), true, &a_box(b[2]));
+    let s = cluster.server_ids()[1].clone();
+    cluster.restart_server(&s);
+    cluster.advance(Duration::from_millis(13324));
+    cluster.set_network(2, 237);
+    cluster.pause_box(&a_box(b[0]));
+    cluster.advance(Duration::from_millis(4905));
+    cluster.submit(spec(5, 57, 244, 22260), true, &a_box(b[0]));
+    cluster.advance(Duration::from_millis(7999));
+    cluster.advance(Duration::from_millis(11518));
+    cluster.pause_box(&a_box(b[2]));
+    cluster.advance(Duration::from_millis(8002));
+    cluster.kill_box(&a_box(b[3]));
+    cluster.advance(Duration::from_millis(6057));
+    check_settles(cluster);
+}
+
+/// An adopted job was started again from what its lease line told, without its payload and as if it
+/// might run only once.
+#[test]
+fn an_adopted_job_is_not_tried_again_unread() {
+    let mut cluster = cluster(16637412281189795036);
+    let b = ["az-1-box-1", "az-1-box-2", "az-2-box-1", "az-2-box-2"];
+    cluster.kill_box(&a_box(b[1]));
+    cluster.cut_box_from_platform(&a_box(b[1]), true);
+    cluster.submit(spec(1, 117, 106, 22660), false, &a_box(b[2]));
+    cluster.lose_store_answers(3);
+    let s = cluster.server_ids()[1].clone();
+    cluster.restart_server(&s);
+    cluster.advance(Duration::from_millis(11395));
+    cluster.set_network(159, 291);
+    cluster.advance(Duration::from_millis(6585));
+    cluster.advance(Duration::from_millis(12775));
+    if cluster.caller_count() > 0 {
+        cluster.cancel(test_utils::CallerId(4 % cluster.caller_count()));
+    }
+    cluster.submit(spec(2, 112, 242, 27685), false, &a_box(b[1]));
+    cluster.submit(spec(3, 43, 88, 2094), false, &a_box(b[0]));
+    cluster.submit(spec(4, 28, 34, 21913), false, &a_box(b[3]));
+    cluster.advance(Duration::from_millis(6025));
+    cluster.pause_box(&a_box(b[0]));
+    cluster.pause_box(&a_box(b[2]));
+    cluster.advance(Duration::from_millis(8131));
+    check_settles(cluster);
+}
--- a/crates/entry/tests/fuzz.rs
+++ b/crates/entry/tests/fuzz.rs
@@ -15,7 +15,7 @@
 use test_utils::{CallerId, Cluster};
 
 /// Cases in CI.
-const CASES: u32 = 48;
+const CASES: u32 = 150;
 /// Seed in CI.
 const SEED: u64 = 4;
 /// Transitions of one case.
--- a/crates/lifecycle/src/adoption.rs
+++ b/crates/lifecycle/src/adoption.rs
@@ -158,8 +158,8 @@
         gang: model::Gang { tasks, per_task, within: model::Within::AvailabilityZone },
         declared: lease.declared,
         deadline: None,
-        repeatable: false,
-        checkpointable: false,
+        repeatable: lease.repeatable,
+        checkpointable: lease.checkpointable,
         payload: String::new(),
     }
 }
--- a/crates/lifecycle/src/ending.rs
+++ b/crates/lifecycle/src/ending.rs
@@ -139,6 +139,9 @@
     /// Back into the queue. A job that was adopted goes on under a ticket of this box, since the
     /// box that minted the old one may wake and try again under that.
     pub(crate) fn requeue(&mut self, id: &JobId, now: Moment) {
+        if !self.jobs[id].described {
+            return self.give_up_undescribed(id, now);
+        }
         let backoff = self.backoff(&self.jobs[id]);
         let job = self.jobs.get_mut(id).expect("the caller has read the job");
         job.phase = Phase::Waiting { not_before: now + backoff };
@@ -149,6 +152,18 @@
         self.effects.push(Effect::QueueChanged);
     }
 
+    /// An adopted job whose request could not be read cannot be tried again here. Its caller sends it
+    /// again, unless it may run only once and has.
+    fn give_up_undescribed(&mut self, id: &JobId, now: Moment) {
+        let job = self.jobs.get_mut(id).expect("the caller has read the job");
+        if job.ran && !job.spec.repeatable {
+            let why = "its box is gone, and what was asked for could not be read".to_owned();
+            return self.end(id, Outcome::Unknown { why }, now);
+        }
+        job.phase = Phase::Void { at: now };
+        self.effects.push(Effect::Moved { job: id.clone() });
+    }
+
     fn rename(&mut self, old: &JobId, now: Moment) {
         let new = self.mint(now);
         let mut job = self.jobs.remove(old).expect("the caller has read the job");
--- a/crates/martend/src/http_api.rs
+++ b/crates/martend/src/http_api.rs
@@ -216,7 +216,7 @@
             Outcome::Unknown { .. } => (StatusCode::GATEWAY_TIMEOUT, None),
         },
         JobAnswer::Unsettled { retry_after, .. } => (StatusCode::SERVICE_UNAVAILABLE, Some(*retry_after)),
-        JobAnswer::NotKnown => (StatusCode::NOT_FOUND, None),
+        JobAnswer::NotKnown | JobAnswer::Orphaned => (StatusCode::NOT_FOUND, None),
         JobAnswer::NameInUse => (StatusCode::CONFLICT, None),
         JobAnswer::Over { .. } => (StatusCode::GONE, None),
     };
--- a/crates/test-utils/src/virtual_caller.rs
+++ b/crates/test-utils/src/virtual_caller.rs
@@ -149,7 +149,9 @@
             // A cancellation that found nothing: the job is nowhere, so it is handed in no more.
             JobAnswer::NotKnown if caller.cancel => caller.over = true,
             JobAnswer::Unsettled { retry_after, .. } => self.ask(id, None, retry_after.max(PAUSE)),
-            JobAnswer::Pending { .. } | JobAnswer::NotKnown | JobAnswer::NameInUse => self.ask(id, None, PAUSE),
+            JobAnswer::Pending { .. } | JobAnswer::Orphaned | JobAnswer::NotKnown | JobAnswer::NameInUse => {
+                self.ask(id, None, PAUSE)
+            }
         }
     }
 }
