Place guarantees as cells, and measure against two baselines

Cause: first fit knows no guarantees, and large jobs wait behind all else. Change: policy gains cells, a ledger of what may be pinned, learned run times, dated places, and reclaiming by the cheapest set of victims; EASY backfill stands beside first fit as a baseline; cargo xtask replay runs all three on the same arrivals.

--- /dev/null
+++ b/crates/policy/src/cell_planner.rs
@@ -0,0 +1,81 @@
+//! The planner: cells for guarantees, borrowing for all else, dated places for large gangs.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use model::{AvailabilityZoneId, CustomerId};
+
+use crate::{
+    Decision, Planner, Queued, Snapshot,
+    cells::Cells,
+    estimate::{Estimates, Finished},
+    order::{Standing, key},
+    round::Round,
+};
+
+/// Waiting jobs that one round looks at, in order; the rest waits for a later round.
+const MAX_LOOKED_AT: usize = 4096;
+
+/// Plans one availability zone.
+#[derive(Debug)]
+pub struct CellPlanner {
+    zone: AvailabilityZoneId,
+    estimates: Estimates,
+    cells: Option<Arc<Cells>>,
+}
+
+impl CellPlanner {
+    /// A planner that has learned nothing yet.
+    pub fn new(zone: AvailabilityZoneId) -> CellPlanner {
+        CellPlanner { zone, estimates: Estimates::default(), cells: None }
+    }
+
+    fn cells(&mut self, snapshot: &Snapshot) -> Arc<Cells> {
+        match &self.cells {
+            Some(cells) if cells.fits(&snapshot.file, &snapshot.servers) => Arc::clone(cells),
+            _ => {
+                let cells = Arc::new(Cells::place(&snapshot.file, &self.zone, &snapshot.servers));
+                self.cells = Some(Arc::clone(&cells));
+                cells
+            }
+        }
+    }
+}
+
+impl Planner for CellPlanner {
+    fn plan(&mut self, snapshot: &Snapshot) -> Vec<Decision> {
+        let cells = self.cells(snapshot);
+        let numbers: BTreeMap<&CustomerId, usize> =
+            snapshot.file.customers.keys().enumerate().map(|(n, id)| (id, n)).collect();
+        let mut round = Round::new(snapshot, &cells, &self.estimates, &numbers);
+        for queued in ordered(snapshot, &round) {
+            round.consider(queued);
+        }
+        round.decisions
+    }
+
+    fn learn(&mut self, it: &Finished) {
+        self.estimates.learn(it);
+    }
+}
+
+fn ordered<'a>(snapshot: &'a Snapshot, round: &Round<'_>) -> Vec<&'a Queued> {
+    let shares: f64 = snapshot.file.customers.values().map(|c| f64::from(c.share)).sum();
+    let used = f64::from(round.used_accelerators().max(1));
+    let standing = |queued: &Queued| {
+        let customer = snapshot.file.customers.get(&queued.customer);
+        let share = customer.map_or(1.0, |c| f64::from(c.share)) / shares.max(1.0);
+        Standing {
+            claim: round.claim(queued),
+            waited: queued.waited,
+            likely: round.likely(queued),
+            tasks: queued.gang.tasks,
+            use_over_share: f64::from(round.accelerators_of(&queued.customer)) / used / share,
+        }
+    };
+    let weights = &snapshot.file.weights;
+    let mut order: Vec<_> = snapshot.queue.iter().map(|queued| (key(&standing(queued), weights), queued)).collect();
+    order.sort_by(|((claim, score), queued), ((other_claim, other_score), other)| {
+        claim.cmp(other_claim).then(score.total_cmp(other_score)).then_with(|| queued.job.cmp(&other.job))
+    });
+    order.into_iter().take(MAX_LOOKED_AT).map(|(_, queued)| queued).collect()
+}
--- a/crates/policy/src/cells.rs
+++ b/crates/policy/src/cells.rs
@@ -1,17 +1,20 @@
-//! Guarantees as placeable shapes: every gang of every guarantee has a place of its own.
+//! Guarantees as placeable shapes: every gang of every guarantee has a *cell*, a place of its own.
+//!
+//! That a guarantee names shapes rather than counts, and that its cells are fixed so that others
+//! can only borrow them, is after HiveD (Zhao et al., OSDI 2020).
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, sync::Arc};
 
 use derive_more::{Display, Error};
-use model::{AvailabilityZoneId, CustomerId, Gang, OperatorFile, ServerMode};
+use model::{AvailabilityZoneId, CustomerId, Gang, Member, OperatorFile, Resources, ServerMode};
 
-use crate::{Room, Server};
+use crate::{Queued, Room, Server, place::best_fit};
 
 /// Why the guarantees of a file cannot all be held at once.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 #[display(
     "customers.{customer}.guarantees: gang {number} of {gangs}, {gang}, has no place in {availability_zone}: \
-     {placed} guaranteed accelerators of {total} are placed before it, and no {} has room for it", gang.within
+     {placed} of {total} accelerators are taken by guarantees before it, and no {} has room for it", gang.within
 )]
 pub struct GuaranteeError {
     /// Whose.
@@ -30,41 +33,130 @@
     pub total: u32,
 }
 
+/// One guaranteed gang and its place.
+#[derive(Debug, Clone)]
+pub(crate) struct Cell {
+    pub(crate) customer: usize,
+    pub(crate) gang: Gang,
+    pub(crate) members: Vec<Member>,
+}
+
+impl Cell {
+    /// Whether a job's gang is no more than the cell's.
+    pub(crate) fn holds(&self, gang: &Gang) -> bool {
+        gang.tasks <= self.gang.tasks && self.gang.per_task.contains(&gang.per_task) && gang.within >= self.gang.within
+    }
+}
+
+/// All cells of an availability zone.
+#[derive(Debug, Clone)]
+pub(crate) struct Cells {
+    file: Arc<OperatorFile>,
+    open: Vec<bool>,
+    pub(crate) cells: Vec<Cell>,
+    /// Guaranteed gangs without a place while backend servers are closed.
+    pub(crate) unplaced: usize,
+    /// By backend server: what each customer is assigned there.
+    pub(crate) assigned: Vec<Vec<(usize, Resources)>>,
+}
+
+impl Cells {
+    /// Whether these cells were made for the same file and the same open backend servers.
+    pub(crate) fn fits(&self, file: &Arc<OperatorFile>, servers: &[Server]) -> bool {
+        Arc::ptr_eq(&self.file, file) && self.open.iter().copied().eq(servers.iter().map(|s| s.open))
+    }
+
+    /// Places all guarantees; large gangs first, since small ones fit into what they leave.
+    pub(crate) fn place(file: &Arc<OperatorFile>, zone: &AvailabilityZoneId, servers: &[Server]) -> Cells {
+        let mut room = Room::empty(servers);
+        let mut wanted: Vec<(usize, Gang)> = Vec::new();
+        for (n, customer) in file.customers.values().enumerate() {
+            for guarantee in customer.guarantees.iter().filter(|g| g.availability_zone == *zone) {
+                wanted.extend((0..guarantee.gangs).map(|_| (n, guarantee.gang)));
+            }
+        }
+        wanted.sort_by_key(|(n, gang)| (std::cmp::Reverse(gang.total().accelerators), *n));
+        let mut it = Cells {
+            file: Arc::clone(file),
+            open: servers.iter().map(|s| s.open).collect(),
+            cells: Vec::new(),
+            unplaced: 0,
+            assigned: vec![Vec::new(); servers.len()],
+        };
+        for (customer, gang) in wanted {
+            let free = |i: usize| room.fits(i, &gang.per_task);
+            match best_fit(&room, &gang, &BTreeSet::new(), free) {
+                Some(members) => {
+                    room.take(&members, &gang.per_task);
+                    it.assign(&room, customer, &members, &gang);
+                    it.cells.push(Cell { customer, gang, members });
+                }
+                None => it.unplaced += 1,
+            }
+        }
+        it
+    }
+
+    fn assign(&mut self, room: &Room, customer: usize, members: &[Member], gang: &Gang) {
+        for member in members {
+            let Some(i) = room.position(&member.server) else { continue };
+            let share = gang.per_task.times(member.tasks);
+            match self.assigned[i].iter_mut().find(|(c, _)| *c == customer) {
+                Some((_, sum)) => *sum += share,
+                None => self.assigned[i].push((customer, share)),
+            }
+        }
+    }
+
+    /// What a customer is assigned on a backend server.
+    pub(crate) fn assigned_to(&self, i: usize, customer: usize) -> Resources {
+        self.assigned[i].iter().find(|(c, _)| *c == customer).map_or(Resources::default(), |(_, share)| *share)
+    }
+
+    /// Cells of a customer that a job fits into.
+    pub(crate) fn for_job<'a>(&'a self, customer: usize, job: &'a Queued) -> impl Iterator<Item = &'a Cell> {
+        self.cells.iter().filter(move |cell| cell.customer == customer && cell.holds(&job.gang))
+    }
+}
+
 /// Checks that all guarantees of a file have places at once.
 pub fn check_guarantees(file: &OperatorFile) -> Result<(), GuaranteeError> {
+    let file = Arc::new(file.clone());
     let zones: BTreeSet<&AvailabilityZoneId> =
         file.customers.values().flat_map(|c| &c.guarantees).map(|g| &g.availability_zone).collect();
-    for zone in zones {
-        check_zone(file, zone)?;
-    }
-    Ok(())
+    zones.into_iter().try_for_each(|zone| check_zone(&file, zone))
 }
 
-fn check_zone(file: &OperatorFile, zone: &AvailabilityZoneId) -> Result<(), GuaranteeError> {
+fn check_zone(file: &Arc<OperatorFile>, zone: &AvailabilityZoneId) -> Result<(), GuaranteeError> {
     let here = file.backend_servers.values().filter(|s| s.availability_zone == *zone && s.mode == ServerMode::Active);
     let servers: Vec<Server> =
         here.map(|s| Server { id: s.id.clone(), rack: s.rack.clone(), resources: s.resources, open: true }).collect();
+    let cells = Cells::place(file, zone, &servers);
+    if cells.unplaced == 0 {
+        return Ok(());
+    }
+    Err(first_unplaced(file, zone, &servers, &cells))
+}
+
+fn first_unplaced(file: &OperatorFile, zone: &AvailabilityZoneId, servers: &[Server], cells: &Cells) -> GuaranteeError {
+    let placed = cells.cells.iter().map(|cell| cell.gang.total().accelerators).sum();
     let total = servers.iter().map(|s| s.resources.accelerators).sum();
-    let mut room = Room::empty(&servers);
-    let mut placed = 0;
-    for customer in file.customers.values() {
+    for (n, customer) in file.customers.values().enumerate() {
         for guarantee in customer.guarantees.iter().filter(|g| g.availability_zone == *zone) {
-            for number in 1..=guarantee.gangs {
-                let Some(members) = room.first_fit(&guarantee.gang, &BTreeSet::new()) else {
-                    return Err(GuaranteeError {
-                        customer: customer.id.clone(),
-                        availability_zone: zone.clone(),
-                        gang: guarantee.gang,
-                        number,
-                        gangs: guarantee.gangs,
-                        placed,
-                        total,
-                    });
+            let same = |cell: &&Cell| cell.customer == n && cell.gang == guarantee.gang;
+            let have = cells.cells.iter().filter(same).count() as u32;
+            if have < guarantee.gangs {
+                return GuaranteeError {
+                    customer: customer.id.clone(),
+                    availability_zone: zone.clone(),
+                    gang: guarantee.gang,
+                    number: have + 1,
+                    gangs: guarantee.gangs,
+                    placed,
+                    total,
                 };
-                room.take(&members, &guarantee.gang.per_task);
-                placed += guarantee.gang.total().accelerators;
             }
         }
     }
-    Ok(())
+    unreachable!("a cell is missing only if a guarantee has fewer cells than gangs")
 }
--- /dev/null
+++ b/crates/policy/src/order.rs
@@ -0,0 +1,32 @@
+//! The order in which waiting jobs are looked at.
+//!
+//! The strength of a job's claim comes first. Among equals the response ratio decides (waited plus likely run
+//! time, over likely run time), which lets short jobs by and lets long ones age; the weight on
+//! fragmentation raises large gangs, and a customer that uses more than its share comes later.
+
+use model::{Duration, Weights};
+
+use crate::round::Claim;
+
+/// How strongly use beyond a customer's share holds its jobs back.
+const SHARE_PULL: f64 = 1.0;
+
+/// What the order depends on, for one job.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Standing {
+    pub(crate) claim: Claim,
+    pub(crate) waited: Duration,
+    pub(crate) likely: Duration,
+    pub(crate) tasks: u32,
+    /// The customer's part of what is used, over its part of all shares.
+    pub(crate) use_over_share: f64,
+}
+
+/// A sort key; the lowest comes first.
+pub(crate) fn key(standing: &Standing, weights: &Weights) -> (Claim, f64) {
+    let likely = standing.likely.secs_f64().max(1.0);
+    let ratio = (standing.waited.secs_f64() + likely) / likely;
+    let size = f64::from(standing.tasks).powf(weights.fragmentation_part());
+    let share = 1.0 + SHARE_PULL * standing.use_over_share;
+    (standing.claim, -(ratio * size / share))
+}
--- /dev/null
+++ b/crates/policy/src/place.rs
@@ -0,0 +1,83 @@
+//! Best fit: the fullest extent that still holds a gang, and in it the fullest workers first.
+
+use std::collections::BTreeSet;
+
+use model::{BackendServerId, Gang, Member, Within};
+
+use crate::Room;
+
+/// Places a gang where it leaves the least behind. `free` says how many of its tasks a place takes.
+pub(crate) fn best_fit(
+    room: &Room,
+    gang: &Gang,
+    avoid: &BTreeSet<BackendServerId>,
+    free: impl Fn(usize) -> u32,
+) -> Option<Vec<Member>> {
+    let heed = room.can_avoid(gang, avoid);
+    let fits = |i: usize| if heed && avoid.contains(room.id(i)) { 0 } else { free(i) };
+    match gang.within {
+        Within::Worker => best_worker(room, gang, fits),
+        Within::Rack if gang.tasks == 1 => best_worker(room, gang, fits),
+        Within::Rack => best_rack(room, gang, fits),
+        Within::AvailabilityZone if gang.tasks == 1 => best_worker(room, gang, fits),
+        Within::AvailabilityZone => fullest_racks_first(room, gang, fits),
+    }
+}
+
+/// What is free at a place in the size that counts for this gang.
+fn amount(room: &Room, gang: &Gang, i: usize) -> u32 {
+    let free = room.free(i);
+    if gang.per_task.accelerators > 0 { free.accelerators } else { free.cores }
+}
+
+fn rack_amount(room: &Room, gang: &Gang, rack: usize) -> u32 {
+    room.racks()[rack].iter().map(|i| amount(room, gang, *i)).sum()
+}
+
+fn best_worker(room: &Room, gang: &Gang, fits: impl Fn(usize) -> u32) -> Option<Vec<Member>> {
+    let racks: Vec<u32> = (0..room.racks().len()).map(|rack| rack_amount(room, gang, rack)).collect();
+    let best = (0..room.len())
+        .filter(|i| fits(*i) >= gang.tasks)
+        .min_by_key(|i| (racks[room.rack(*i)], amount(room, gang, *i), *i))?;
+    Some(vec![Member { server: room.id(best).clone(), tasks: gang.tasks }])
+}
+
+fn best_rack(room: &Room, gang: &Gang, fits: impl Fn(usize) -> u32) -> Option<Vec<Member>> {
+    let holds = |rack: usize| {
+        room.racks()[rack].iter().map(|i| fits(*i)).fold(0u32, |sum, n| sum.saturating_add(n)) >= gang.tasks
+    };
+    let best = (0..room.racks().len())
+        .filter(|rack| holds(*rack))
+        .min_by_key(|rack| (rack_amount(room, gang, *rack), *rack))?;
+    fill(room, gang, fullest_first(room, gang, &room.racks()[best]), fits)
+}
+
+fn fullest_racks_first(room: &Room, gang: &Gang, fits: impl Fn(usize) -> u32) -> Option<Vec<Member>> {
+    let mut racks: Vec<usize> = (0..room.racks().len()).collect();
+    racks.sort_by_key(|rack| rack_amount(room, gang, *rack));
+    let order = racks.into_iter().flat_map(|rack| fullest_first(room, gang, &room.racks()[rack]));
+    fill(room, gang, order.collect(), fits)
+}
+
+fn fullest_first(room: &Room, gang: &Gang, places: &[usize]) -> Vec<usize> {
+    let mut order = places.to_vec();
+    order.sort_by_key(|i| (amount(room, gang, *i), *i));
+    order
+}
+
+fn fill(room: &Room, gang: &Gang, order: Vec<usize>, fits: impl Fn(usize) -> u32) -> Option<Vec<Member>> {
+    let mut left = gang.tasks;
+    let mut members = Vec::new();
+    for i in order {
+        let tasks = fits(i).min(left);
+        if tasks > 0 {
+            members.push(Member { server: room.id(i).clone(), tasks });
+            left -= tasks;
+        }
+        if left == 0 {
+            members.sort_by(|a, b| a.server.cmp(&b.server));
+            return Some(members);
+        }
+    }
+    None
+}
--- a/crates/policy/src/snapshot.rs
+++ b/crates/policy/src/snapshot.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
+use crate::Finished;
 use model::{BackendServerId, ClassId, CustomerId, Duration, Gang, JobId, Member, OperatorFile, RackId, Resources};
 
 /// A backend server.
@@ -122,4 +123,7 @@
 pub trait Planner: Send {
     /// Decides on one snapshot.
     fn plan(&mut self, snapshot: &Snapshot) -> Vec<Decision>;
+
+    /// Learns from a gang that ended well.
+    fn learn(&mut self, _: &Finished) {}
 }
--- /dev/null
+++ b/crates/replay/src/sim.rs
@@ -0,0 +1,450 @@
+//! Gangs in virtual time under one planner.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    sync::Arc,
+};
+
+use model::{AvailabilityZoneId, BackendServerId, Duration, Incarnation, JobId, Member, Moment, OperatorFile, RackId};
+use policy::{Decision, Finished, Planner, Queued, Room, Running, Server, Snapshot};
+
+use crate::{measure::Measures, workload::Arrival};
+
+/// From the decision to the first task's start: three round trips and their processing.
+pub const START: Duration = Duration::from_millis(100);
+/// From the decision to the end of a checkpointed gang.
+pub const CHECKPOINT: Duration = Duration::from_millis(1000);
+/// From the decision to the end of a gang that is stopped without a checkpoint.
+const STOP: Duration = Duration::from_millis(100);
+/// A task on a worker that fails everything fails after this.
+const FAIL_AFTER: Duration = Duration::from_secs(10);
+/// Jobs that fail on a worker in a row before it is closed, for every planner alike.
+const FAILURES: usize = 3;
+/// How long a closed worker stays closed.
+const CLOSED_FOR: Duration = Duration::from_secs(1800);
+/// A job that failed so often is ended.
+const MAX_FAILURES: u32 = 3;
+/// Planning happens at least this often while jobs wait.
+const REPLAN: Duration = Duration::from_secs(2);
+
+/// Something that goes wrong.
+#[derive(Debug, Clone)]
+pub enum Trouble {
+    /// A worker fails everything that it starts.
+    FailAll {
+        /// The worker's backend server.
+        server: BackendServerId,
+        /// From when.
+        from: Moment,
+        /// Until when.
+        until: Moment,
+    },
+    /// A rack is gone.
+    LostRack {
+        /// The rack.
+        rack: RackId,
+        /// From when.
+        from: Moment,
+        /// Until when.
+        until: Moment,
+    },
+    /// Callers take back this part of the waiting jobs.
+    CancelWave {
+        /// When.
+        at: Moment,
+        /// 0 to 1.
+        part: f64,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    Trouble(usize, bool),
+    Reopen(usize),
+    /// A gang ends; the number is that of its start, so that an event of an earlier start is stale.
+    End(usize, u64),
+    Replan,
+}
+
+struct Waiting {
+    since: Moment,
+    done: Duration,
+    failures: u32,
+    started: bool,
+    had_right: bool,
+}
+
+struct Gang {
+    began: Moment,
+    members: Vec<Member>,
+    start: u64,
+    ending: Ending,
+    state: Waiting,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Ending {
+    Done,
+    Failed(usize),
+    Preempted,
+}
+
+/// One replay.
+pub struct Sim<'a> {
+    file: Arc<OperatorFile>,
+    zone: AvailabilityZoneId,
+    servers: Vec<Server>,
+    arrivals: &'a [Arrival],
+    troubles: &'a [Trouble],
+    planner: Box<dyn Planner>,
+    now: Moment,
+    events: BinaryHeap<Reverse<(Moment, Event)>>,
+    waiting: BTreeMap<usize, Waiting>,
+    running: BTreeMap<usize, Gang>,
+    failing: BTreeSet<usize>,
+    lost: BTreeSet<usize>,
+    closed: BTreeSet<usize>,
+    failures: BTreeMap<usize, usize>,
+    starts: u64,
+    replan_comes: bool,
+    possible: Vec<bool>,
+    measures: Measures,
+}
+
+impl<'a> Sim<'a> {
+    /// A replay of `arrivals` in one availability zone of a file.
+    pub fn new(
+        file: &Arc<OperatorFile>,
+        zone: &AvailabilityZoneId,
+        arrivals: &'a [Arrival],
+        troubles: &'a [Trouble],
+        planner: Box<dyn Planner>,
+    ) -> Sim<'a> {
+        let here = file.backend_servers.values().filter(|s| s.availability_zone == *zone);
+        let servers: Vec<Server> = here
+            .map(|s| Server { id: s.id.clone(), rack: s.rack.clone(), resources: s.resources, open: true })
+            .collect();
+        let mut events = BinaryHeap::new();
+        events.extend(arrivals.iter().enumerate().map(|(n, it)| Reverse((it.at, Event::Arrive(n)))));
+        for (n, trouble) in troubles.iter().enumerate() {
+            let (from, until) = match trouble {
+                Trouble::FailAll { from, until, .. } | Trouble::LostRack { from, until, .. } => (*from, Some(*until)),
+                Trouble::CancelWave { at, .. } => (*at, None),
+            };
+            events.push(Reverse((from, Event::Trouble(n, true))));
+            events.extend(until.map(|until| Reverse((until, Event::Trouble(n, false)))));
+        }
+        let empty = Room::empty(&servers);
+        let possible = arrivals.iter().map(|it| empty.check_ever_fits(&it.gang).is_ok()).collect();
+        Sim {
+            file: Arc::clone(file),
+            zone: zone.clone(),
+            servers,
+            arrivals,
+            troubles,
+            planner,
+            now: Moment::ZERO,
+            events,
+            waiting: BTreeMap::new(),
+            running: BTreeMap::new(),
+            failing: BTreeSet::new(),
+            lost: BTreeSet::new(),
+            closed: BTreeSet::new(),
+            failures: BTreeMap::new(),
+            starts: 0,
+            replan_comes: false,
+            possible,
+            measures: Measures::default(),
+        }
+    }
+
+    /// Runs until nothing is left.
+    pub fn run(mut self) -> Measures {
+        while let Some(Reverse((at, event))) = self.events.pop() {
+            self.account(at);
+            self.now = at;
+            self.happen(event);
+            // All events of one moment come before the planner sees it.
+            let more = self.events.peek().is_some_and(|Reverse((next, _))| *next == at);
+            if !more {
+                self.plan();
+            }
+        }
+        self.measures.left_waiting = self.waiting.len();
+        self.measures
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Arrive(n) => self.arrive(n),
+            Event::Trouble(n, on) => self.trouble(n, on),
+            Event::Reopen(i) => {
+                self.closed.remove(&i);
+                self.failures.remove(&i);
+            }
+            Event::End(n, start) => {
+                if self.running.get(&n).is_some_and(|gang| gang.start == start) {
+                    self.end(n);
+                }
+            }
+            Event::Replan => self.replan_comes = false,
+        }
+    }
+
+    fn arrive(&mut self, n: usize) {
+        let had_right = self.has_right(n);
+        let state = Waiting { since: self.now, done: Duration::ZERO, failures: 0, started: false, had_right };
+        self.waiting.insert(n, state);
+        self.measures.arrived += 1;
+    }
+
+    /// Whether the job's customer holds nothing and nothing of it waits, and the job is no more than
+    /// one of its guaranteed gangs: then it must start within the time of a checkpoint.
+    fn has_right(&self, n: usize) -> bool {
+        let it = &self.arrivals[n];
+        let Some(customer) = self.file.customers.get(&it.customer) else { return false };
+        let alone = self.running.keys().chain(self.waiting.keys()).all(|m| self.arrivals[*m].customer != it.customer);
+        let whole = self.lost.is_empty() && self.closed.is_empty() && self.failing.is_empty();
+        let shape = customer.guarantees.iter().any(|g| {
+            g.availability_zone == self.zone
+                && it.gang.tasks <= g.gang.tasks
+                && it.gang.within >= g.gang.within
+                && g.gang.per_task.contains(&it.gang.per_task)
+        });
+        alone && whole && shape
+    }
+
+    fn trouble(&mut self, n: usize, on: bool) {
+        match &self.troubles[n] {
+            Trouble::FailAll { server, .. } => {
+                let i = self.index(server);
+                if on {
+                    self.failing.insert(i);
+                } else {
+                    self.failing.remove(&i);
+                }
+            }
+            Trouble::LostRack { rack, .. } => {
+                let places: Vec<usize> = (0..self.servers.len()).filter(|i| self.servers[*i].rack == *rack).collect();
+                for i in places {
+                    if on {
+                        self.lost.insert(i);
+                    } else {
+                        self.lost.remove(&i);
+                    }
+                }
+                self.lose_gangs();
+            }
+            Trouble::CancelWave { part, .. } => {
+                let jobs: Vec<usize> = self.waiting.keys().copied().collect();
+                let every = (1.0 / part).round().max(1.0) as usize;
+                for n in jobs.into_iter().step_by(every) {
+                    self.waiting.remove(&n);
+                    self.measures.cancelled += 1;
+                }
+            }
+        }
+    }
+
+    fn index(&self, id: &BackendServerId) -> usize {
+        self.servers.iter().position(|s| s.id == *id).expect("troubles name servers of the file")
+    }
+
+    fn lose_gangs(&mut self) {
+        let touched = |gang: &Gang| gang.members.iter().any(|m| self.lost.contains(&self.index(&m.server)));
+        let lost: Vec<usize> = self.running.iter().filter(|(_, gang)| touched(gang)).map(|(n, _)| *n).collect();
+        for n in lost {
+            let gang = self.running.remove(&n).expect("the gang was just read");
+            self.measures.lose(&self.arrivals[n], self.now.since(gang.began));
+            self.waiting.insert(n, gang.state);
+        }
+    }
+
+    fn end(&mut self, n: usize) {
+        let gang = self.running.remove(&n).expect("the caller has read the gang");
+        let it = &self.arrivals[n];
+        let ran = self.now.since(gang.began);
+        let mut state = gang.state;
+        match gang.ending {
+            Ending::Done => {
+                self.planner.learn(&Finished {
+                    customer: it.customer.clone(),
+                    class: it.class.clone(),
+                    declared: it.declared,
+                    ran_for: state.done + ran,
+                });
+                for member in &gang.members {
+                    let i = self.index(&member.server);
+                    self.failures.remove(&i);
+                }
+                self.measures.done(it, self.now.since(it.at));
+            }
+            Ending::Failed(i) => {
+                state.failures += 1;
+                self.measures.failed_runs += 1;
+                self.note_failure(i);
+                if state.failures >= MAX_FAILURES || !it.repeatable {
+                    self.measures.failed += 1;
+                } else {
+                    self.waiting.insert(n, state);
+                }
+            }
+            Ending::Preempted => {
+                self.measures.preempted += 1;
+                if it.checkpointable {
+                    state.done += ran.min(it.actual);
+                } else {
+                    self.measures.lose(it, ran);
+                }
+                self.waiting.insert(n, state);
+            }
+        }
+    }
+
+    fn note_failure(&mut self, i: usize) {
+        let failures = self.failures.entry(i).or_default();
+        *failures += 1;
+        if *failures >= FAILURES && self.closed.insert(i) {
+            self.events.push(Reverse((self.now + CLOSED_FOR, Event::Reopen(i))));
+        }
+    }
+
+    fn plan(&mut self) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let snapshot = self.snapshot();
+        let begun = std::time::Instant::now();
+        let decisions = self.planner.plan(&snapshot);
+        self.measures.planned(begun.elapsed());
+        for decision in decisions {
+            match decision {
+                Decision::Start { job, members } => self.start(job.serial as usize, members),
+                Decision::Preempt { job, .. } => self.preempt(job.serial as usize),
+                Decision::Refuse { job, .. } => {
+                    self.waiting.remove(&(job.serial as usize));
+                    self.measures.refused += 1;
+                }
+            }
+        }
+        if !self.waiting.is_empty() && !self.replan_comes && !self.running.is_empty() {
+            self.replan_comes = true;
+            self.events.push(Reverse((self.now + REPLAN + REPLAN, Event::Replan)));
+        }
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        let mut servers = self.servers.clone();
+        for (i, server) in servers.iter_mut().enumerate() {
+            server.open = !self.lost.contains(&i) && !self.closed.contains(&i);
+        }
+        let running = self.running.iter().map(|(n, gang)| {
+            let it = &self.arrivals[*n];
+            Running {
+                job: job_id(*n),
+                customer: it.customer.clone(),
+                class: it.class.clone(),
+                per_task: it.gang.per_task,
+                members: gang.members.clone(),
+                ran_for: self.now.since(gang.began),
+                declared: it.declared,
+                repeatable: it.repeatable,
+                checkpointable: it.checkpointable,
+                stopping: gang.ending == Ending::Preempted,
+            }
+        });
+        let queue = self.waiting.iter().map(|(n, state)| {
+            let it = &self.arrivals[*n];
+            Queued {
+                job: job_id(*n),
+                customer: it.customer.clone(),
+                class: it.class.clone(),
+                gang: it.gang,
+                declared: it.declared,
+                waited: self.now.since(state.since),
+                repeatable: it.repeatable,
+                checkpointable: it.checkpointable,
+                avoid: BTreeSet::new(),
+            }
+        });
+        Snapshot { file: Arc::clone(&self.file), servers, running: running.collect(), queue: queue.collect() }
+    }
+
+    fn start(&mut self, n: usize, members: Vec<Member>) {
+        let mut state = self.waiting.remove(&n).expect("planners start waiting jobs only");
+        let it = &self.arrivals[n];
+        let began = self.now + START;
+        if !state.started {
+            state.started = true;
+            self.measures.started(it, began.since(it.at), state.had_right);
+        }
+        let bad = members.iter().map(|m| self.index(&m.server)).find(|i| self.failing.contains(i));
+        let left = Duration::from_millis(it.actual.millis().saturating_sub(state.done.millis()).max(1));
+        let (ending, length) = match bad {
+            Some(i) if left > FAIL_AFTER => (Ending::Failed(i), FAIL_AFTER),
+            _ => (Ending::Done, left),
+        };
+        self.starts += 1;
+        self.events.push(Reverse((began + length, Event::End(n, self.starts))));
+        self.running.insert(n, Gang { began, members, start: self.starts, ending, state });
+        self.check_capacity();
+    }
+
+    fn preempt(&mut self, n: usize) {
+        let Some(gang) = self.running.get_mut(&n) else { return };
+        if gang.ending == Ending::Preempted {
+            return;
+        }
+        let it = &self.arrivals[n];
+        assert!(it.repeatable || it.checkpointable, "a planner stopped work that may not be stopped");
+        gang.ending = Ending::Preempted;
+        self.starts += 1;
+        gang.start = self.starts;
+        let delay = if it.checkpointable { CHECKPOINT } else { STOP };
+        self.events.push(Reverse((self.now.max(gang.began) + delay, Event::End(n, self.starts))));
+    }
+
+    fn check_capacity(&self) {
+        let mut used = vec![model::Resources::default(); self.servers.len()];
+        for (n, gang) in &self.running {
+            for member in &gang.members {
+                used[self.index(&member.server)] += self.arrivals[*n].gang.per_task.times(member.tasks);
+            }
+        }
+        for (server, used) in self.servers.iter().zip(&used) {
+            assert!(server.resources.contains(used), "{} holds {used}, more than it has", server.id);
+        }
+    }
+
+    /// Adds up fragmentation and use over the time since the last event.
+    fn account(&mut self, until: Moment) {
+        let span = until.since(self.now).secs_f64();
+        if span <= 0.0 {
+            return;
+        }
+        let mut room = Room::empty(&self.servers);
+        for (n, gang) in &self.running {
+            room.take(&gang.members, &self.arrivals[*n].gang.per_task);
+        }
+        let waiting = self.waiting.keys().filter(|n| self.possible[**n]).map(|n| self.arrivals[*n].gang);
+        let guaranteed =
+            self.file.customers.values().flat_map(|c| &c.guarantees).filter(|g| g.availability_zone == self.zone);
+        let largest = waiting.chain(guaranteed.map(|g| g.gang)).max_by_key(|gang| gang.total().accelerators);
+        let Some(largest) = largest else { return };
+        let (mut free, mut usable) = (0, 0);
+        for rack in room.racks() {
+            let here: u32 = rack.iter().map(|i| room.free(*i).accelerators).sum();
+            let tasks: u32 = rack.iter().map(|i| room.fits(*i, &largest.per_task)).sum();
+            free += here;
+            usable += tasks / largest.tasks * largest.total().accelerators;
+        }
+        let capacity: u32 = self.servers.iter().map(|s| s.resources.accelerators).sum();
+        self.measures.account(span, free, usable.min(free), capacity, !self.waiting.is_empty());
+    }
+}
+
+fn job_id(n: usize) -> JobId {
+    JobId { minted_by: "replay".parse().expect("a valid id"), incarnation: Incarnation(1), serial: n as u64 }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! Chores of the project: `cargo xtask codegen`, `cargo xtask tidy`.
 
 mod codegen;
+mod replays;
 mod tidy;
 
 use std::process::ExitCode;
@@ -9,6 +10,7 @@
 
 commands:
   codegen [--check]  make the generated code from its sources; with --check only compare
+  replay             measure placement against two baselines (use `cargo run --release -p xtask -- replay`)
   tidy               check what the linter cannot: docs, file sizes, generated code, paths, words";
 
 fn main() -> ExitCode {
@@ -17,6 +19,7 @@
     let result = match args.as_slice() {
         ["codegen"] => codegen::write(),
         ["codegen", "--check"] => codegen::check(),
+        ["replay"] => replays::run(),
         ["tidy"] => tidy::check(),
         ["--help" | "-h"] => {
             println!("{USAGE}");
