Plan with cells; order overdue gangs by age so that none stop each other in turn

Cause: gangs stopped each other without end: the freed place went to whoever ranked higher, often the one just stopped; and what a stopped gang could claim back through its guarantee was stopped for urgent jobs. Ruled out: the size of gangs as the order (32s starved 16s for hours), and a minimum run time alone (it slowed the circle, and did not end it). Change: overdue gangs go by age since acceptance, which leases now carry; gangs that would claim a cell are not stopped for others; dated places yield to work that can be checkpointed. Boxes plan with cells.

--- a/crates/backend/src/message.rs
+++ b/crates/backend/src/message.rs
@@ -28,6 +28,8 @@
     pub index: usize,
     /// Whether to go on from the checkpoint of an earlier attempt.
     pub resume: bool,
+    /// How long the job had waited since its acceptance when this attempt began.
+    pub waited: Duration,
 }
 
 impl TaskSpec {
@@ -234,6 +236,8 @@
     pub declared: Duration,
     /// How long it has run here.
     pub ran_for: Duration,
+    /// How long the job had waited since its acceptance when the attempt began.
+    pub waited: Duration,
     /// Whether it may run more than once.
     pub repeatable: bool,
     /// Whether it can go on from a checkpoint.
--- a/crates/entry/src/planning.rs
+++ b/crates/entry/src/planning.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use backend::{BackendRequest, Lease};
-use model::{BoxId, Duration, JobId, Member, Moment};
-use policy::{Decision, Planner, Queued, Running, Snapshot};
+use backend::{BackendRequest, Lease, TaskState};
+use model::{BackendServerId, BoxId, Duration, JobId, Member, Moment};
+use policy::{Decision, Finished, Planner, Queued, Running, Snapshot};
 
 use crate::{BackendOp, EntryBox, Observation, PeerRequest, entry_box::Op, offers::queued};
 
@@ -55,6 +55,21 @@
         }
     }
 
+    /// Learns run times from gangs that ended well. Their first members tell for the whole.
+    pub(crate) fn learn(&mut self, server: &BackendServerId, leases: &[Lease]) {
+        for lease in leases.iter().filter(|lease| matches!(lease.state, TaskState::Finished { .. })) {
+            let is_first = lease.members.first().is_some_and(|m| m.server == *server);
+            if is_first && !lease.acknowledged {
+                self.planner.learn(&Finished {
+                    customer: lease.customer.clone(),
+                    class: lease.class.clone(),
+                    declared: lease.declared,
+                    ran_for: lease.ran_for,
+                });
+            }
+        }
+    }
+
     /// Time between starts of late, averaged.
     pub(crate) fn time_per_start(&self) -> Duration {
         Duration::from_millis(self.time_per_start as u64)
@@ -198,6 +213,7 @@
         per_task: it.gang.per_task,
         members: members.to_vec(),
         ran_for: Duration::ZERO,
+        age: it.waited,
         declared: it.declared,
         repeatable: it.repeatable,
         checkpointable: it.checkpointable,
--- a/crates/entry/src/replicas.rs
+++ b/crates/entry/src/replicas.rs
@@ -99,6 +99,7 @@
             let gang = gangs.entry(&lease.job).or_insert_with(|| running(server, lease));
             gang.stopping |= lease.stopping;
             gang.ran_for = gang.ran_for.max(lease.ran_for);
+            gang.age = gang.age.max(lease.waited + lease.ran_for);
         }
         gangs.into_values().collect()
     }
@@ -118,6 +119,7 @@
         per_task,
         members: lease.members.clone(),
         ran_for: lease.ran_for,
+        age: lease.waited + lease.ran_for,
         declared: lease.declared,
         repeatable: lease.repeatable,
         checkpointable: lease.checkpointable,
@@ -178,6 +180,9 @@
         for lease in &update.leases {
             replica.leases.insert(lease.job.clone(), lease.clone());
         }
+        if !update.full {
+            self.planning.learn(server, &update.leases);
+        }
         let changed = update.full || !update.leases.is_empty() || !update.removed.is_empty();
         let info_changed = replica.info.as_ref() != Some(&update.info);
         replica.table = update.table;
--- a/crates/lifecycle/src/commit.rs
+++ b/crates/lifecycle/src/commit.rs
@@ -19,7 +19,13 @@
         job.phase = Phase::Reserving { until: now + self.limits.reserve_wait };
         let calls: Vec<_> = (0..members.len())
             .map(|index| {
-                let task = TaskSpec { spec: (*job.spec).clone(), members: members.clone(), index, resume: job.resume };
+                let task = TaskSpec {
+                    spec: (*job.spec).clone(),
+                    members: members.clone(),
+                    index,
+                    resume: job.resume,
+                    waited: now.since(job.submitted),
+                };
                 let req = BackendRequest::Reserve {
                     job: id.clone(),
                     token: job.token(),
--- a/crates/martend/examples/quickstart/world.rs
+++ b/crates/martend/examples/quickstart/world.rs
@@ -146,7 +146,7 @@
     for (name, zone, callers, peers) in listeners {
         let settings = settings(&name, &zone, &callers, &peers, platform, listed.clone())?;
         let addr = callers.local_addr()?;
-        let planner = Box::new(policy::FirstFit);
+        let planner = Box::new(policy::CellPlanner::new(zone.clone()));
         let daemon = martend::start(settings, Parts { callers, peers, planner })?;
         boxes.push(RunningBox { name, callers: addr, daemon: Some(daemon) });
     }
--- a/crates/martend/src/main.rs
+++ b/crates/martend/src/main.rs
@@ -5,7 +5,7 @@
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use martend::{Parts, RawSettings, Settings, start, telemetry};
-use policy::FirstFit;
+use policy::CellPlanner;
 use smol::net::TcpListener;
 
 const BRIEF: &str = "usage: martend --settings FILE [--check]";
@@ -63,7 +63,8 @@
     let peers = TcpListener::bind(settings.peers_address).await?;
     let mut signals = Signals::new([Signal::Term, Signal::Int])?;
     let name = settings.box_id.clone();
-    let daemon = start(settings, Parts { callers, peers, planner: Box::new(FirstFit) })?;
+    let planner = Box::new(CellPlanner::new(settings.availability_zone.clone()));
+    let daemon = start(settings, Parts { callers, peers, planner })?;
     let at = daemon.addresses;
     log::info!("event=started box={name} callers={} peers={}", at.callers, at.peers);
     if signals.next().await.is_some() {
--- a/crates/policy/src/cells.rs
+++ b/crates/policy/src/cells.rs
@@ -8,7 +8,7 @@
 use derive_more::{Display, Error};
 use model::{AvailabilityZoneId, CustomerId, Gang, Member, OperatorFile, Resources, ServerMode};
 
-use crate::{Queued, Room, Server, place::best_fit};
+use crate::{Room, Server, place::best_fit};
 
 /// Why the guarantees of a file cannot all be held at once.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
@@ -41,13 +41,6 @@
     pub(crate) members: Vec<Member>,
 }
 
-impl Cell {
-    /// Whether a job's gang is no more than the cell's.
-    pub(crate) fn holds(&self, gang: &Gang) -> bool {
-        gang.tasks <= self.gang.tasks && self.gang.per_task.contains(&gang.per_task) && gang.within >= self.gang.within
-    }
-}
-
 /// All cells of an availability zone.
 #[derive(Debug, Clone)]
 pub(crate) struct Cells {
@@ -113,9 +106,10 @@
         self.assigned[i].iter().find(|(c, _)| *c == customer).map_or(Resources::default(), |(_, share)| *share)
     }
 
-    /// Cells of a customer that a job fits into.
-    pub(crate) fn for_job<'a>(&'a self, customer: usize, job: &'a Queued) -> impl Iterator<Item = &'a Cell> {
-        self.cells.iter().filter(move |cell| cell.customer == customer && cell.holds(&job.gang))
+    /// Cells of a customer whose gang is no less than this one.
+    pub(crate) fn for_gang(&self, customer: usize, tasks: u32, per_task: Resources) -> impl Iterator<Item = &Cell> {
+        let holds = move |cell: &&Cell| cell.gang.tasks >= tasks && cell.gang.per_task.contains(&per_task);
+        self.cells.iter().filter(move |cell| cell.customer == customer).filter(holds)
     }
 }
 
--- a/crates/policy/src/order.rs
+++ b/crates/policy/src/order.rs
@@ -24,9 +24,16 @@
 
 /// A sort key; the lowest comes first.
 pub(crate) fn key(standing: &Standing, weights: &Weights) -> (Claim, f64) {
+    if standing.claim == Claim::Overdue {
+        // By age, as one overdue gang may stop another that came after it: else what was freed for
+        // the older would go to the younger again.
+        return (standing.claim, -standing.waited.secs_f64());
+    }
     let likely = standing.likely.secs_f64().max(1.0);
-    let ratio = (standing.waited.secs_f64() + likely) / likely;
-    let size = f64::from(standing.tasks).powf(weights.fragmentation_part());
+    let fragmentation = weights.fragmentation_part();
+    // With all weight on completion time this is the response ratio, with none the order of arrival.
+    let ratio = (standing.waited.secs_f64() + likely) / likely.powf(1.0 - fragmentation);
+    let size = f64::from(standing.tasks).powf(fragmentation);
     let share = 1.0 + SHARE_PULL * standing.use_over_share;
     (standing.claim, -(ratio * size / share))
 }
--- a/crates/policy/src/round.rs
+++ b/crates/policy/src/round.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
-use model::{CustomerId, Duration, Gang, Member, Resources};
+use model::{CustomerId, Duration, Member, Resources};
 
 use crate::{
     Decision, Queued, Room, Running, Snapshot,
@@ -14,16 +14,16 @@
     shadow::Shadow,
 };
 
-/// A gang of at least this many tasks is large: it gets a dated place.
-const LARGE: u32 = 8;
+/// A gang that takes at least this part of the largest rack is large: it gets a dated place.
+const LARGE_PART: f64 = 0.25;
 /// Dated places held at once.
-const MAX_SHADOWS: usize = 2;
+const MAX_SHADOWS: usize = 1;
 /// A large gang bears being passed over for this part of its likely run time ...
 const PATIENCE: f64 = 0.1;
 /// ... and at least so long, so that it does not stop others for a gap that opens by itself.
-const PATIENCE_MIN: Duration = Duration::from_secs(120);
+const PATIENCE_MIN: Duration = Duration::from_secs(30);
 /// ... and at most so long.
-const PATIENCE_MAX: Duration = Duration::from_secs(900);
+const PATIENCE_MAX: Duration = Duration::from_secs(300);
 
 /// How strong a job's claim to a place is, the strongest first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -38,6 +38,9 @@
     None,
 }
 
+/// A gang that began less than this ago is not stopped for an overdue one.
+const MIN_RUN: Duration = Duration::from_secs(60);
+
 /// What jobs that fare alike within a round have in common.
 type Kind = (CustomerId, u32, Resources, model::Within, bool, bool);
 
@@ -53,6 +56,8 @@
     soon: Room,
     ledger: Ledger,
     stopped: Vec<bool>,
+    /// Accelerators, or cores if there are none, from which on a gang is large.
+    large: f64,
     shadows: Vec<Shadow>,
     failed: HashSet<Kind>,
     pub(crate) decisions: Vec<Decision>,
@@ -71,6 +76,9 @@
             soon.give(&gang.members, &gang.per_task);
         }
         let ledger = Ledger::of(&room, &snapshot.running, |customer| numbers.get(customer).copied());
+        let rack_size = |rack: &Vec<usize>| rack.iter().map(|i| size(&room.capacity(*i))).sum::<u32>();
+        let largest = room.racks().iter().map(rack_size).max().unwrap_or(0);
+        let large = f64::from(largest) * LARGE_PART;
         let stopped = snapshot.running.iter().map(|gang| gang.stopping).collect();
         Round {
             snapshot,
@@ -81,6 +89,7 @@
             soon,
             ledger,
             stopped,
+            large,
             shadows: Vec::new(),
             failed: HashSet::new(),
             decisions: Vec::new(),
@@ -133,15 +142,14 @@
             return self.stop_for(queued, &reclaim, &among);
         }
         self.failed.insert(kind);
-        if queued.gang.tasks >= LARGE && self.shadows.len() < MAX_SHADOWS {
+        if self.is_large(queued) && self.shadows.len() < MAX_SHADOWS {
             self.date(queued);
         }
     }
 
     /// How strong a job's claim is: the weaker may not take what was freed for the stronger.
     pub(crate) fn claim(&self, queued: &Queued) -> Claim {
-        let customer = self.number(&queued.customer);
-        if customer.is_some_and(|customer| self.unused_cells(customer, queued).next().is_some()) {
+        if self.has_unused_cell(queued) {
             return Claim::Guaranteed;
         }
         if self.is_urgent(queued) {
@@ -159,10 +167,14 @@
         self.snapshot.file.classes.get(&queued.class).is_some_and(|class| class.urgent)
     }
 
+    fn is_large(&self, queued: &Queued) -> bool {
+        f64::from(size(&queued.gang.total())) >= self.large
+    }
+
     /// Whether a large gang has been passed over for long enough to stop those that overtook it.
     fn is_overdue(&self, queued: &Queued) -> bool {
         let patience = self.likely(queued).scaled(PATIENCE).clamp(PATIENCE_MIN, PATIENCE_MAX);
-        queued.gang.tasks >= LARGE && queued.waited >= patience
+        self.is_large(queued) && queued.waited >= patience
     }
 
     /// How many of a job's tasks a backend server takes now.
@@ -179,7 +191,8 @@
 
     /// Whether a dated place takes in a backend server, and the job would not be gone by then.
     fn is_kept_for_another(&self, queued: &Queued, likely: Duration, i: usize) -> bool {
-        if self.is_urgent(queued) {
+        // What can be checkpointed may borrow the place until it is due.
+        if self.is_urgent(queued) || queued.checkpointable {
             return false;
         }
         self.shadows.iter().any(|shadow| shadow.covers(i) && likely > shadow.after)
@@ -219,31 +232,50 @@
             return self.reclaim_from(queued, |it| !self.is_urgent_gang(it));
         }
         if overdue {
-            // Those that began after this job came have overtaken it.
+            // Those that came after this job have overtaken it. That goes by age alone, so that no
+            // two jobs can ever stop each other.
             return self.reclaim_from(queued, |it| {
-                it.ran_for < queued.waited && smaller(it, &queued.gang) && !self.is_urgent_gang(it)
+                let overtook = it.age < queued.waited && it.ran_for >= MIN_RUN;
+                overtook && it.checkpointable && !self.is_urgent_gang(it)
             });
         }
         None
     }
 
-    /// Places of a cell that the job may take back: its customer does not use it yet.
-    fn unused_cells<'b>(&'b self, customer: usize, queued: &'b Queued) -> impl Iterator<Item = BTreeSet<usize>> + 'b {
-        self.cells.for_job(customer, queued).filter_map(move |cell| {
-            let members = shrink(&cell.members, queued.gang.tasks);
+    /// Places of cells that a gang may take back: its customer does not use them yet.
+    fn unused_cells<'b>(
+        &'b self,
+        customer: usize,
+        tasks: u32,
+        per_task: Resources,
+    ) -> impl Iterator<Item = BTreeSet<usize>> + 'b {
+        self.cells.for_gang(customer, tasks, per_task).filter_map(move |cell| {
+            let members = shrink(&cell.members, tasks);
             let places: Vec<(usize, u32)> =
                 members.iter().filter_map(|m| Some((self.room.position(&m.server)?, m.tasks))).collect();
             let unused = places.iter().all(|(i, tasks)| {
-                let after = self.ledger.used(*i, customer) + queued.gang.per_task.times(*tasks);
+                let after = self.ledger.used(*i, customer) + per_task.times(*tasks);
                 self.cells.assigned_to(*i, customer).contains(&after)
             });
             unused.then(|| places.into_iter().map(|(i, _)| i).collect())
         })
     }
 
+    fn has_unused_cell(&self, queued: &Queued) -> bool {
+        let Some(customer) = self.number(&queued.customer) else { return false };
+        self.unused_cells(customer, queued.gang.tasks, queued.gang.per_task).next().is_some()
+    }
+
+    /// Whether a gang, once stopped, would have a right to a cell and so outrank whoever stopped it.
+    fn would_claim_a_cell(&self, it: &Running) -> bool {
+        let Some(customer) = self.number(&it.customer) else { return false };
+        let tasks = it.members.iter().map(|m| m.tasks).sum();
+        self.unused_cells(customer, tasks, it.per_task).next().is_some()
+    }
+
     /// A guaranteed shape is taken back from whoever borrows it.
     fn reclaim_cell(&self, customer: usize, queued: &Queued) -> Option<(Reclaim, Vec<usize>)> {
-        for inside in self.unused_cells(customer, queued) {
+        for inside in self.unused_cells(customer, queued.gang.tasks, queued.gang.per_task) {
             let among = self.stoppable(|it| it.customer != queued.customer && !self.is_on_own_cell(it));
             let candidates: Vec<&Running> = among.iter().map(|n| &self.snapshot.running[*n]).collect();
             let usable = |i: usize| inside.contains(&i);
@@ -258,7 +290,7 @@
         if !queued.preemptible() {
             return None;
         }
-        let among = self.stoppable(|it| allowed(it) && !self.is_on_own_cell(it));
+        let among = self.stoppable(|it| allowed(it) && !self.is_on_own_cell(it) && !self.would_claim_a_cell(it));
         let candidates: Vec<&Running> = among.iter().map(|n| &self.snapshot.running[*n]).collect();
         let found = reclaim::cheapest(&self.soon, &candidates, &queued.gang, &|i| self.room.is_open(i))?;
         Some((found, among))
@@ -311,8 +343,9 @@
     (customer, gang.tasks, gang.per_task, gang.within, queued.preemptible(), overdue)
 }
 
-fn smaller(it: &Running, gang: &Gang) -> bool {
-    it.members.iter().map(|m| m.tasks).sum::<u32>() < gang.tasks
+/// The size that counts: accelerators, or cores where there are none.
+fn size(it: &Resources) -> u32 {
+    if it.accelerators > 0 { it.accelerators } else { it.cores }
 }
 
 /// The first of a cell's members that together take so many tasks.
--- a/crates/policy/src/snapshot.rs
+++ b/crates/policy/src/snapshot.rs
@@ -33,6 +33,8 @@
     pub members: Vec<Member>,
     /// Since its start.
     pub ran_for: Duration,
+    /// Since its acceptance.
+    pub age: Duration,
     /// As declared by the caller.
     pub declared: Duration,
     /// Whether it may run more than once.
--- a/crates/replay/src/sim.rs
+++ b/crates/replay/src/sim.rs
@@ -349,6 +349,7 @@
                 per_task: it.gang.per_task,
                 members: gang.members.clone(),
                 ran_for: self.now.since(gang.began),
+                age: self.now.since(it.at),
                 declared: it.declared,
                 repeatable: it.repeatable,
                 checkpointable: it.checkpointable,
--- a/crates/replay/src/workload.rs
+++ b/crates/replay/src/workload.rs
@@ -121,7 +121,7 @@
             load: 0.40,
             burst: 8,
             repeatable: self == Deployment::Tsehay,
-            checkpointable: self == Deployment::Tsehay,
+            checkpointable: true,
         };
         let large = Kind {
             class: self.large_class(),
@@ -152,7 +152,7 @@
                 let at = match n < in_bursts {
                     true => {
                         // Bursts of all kinds come at the same times.
-                        let burst = bursts[(n / kind.burst).min(bursts.len() - 1)];
+                        let burst = bursts[(n / kind.burst) % bursts.len()];
                         burst + Duration::from_millis(rng.u64(0..BURST_LENGTH.millis()))
                     }
                     false => Moment::from_millis(rng.u64(0..length.millis())),
--- a/crates/standins/src/lease_table.rs
+++ b/crates/standins/src/lease_table.rs
@@ -522,6 +522,7 @@
             state: self.state.clone(),
             declared: spec.declared,
             ran_for: self.began.map_or(Duration::ZERO, |began| self.ended.unwrap_or(now).since(began)),
+            waited: self.task.waited,
             repeatable: spec.repeatable,
             checkpointable: spec.checkpointable,
             stopping: self.stop_at.is_some(),
--- a/crates/test-utils/src/cluster.rs
+++ b/crates/test-utils/src/cluster.rs
@@ -25,6 +25,9 @@
 /// Allowed on top of leases for the rest of a gang whose member was lost.
 const REMAINDER_SLACK: Duration = Duration::from_secs(10);
 
+/// Makes the planner of a box in an availability zone.
+pub type MakePlanner = fn(&AvailabilityZoneId) -> Box<dyn Planner>;
+
 /// How large a cluster is.
 #[derive(Debug, Clone, Copy)]
 pub struct Shape {
@@ -83,7 +86,7 @@
     pub(crate) faults: Faults,
     pub(crate) callers: Vec<VirtualCaller>,
     pub(crate) limits: Limits,
-    pub(crate) planner: fn() -> Box<dyn Planner>,
+    pub(crate) planner: MakePlanner,
     store_watchers: Vec<StoreWatcher>,
     owed: BTreeMap<Owed, Asker>,
     answered: BTreeSet<u64>,
@@ -96,13 +99,7 @@
 
 impl Cluster {
     /// A cluster whose configuration is in the store; it is in force after a few moments.
-    pub fn new(
-        shape: Shape,
-        file: OperatorFile,
-        limits: Limits,
-        planner: fn() -> Box<dyn Planner>,
-        seed: u64,
-    ) -> Cluster {
+    pub fn new(shape: Shape, file: OperatorFile, limits: Limits, planner: MakePlanner, seed: u64) -> Cluster {
         let mut it = Cluster {
             now: Moment::from_millis(1_000_000),
             rng: Rng::with_seed(seed),
@@ -177,7 +174,7 @@
         it.paused = false;
         it.backlog.clear();
         let identity = Identity { box_id: id.clone(), incarnation, availability_zone: it.zone.clone() };
-        it.entry = Some(EntryBox::new(identity, limits, listed, planner(), now));
+        it.entry = Some(EntryBox::new(identity, limits, listed, planner(&it.zone), now));
         let life = it.life.clone();
         self.queue.push(now, Event::Tick(life));
     }
--- a/crates/test-utils/src/lib.rs
+++ b/crates/test-utils/src/lib.rs
@@ -9,6 +9,6 @@
 
 pub use crate::{
     caller::{acknowledge, run_job},
-    cluster::{Cluster, Shape},
+    cluster::{Cluster, MakePlanner, Shape},
     virtual_caller::CallerId,
 };
