Refuse tickets older than a backend server's memory

Cause: fuzzing found a request run twice: its ticket was fenced, the backend server restarted and forgot the fence, and the paused box woke and started the old ticket there. Change: a reservation tells the ticket's age; a lease table younger than that refuses it for a request that may run only once, and the box claims the request anew, which finds out whether another box has it. A claim that cannot be made for want of the store is kept and made later. Conclusion: what a fence rests on is memory, so its age is now part of the protocol.

--- a/crates/backend/src/message.rs
+++ b/crates/backend/src/message.rs
@@ -66,6 +66,9 @@
         task: TaskSpec,
         /// When the reservation lapses unless the start comes.
         ttl: Duration,
+        /// How long ago the ticket was minted. A table younger than that may have forgotten that the
+        /// ticket was fenced, and refuses it for a request that may run only once.
+        ticket_age: Duration,
     },
     /// Readies a reserved task; it runs only once a renewal says `go`. Sent only when every member holds.
     Start {
@@ -320,6 +323,12 @@
         /// What is left.
         free: Resources,
     },
+    /// The table is younger than the ticket, and the request may run only once.
+    #[display("the lease table remembers only {remembers}")]
+    TooYoung {
+        /// How far back the table remembers.
+        remembers: Duration,
+    },
     /// It is leaving.
     #[display("the backend server is leaving")]
     Leaving,
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -356,8 +356,32 @@
         }
     }
 
-    /// Writes ends again that could not be written.
+    /// Claims a waiting job anew, under a ticket that young lease tables accept. It goes the way of
+    /// any submission, so that a box which has fenced the old ticket in between is found out.
+    pub(crate) fn renew_ticket(&mut self, job: &JobId, now: Moment) {
+        let Some(claim) = self.claimed.get(job) else { return };
+        let durable = claim.durable.is_some();
+        let Some((spec, origin)) = self.jobs.release(job) else { return };
+        self.claimed.remove(job);
+        let submission = Submission {
+            spec: (*spec).clone(),
+            wait: Duration::ZERO,
+            durable,
+            retry: false,
+            ticket: None,
+            resume: origin.resume,
+            may_have_run: !origin.certain,
+        };
+        self.submit_new(submission, Respondent::Nobody, now);
+    }
+
+    /// Writes ends again that could not be written, and makes claims again that could not be made.
     pub(crate) fn tick_claims(&mut self, now: Moment) {
+        let (due, later) = std::mem::take(&mut self.unclaimed).into_iter().partition(|(at, _)| *at <= now);
+        self.unclaimed = later;
+        for (_, submission) in due {
+            self.submit_new(submission, Respondent::Nobody, now);
+        }
         if self.config.retry_ends_at.is_some_and(|at| at <= now) {
             self.config.retry_ends_at = None;
             for job in std::mem::take(&mut self.unreported) {
--- a/crates/entry/src/entry_box.rs
+++ b/crates/entry/src/entry_box.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     BackendOp, CallerReply, CallerRequest, Input, JobAnswer, Observation, OpId, Output, PeerReply, PeerRequest,
-    ReplyTo,
+    ReplyTo, Submission,
     claims::ClaimOp,
     offers::{Offered, Offering},
     planning::Planning,
@@ -131,6 +131,8 @@
     pub(crate) dead_since: BTreeMap<Holder, Moment>,
     pub(crate) recover_at: Option<Moment>,
     pub(crate) draining: bool,
+    /// Jobs without a caller whose claim could not be made, and when it is tried again.
+    pub(crate) unclaimed: Vec<(Moment, Submission)>,
     pub(crate) hand_over_at: Moment,
     pub(crate) last_heartbeat: Option<Moment>,
     pub(crate) out: Vec<Output>,
@@ -166,6 +168,7 @@
             dead_since: BTreeMap::new(),
             recover_at: Some(now + limits.settle),
             draining: false,
+            unclaimed: Vec::new(),
             hand_over_at: now,
             born: now,
             last_heartbeat: None,
@@ -333,6 +336,7 @@
                 Effect::Started { job, delay } => self.on_started(&job, delay),
                 Effect::Ended { job, after } => self.on_ended(&job, after, now),
                 Effect::Moved { job } => self.on_moved(&job, now),
+                Effect::TicketTooOld { job } => self.renew_ticket(&job, now),
                 Effect::RunFailed { server, job } => self.on_run_failed(&server, &job, now),
                 Effect::Count(anomaly) => {
                     self.observe(Observation::Count { name: crate::status::anomaly_name(anomaly) });
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -49,6 +49,7 @@
             && self.waiters.is_empty()
             && self.unreported.is_empty()
             && self.unrecorded.is_empty()
+            && self.unclaimed.is_empty()
             && !self.ops.values().any(owes)
     }
 
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -90,6 +90,11 @@
     }
 
     pub(crate) fn refuse_for_store(&mut self, submission: &Submission, to: Respondent, now: Moment) {
+        if to == Respondent::Nobody {
+            // Nobody would send it again.
+            self.unclaimed.push((now + RETRY_STORE, submission.clone()));
+            return;
+        }
         let reason = NotRunReason::StoreUnavailable;
         match submission.retry || submission.may_have_run {
             true => self.refuse_in_doubt(to, &reason, Some(RETRY_STORE), now),
--- a/crates/entry/tests/failures.rs
+++ b/crates/entry/tests/failures.rs
@@ -188,3 +188,24 @@
     cluster.advance(Duration::from_millis(8131));
     check_settles(cluster);
 }
+
+/// A backend server restarted and forgot a fenced ticket, whose box then woke and ran the request a
+/// second time.
+#[test]
+fn a_young_lease_table_refuses_older_tickets() {
+    let mut cluster = cluster(2029638575838532061);
+    let b = ["az-1-box-1", "az-1-box-2", "az-2-box-1", "az-2-box-2"];
+    cluster.submit(spec(1, 0, 200, 16571), false, &a_box(b[3]));
+    cluster.submit(spec(2, 122, 144, 18709), false, &a_box(b[1]));
+    cluster.set_network(184, 52);
+    cluster.advance(Duration::from_millis(463));
+    cluster.pause_box(&a_box(b[3]));
+    cluster.advance(Duration::from_millis(12755));
+    cluster.submit(spec(3, 97, 38, 9959), false, &a_box(b[0]));
+    cluster.submit(spec(4, 209, 234, 491), false, &a_box(b[0]));
+    cluster.advance(Duration::from_millis(11136));
+    let s = cluster.server_ids()[3].clone();
+    cluster.restart_server(&s);
+    cluster.advance(Duration::from_millis(13202));
+    check_settles(cluster);
+}
--- a/crates/lifecycle/src/commit.rs
+++ b/crates/lifecycle/src/commit.rs
@@ -11,6 +11,7 @@
 impl Coordinator {
     /// First step: resources on every member.
     pub(crate) fn reserve(&mut self, id: &JobId, members: Vec<Member>, now: Moment) {
+        let ticket_age = self.ticket_age(id, now);
         let job = self.jobs.get_mut(id).expect("the caller has read the job");
         job.attempt = job.attempt.next();
         job.go_sent = false;
@@ -32,6 +33,7 @@
                     holder: self.me.clone(),
                     task,
                     ttl: self.limits.reserve_ttl,
+                    ticket_age,
                 };
                 Effect::Call { server: members[index].server.clone(), req }
             })
--- a/crates/lifecycle/src/coordinator.rs
+++ b/crates/lifecycle/src/coordinator.rs
@@ -15,6 +15,9 @@
     job::{Cause, Job, Phase},
 };
 
+/// How far the tickets of a burst may run ahead of the clock.
+const MINT_AHEAD: Duration = Duration::from_millis(10);
+
 /// What the host is to do.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Effect {
@@ -46,6 +49,12 @@
         /// The job.
         job: JobId,
     },
+    /// A backend server refuses a job's ticket for being older than its lease table: the job needs a
+    /// new one.
+    TicketTooOld {
+        /// The job.
+        job: JobId,
+    },
     /// A run of a job failed on a backend server.
     RunFailed {
         /// Where.
@@ -168,6 +177,11 @@
         JobId { minted_by: self.me.box_id.clone(), incarnation: self.me.incarnation, serial: self.last_serial }
     }
 
+    /// How long ago this coordinator made a ticket, never too low.
+    pub(crate) fn ticket_age(&self, job: &JobId, now: Moment) -> Duration {
+        Duration::from_millis(now.since(self.born).millis().saturating_sub(job.serial)) + MINT_AHEAD
+    }
+
     /// Whether this coordinator made the ticket.
     pub fn minted(&self, job: &JobId) -> bool {
         job.minted_by == self.me.box_id && job.incarnation == self.me.incarnation && job.serial <= self.last_serial
--- a/crates/lifecycle/src/replies.rs
+++ b/crates/lifecycle/src/replies.rs
@@ -119,6 +119,7 @@
     }
 
     fn on_refused(&mut self, id: &JobId, refusal: Refusal, now: Moment) {
+        let too_young = matches!(refusal, Refusal::TooYoung { .. });
         if let Refusal::Stale { seen, holder } = refusal
             && seen > self.jobs[id].token()
         {
@@ -129,6 +130,9 @@
             Phase::Starting { .. } => self.stop(id, Cause::StartFailed, now),
             _ => {}
         }
+        if too_young && self.jobs.contains_key(id) {
+            self.effects.push(Effect::TicketTooOld { job: id.clone() });
+        }
     }
 
     /// A newer token was seen: another box has adopted the job, or fenced its ticket.
--- a/crates/standins/src/lease_table.rs
+++ b/crates/standins/src/lease_table.rs
@@ -157,8 +157,12 @@
     pub fn call(&mut self, req: BackendRequest, now: Moment) -> BackendReply {
         self.advance(now);
         let result = match req {
-            BackendRequest::Reserve { job, token, holder, task, ttl } => {
-                self.reserve(job, token, holder, task, now + ttl, now)
+            BackendRequest::Reserve { job, token, holder, task, ttl, ticket_age } => {
+                let remembers = now.since(self.born).min(MEMORY);
+                match task.spec.repeatable || ticket_age <= remembers {
+                    true => self.reserve(job, token, holder, task, now + ttl, now),
+                    false => Err(Refusal::TooYoung { remembers }),
+                }
             }
             BackendRequest::Start { job, token, ttl } => self.start(&job, token, now + ttl),
             BackendRequest::Renew { leases, ttl } => {
