--- a/crates/entry/tests/failures.rs
+++ b/crates/entry/tests/failures.rs
@@ -23,6 +23,7 @@
         if cluster.open_callers().is_empty() {
             break;
         }
+        cluster.start_all();
         cluster.advance(Duration::from_secs(10));
     }
     assert_eq!(cluster.violations(), vec![]);
--- a/crates/entry/tests/fuzz.rs
+++ b/crates/entry/tests/fuzz.rs
@@ -121,6 +121,8 @@
         cluster.heal();
         let end = cluster.now() + SETTLING;
         while !cluster.open_callers().is_empty() && cluster.now() < end {
+            // Boxes that have left are replaced.
+            cluster.start_all();
             cluster.advance(Duration::from_secs(10));
         }
         assert_eq!(cluster.violations(), vec![]);
--- a/crates/model/src/check.rs
+++ b/crates/model/src/check.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use derive_more::{Display, Error};
+use derive_more::Error;
 use serde::de::DeserializeOwned;
 
 /// A place in a JSON document, written like `customers[2].share`.
@@ -33,17 +33,27 @@
 }
 
 /// Why a document was refused.
-#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
-#[display("{path}: {value} is refused: {allowed}")]
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub struct CheckError {
     /// Where.
     pub path: JsonPath,
-    /// What stands there, as text.
+    /// What stands there, as text; empty if `allowed` says it.
     pub value: String,
     /// What may stand there instead.
     pub allowed: String,
 }
 
+impl fmt::Display for CheckError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let CheckError { path, value, allowed } = self;
+        match (*path == JsonPath::root(), value.is_empty()) {
+            (true, true) => f.write_str(allowed),
+            (false, true) => write!(f, "{path}: {allowed}"),
+            _ => write!(f, "{path}: {value} is refused: {allowed}"),
+        }
+    }
+}
+
 impl CheckError {
     /// An error at `path`.
     pub fn new(path: &JsonPath, value: impl fmt::Display, allowed: impl Into<String>) -> CheckError {
@@ -57,7 +67,7 @@
     let value = serde_path_to_error::deserialize(&mut de).map_err(|e| {
         let path = e.path().to_string();
         let path = if path == "." { JsonPath::root() } else { JsonPath(path) };
-        CheckError { path, value: "the value".to_owned(), allowed: e.inner().to_string() }
+        CheckError { path, value: String::new(), allowed: e.inner().to_string() }
     })?;
     de.end().map_err(|e| CheckError::new(&JsonPath::root(), "the text after the document", e.to_string()))?;
     Ok(value)
--- /dev/null
+++ b/crates/model/tests/files.rs
@@ -0,0 +1,31 @@
+//! Operators' files that must be accepted or refused, one per file under `test_data`.
+//!
+//! A refused file's first line is a JSON string: the error that must come.
+
+use std::path::Path;
+
+use model::OperatorFile;
+
+fn accepted(path: &Path) -> datatest_stable::Result<()> {
+    let file: OperatorFile = model::from_json(&std::fs::read(path)?)?;
+    let text = serde_json::to_string(&file)?;
+    let again: OperatorFile = model::from_json(text.as_bytes())?;
+    assert_eq!(file, again, "what was written must read back the same");
+    Ok(())
+}
+
+fn refused(path: &Path) -> datatest_stable::Result<()> {
+    let text = std::fs::read_to_string(path)?;
+    let (expected, file) = text.split_once('\n').ok_or("the first line is the expected error")?;
+    let expected: String = serde_json::from_str(expected)?;
+    match model::from_json::<OperatorFile>(file.as_bytes()) {
+        Ok(_) => Err("the file was accepted".into()),
+        Err(e) if e.to_string() == expected => Ok(()),
+        Err(e) => Err(format!("expected {expected}\n     got {e}").into()),
+    }
+}
+
+datatest_stable::harness! {
+    { test = accepted, root = "../../examples", pattern = r"(tsehay|yonghe)\.json$" },
+    { test = refused, root = "test_data/refused", pattern = r"\.json$" },
+}
--- a/crates/test-utils/src/faults.rs
+++ b/crates/test-utils/src/faults.rs
@@ -153,6 +153,13 @@
         self.faults.max_delay_ms = max_delay_ms;
     }
 
+    /// Starts every box that is dead or has left with a new life.
+    pub fn start_all(&mut self) {
+        for id in self.box_ids() {
+            self.start_box(&id);
+        }
+    }
+
     /// Ends all faults; dead boxes start anew and paused ones go on.
     pub fn heal(&mut self) {
         self.faults = Faults::default();
