Show fragmentation and a mended server in the quickstart

Cause: one caller had no outcome while the cut-off backend server stayed away: its ticket cannot be settled without that server's word, so the quickstart took its full 40 s. Fragmentation was not shown, and a waiting watch on the store was counted each time it looked. Change: the backend server answers again after 13 s; fragmentation is sampled ten times a second; a watch counts once. Conclusion: the unsettled state was honest; the show now resolves it.

--- a/crates/martend/examples/quickstart/load.rs
+++ b/crates/martend/examples/quickstart/load.rs
@@ -6,11 +6,8 @@
     time::{Duration, Instant},
 };
 
-use entry::JobAnswer;
 use fastrand::Rng;
-use hyper::Method;
 use model::{Gang, JobSpec, Outcome, Resources, Within};
-use net::http::Client;
 use smol::Task;
 use standins::{Final, Work};
 
@@ -20,8 +17,6 @@
 const SEED: u64 = 20_261_202;
 /// Jobs handed in.
 const JOBS: usize = 420;
-/// How long one call waits for the end of a job.
-const WAIT_MS: u64 = 4000;
 /// A caller gives up after this.
 const PATIENCE: Duration = Duration::from_secs(35);
 
@@ -56,7 +51,7 @@
             smol::spawn(async move {
                 smol::Timer::at(began + at).await;
                 let sent = Instant::now();
-                let outcome = call(&spec, &boxes).await;
+                let outcome = test_utils::run_job(&spec, &boxes, PATIENCE).await;
                 done.lock().expect("no holder panics").push(Done { spec, outcome, took: sent.elapsed() });
             })
         });
@@ -112,41 +107,3 @@
         payload: work.to_payload(),
     }
 }
-
-/// Sends a job through one box after another until its end is known.
-async fn call(spec: &JobSpec, boxes: &[SocketAddr]) -> Option<Outcome> {
-    let client = Client::default();
-    let body = serde_json::to_vec(spec).expect("our own types always serialize");
-    let began = Instant::now();
-    let mut sent = 0;
-    while began.elapsed() < PATIENCE {
-        let addr = boxes[sent % boxes.len()];
-        let path = format!("/v1/jobs?wait_ms={WAIT_MS}&retry={}", sent > 0);
-        let limit = Duration::from_millis(WAIT_MS) + Duration::from_secs(2);
-        let reply = client.call(addr, Method::POST, &path, body.clone().into(), limit).await;
-        match reply.and_then(|reply| reply.json::<JobAnswer>()) {
-            Ok(JobAnswer::Ended { outcome: Outcome::NotRun { retry_after: Some(after), .. }, .. }) => {
-                smol::Timer::after(after.into()).await;
-            }
-            Ok(JobAnswer::Ended { outcome, .. }) => {
-                acknowledge(&client, addr, spec).await;
-                return Some(outcome);
-            }
-            Ok(JobAnswer::Unsettled { retry_after, .. }) => {
-                smol::Timer::after(retry_after.into()).await;
-            }
-            Ok(JobAnswer::Pending { .. }) => continue,
-            Ok(_) | Err(_) => {
-                smol::Timer::after(Duration::from_millis(100)).await;
-            }
-        }
-        sent += 1;
-    }
-    None
-}
-
-async fn acknowledge(client: &Client, addr: SocketAddr, spec: &JobSpec) {
-    let path = format!("/v1/jobs/{}/{}/acknowledge", spec.customer, spec.request);
-    // An answer that is not acknowledged is kept for an hour; that is no loss.
-    let _ = client.call(addr, Method::POST, &path, Default::default(), Duration::from_secs(5)).await;
-}
--- a/crates/martend/examples/quickstart/main.rs
+++ b/crates/martend/examples/quickstart/main.rs
@@ -18,6 +18,10 @@
 const END_BOX_AFTER: Duration = Duration::from_secs(5);
 /// When one backend server stops answering.
 const BREAK_SERVER_AFTER: Duration = Duration::from_secs(7);
+/// When it answers again, so that what it had begun can be settled.
+const MEND_SERVER_AFTER: Duration = Duration::from_secs(13);
+/// Fragmentation is looked at this often.
+const SAMPLE_EVERY: Duration = Duration::from_millis(100);
 /// Longest wait for the last jobs.
 const DRAIN_TIME: Duration = Duration::from_secs(25);
 
@@ -46,24 +50,34 @@
         return stay_up(&world).await;
     }
     let load = Load::begin(&world, LOAD_TIME);
-    let mut faults = vec![(END_BOX_AFTER, Fault::EndBox), (BREAK_SERVER_AFTER, Fault::BreakServer)];
+    let mut faults = vec![
+        (END_BOX_AFTER, Fault::EndBox),
+        (BREAK_SERVER_AFTER, Fault::BreakServer),
+        (MEND_SERVER_AFTER, Fault::MendServer),
+    ];
+    let mut fragmentation = Vec::new();
     while !load.is_over(LOAD_TIME + DRAIN_TIME) {
-        smol::Timer::after(Duration::from_secs(1)).await;
+        for _ in 0..10 {
+            smol::Timer::after(SAMPLE_EVERY).await;
+            fragmentation.push(world.fragmentation());
+        }
         let at = load.elapsed();
         while faults.first().is_some_and(|(when, _)| at >= *when) {
             match faults.remove(0).1 {
                 Fault::EndBox => println!("      box {} ends without notice", world.end_one_box()),
                 Fault::BreakServer => println!("      backend server {} stops answering", world.break_one_server()),
+                Fault::MendServer => println!("      backend server {} answers again", world.mend_server()),
             }
         }
         println!("{:4.0}s {}", at.as_secs_f64(), load.progress());
     }
-    Ok(report::print(&world, &load))
+    Ok(report::print(&world, &load, &fragmentation))
 }
 
 enum Fault {
     EndBox,
     BreakServer,
+    MendServer,
 }
 
 async fn stay_up(world: &World) -> Result<usize, Box<dyn std::error::Error>> {
--- a/crates/martend/examples/quickstart/report.rs
+++ b/crates/martend/examples/quickstart/report.rs
@@ -16,10 +16,12 @@
 const SLACK_MS: u64 = 2000;
 
 /// Prints the report; gives the number of broken invariants.
-pub(crate) fn print(world: &World, load: &Load) -> usize {
+pub(crate) fn print(world: &World, load: &Load, fragmentation: &[f64]) -> usize {
     let done = load.take();
     print_outcomes(&done);
     print_times(&done);
+    let mean = fragmentation.iter().sum::<f64>() / fragmentation.len().max(1) as f64;
+    println!("\nfragmentation: {:.1} % of accelerators are free and of no use to a gang of 16", mean * 100.0);
     print_store(world);
     let mut oracle = Oracle::default();
     for (id, handle) in &world.servers {
@@ -66,5 +68,5 @@
 
 fn print_store(world: &World) {
     let (writes, reads) = world.platform.store().calls;
-    println!("\ncalls on the platform's store: {writes} writes, {reads} reads (a watch counts as it looks)");
+    println!("\ncalls on the platform's store: {writes} writes, {reads} reads");
 }
--- a/crates/martend/examples/quickstart/world.rs
+++ b/crates/martend/examples/quickstart/world.rs
@@ -1,6 +1,7 @@
 //! Boxes and stand-ins in one process.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     path::Path,
     sync::{Arc, Mutex},
@@ -10,7 +11,7 @@
 use backend::ServerInfo;
 use hyper::Method;
 use martend::{Daemon, Parts, RawLimits, RawSettings, Settings};
-use model::{AvailabilityZoneId, BackendServerId, OperatorFile, Revision};
+use model::{AvailabilityZoneId, BackendServerId, OperatorFile, RackId, Revision};
 use net::http::Client;
 use platform::{ListedBox, SystemClock};
 use smol::net::TcpListener;
@@ -21,6 +22,9 @@
 /// A lease lapses after this; short, as the whole show takes less than a minute.
 pub(crate) const LEASE_MS: u64 = 3000;
 
+/// Tasks of the gang by which fragmentation is told.
+const LARGE_GANG: u32 = 16;
+
 type Error = Box<dyn std::error::Error>;
 
 /// A box of the quickstart.
@@ -110,6 +114,28 @@
         it.name.clone()
     }
 
+    /// The part of all accelerators that is free in racks with too few for a gang of 16.
+    pub(crate) fn fragmentation(&self) -> f64 {
+        let mut free: BTreeMap<(&AvailabilityZoneId, &RackId), u32> = BTreeMap::new();
+        for (id, handle) in &self.servers {
+            let entry = &self.file.backend_servers[id];
+            *free.entry((&entry.availability_zone, &entry.rack)).or_default() += handle.table().free().accelerators;
+        }
+        let all: u32 = self.file.backend_servers.values().map(|s| s.resources.accelerators).sum();
+        let useless: u32 = free.values().map(|n| n % LARGE_GANG).sum();
+        f64::from(useless) / f64::from(all)
+    }
+
+    /// Lets the backend server that was cut off answer again.
+    pub(crate) fn mend_server(&self) -> String {
+        let broken = self.broken.lock().expect("no holder panics").pop();
+        let server = self.servers.iter().find(|(id, _)| Some(id) == broken.as_ref());
+        if let Some((_, handle)) = server {
+            handle.faults.set_down(false);
+        }
+        broken.map(|id| id.to_string()).unwrap_or_default()
+    }
+
     /// Cuts off a backend server that is running something, if one is.
     pub(crate) fn break_one_server(&self) -> String {
         let busy = self.servers.iter().find(|(_, handle)| handle.table().free().accelerators < 4);
--- a/crates/martend/tests/processes.rs
+++ b/crates/martend/tests/processes.rs
@@ -125,7 +125,7 @@
         gang: Gang { tasks: [1, 2, 6][n % 3], per_task: Resources::new(1, 1, 1), within: Within::Rack },
         declared: model::Duration::from_millis(work.run_ms),
         deadline: None,
-        repeatable: n % 4 != 0,
+        repeatable: !n.is_multiple_of(4),
         checkpointable: false,
         payload: work.to_payload(),
     }
--- a/crates/standins/src/kv_table.rs
+++ b/crates/standins/src/kv_table.rs
@@ -55,6 +55,12 @@
         }
     }
 
+    /// What stands at a key, without counting as a call: for a watch that waits.
+    pub fn look(&mut self, key: &str, now: Moment) -> StoreReply {
+        self.entries.retain(|_, e| e.expires.is_none_or(|at| at > now));
+        StoreReply::Found { value: self.get(key) }
+    }
+
     fn get(&self, key: &str) -> Option<Versioned> {
         let entry = self.entries.get(key)?;
         Some(Versioned { key: key.to_owned(), value: entry.value.clone(), version: entry.version })
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -135,14 +135,14 @@
 impl PlatformShared {
     async fn store_call(&self, req: &StoreRequest) -> StoreReply {
         let reply = self.store_once(req);
-        let StoreRequest::Watch { above, wait, .. } = req else {
+        let StoreRequest::Watch { key, above, wait } = req else {
             return reply;
         };
         let until = self.clock.now() + *wait;
         let mut reply = reply;
         while self.clock.now() < until && version_of(&reply) <= *above {
             smol::Timer::after(WATCH_STEP).await;
-            reply = self.store_once(req);
+            reply = self.store.lock().expect("no holder panics").look(key, self.clock.now());
         }
         reply
     }
