Let an adoption end in another ticket

Cause: an adopted gang that could not go on was given a new ticket while its old one was still being looked at; the process stopped. Change: the step ends when the ticket is gone.

--- a/crates/entry/tests/failures.rs
+++ b/crates/entry/tests/failures.rs
@@ -210,3 +210,26 @@
     cluster.advance(Duration::from_millis(13202));
     check_settles(cluster);
 }
+
+/// An adoption that ended in another ticket was looked for under the old one, and the box stopped.
+#[test]
+fn an_adoption_may_end_in_another_ticket() {
+    let mut cluster = cluster(7630067980882485598);
+    let b = ["az-1-box-1", "az-1-box-2", "az-2-box-1", "az-2-box-2"];
+    cluster.submit(spec(1, 244, 48, 11807), false, &a_box(b[0]));
+    cluster.submit(spec(2, 72, 108, 6297), false, &a_box(b[1]));
+    cluster.cut_box_from_peers(&a_box(b[0]), true);
+    cluster.submit(spec(3, 246, 0, 1129), false, &a_box(b[2]));
+    let s = cluster.server_ids()[3].clone();
+    cluster.restart_server(&s);
+    cluster.submit(spec(4, 48, 0, 15470), true, &a_box(b[1]));
+    cluster.set_network(190, 240);
+    cluster.submit(spec(5, 153, 19, 23708), false, &a_box(b[0]));
+    cluster.resume_box(&a_box(b[1]));
+    cluster.submit(spec(6, 45, 80, 14215), true, &a_box(b[3]));
+    cluster.advance(Duration::from_millis(6458));
+    cluster.advance(Duration::from_millis(13926));
+    cluster.submit(spec(7, 150, 124, 8641), false, &a_box(b[3]));
+    cluster.advance(Duration::from_millis(14221));
+    check_settles(cluster);
+}
--- a/crates/lifecycle/src/adoption.rs
+++ b/crates/lifecycle/src/adoption.rs
@@ -41,7 +41,8 @@
     pub(crate) fn tick_adopting(&mut self, id: &JobId, now: Moment) {
         self.finish_adoption(id, now);
         let resend = now + self.limits.resend_every;
-        let job = self.jobs.get_mut(id).expect("the caller has read the job");
+        // The adoption may have ended in another ticket.
+        let Some(job) = self.jobs.get_mut(id) else { return };
         let Phase::Adopting { next, until } = &mut job.phase else { return };
         if *until <= now {
             let server = job.parts.iter().find(|p| p.state.is_none()).map(|p| p.member.server.clone());
