Find answers across availability zones; drop offers that were overtaken

Cause: a caller that asked in another availability zone was told "over: done" without its answer, since only one box there was asked. Fuzzing also found a planner that granted ended jobs for ever after an old offer overtook a newer one, a gang that its holder had given up and that stood after all, and callers sent to a holder that knew nothing. Change: questions from outside are passed on inside the availability zone, and an ended claim is reported only once no box has the answer; offers carry an order that is kept; a box adopts what it had given up; boxes that did not answer are not chosen first.

--- a/crates/entry/src/adopt.rs
+++ b/crates/entry/src/adopt.rs
@@ -8,17 +8,25 @@
 use crate::{EntryBox, Observation};
 
 impl EntryBox {
-    /// Adopts every gang whose holder has been dead for a while, if this box plans.
+    /// Adopts every gang whose holder has been dead for a while, if this box plans, and every gang of
+    /// its own that it had given up.
     pub(crate) fn adopt_orphans(&mut self, now: Moment) {
-        if *self.view.planner(now) != self.id.box_id || !self.view.may_judge(now) || self.draining {
+        // Whether a holder lives changes with heartbeats; looking more often finds nothing new.
+        let every = self.limits.membership.heartbeat_every;
+        if self.adopted_at.is_some_and(|at| now.since(at) < every) {
             return;
         }
+        self.adopted_at = Some(now);
+        let plans = *self.view.planner(now) == self.id.box_id && self.view.may_judge(now) && !self.draining;
         let orphans: Vec<(JobId, BTreeMap<BackendServerId, Lease>)> = self
             .replicas
             .by_job()
             .into_iter()
             .filter(|(_, lines)| lines.values().any(|lease| is_worth_adopting(lease)))
-            .filter(|(_, lines)| lines.values().max_by_key(|l| l.token).is_some_and(|l| self.is_gone(&l.holder, now)))
+            .filter(|(_, lines)| {
+                let newest = lines.values().max_by_key(|lease| lease.token);
+                newest.is_some_and(|l| self.has_given_up(l) || (plans && self.is_gone(&l.holder, now)))
+            })
             .map(|(job, lines)| {
                 let lines = lines.into_iter().map(|(id, lease)| (id.clone(), lease.clone())).collect();
                 (job.clone(), lines)
@@ -33,6 +41,13 @@
         }
     }
 
+    /// Whether this very process holds a lease and no longer knows of the job: it gave it up when a
+    /// member did not answer, and the gang turned out to stand after all.
+    fn has_given_up(&self, lease: &Lease) -> bool {
+        let is_mine = lease.holder == *self.jobs.holder();
+        is_mine && self.jobs.view(&lease.job).is_none_or(|view| view.stage == lifecycle::Stage::Void)
+    }
+
     /// Whether the life that holds a lease is gone: silent for long enough, or followed by another.
     fn is_gone(&self, holder: &Holder, now: Moment) -> bool {
         if holder.box_id == self.id.box_id {
--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -162,14 +162,18 @@
         if standing.ticket == op.claim.ticket {
             return self.claim_stands(op, now);
         }
-        if let Some(outcome) = standing.ended {
-            if outcome == "not_run" {
-                return self.replace_claim(op, found.version, now);
-            }
-            return self.reply(op.to, CallerReply::Job(JobAnswer::Over { outcome }));
+        if standing.ended.as_deref() == Some("not_run") {
+            return self.replace_claim(op, found.version, now);
         }
         if standing.availability_zone != self.id.availability_zone {
-            return self.pass_on(op, &standing, None);
+            return self.pass_on(op, &standing, now);
+        }
+        if let Some(outcome) = standing.ended {
+            // Some box may still have the answer, if nobody has acknowledged it.
+            let spec = op.submission.spec;
+            let ask = crate::route::Ask::Poll { wait: op.submission.wait };
+            let route = crate::route::RouteOp::after_end(ask, (spec.customer, spec.request), op.to, outcome);
+            return self.ask_peers(route, now);
         }
         if self.jobs.minted(&standing.ticket) {
             return self.on_own_claim(op, &standing, found.version, now);
@@ -183,7 +187,7 @@
             return self.call_peer(
                 Op::Claim(Box::new(op)),
                 &owner,
-                PeerRequest::Lookup { customer, request, wait, ticket: Some(standing.ticket) },
+                PeerRequest::Lookup { customer, request, wait, ticket: Some(standing.ticket), pass_on: false },
             );
         }
         if !self.view.may_judge(now) {
@@ -199,12 +203,12 @@
         match view.as_ref().map(|view| &view.stage) {
             // Its ticket was given up before it was started, or the job was not run.
             None | Some(Stage::Void | Stage::Ended(Outcome::NotRun { .. })) => self.replace_claim(op, version, now),
-            Some(Stage::Moved(holder)) if self.is_orphaned(&standing.ticket, holder) => {
+            Some(Stage::Moved(holder)) if self.is_orphaned(&standing.ticket, holder, now) => {
                 let ticket = (standing.ticket.clone(), standing.repeatable);
                 self.settle_standing(ClaimOp { standing: Some(ticket), ..op }, version, now);
             }
             Some(Stage::Ended(_) | Stage::Moved(_)) => {
-                let answer = view.as_ref().map_or(JobAnswer::NotKnown, |view| self.answer_of(view));
+                let answer = view.as_ref().map_or(JobAnswer::NotKnown, |view| self.answer_of(view, now));
                 self.reply(op.to, CallerReply::Job(answer));
             }
             Some(_) => {
@@ -250,8 +254,8 @@
         self.begin_settle(ticket, repeatable, afterwards, now);
     }
 
-    fn pass_on(&mut self, op: ClaimOp, standing: &Claim, _: Option<()>) {
-        let Some(peer) = self.any_box_of(&standing.availability_zone) else {
+    fn pass_on(&mut self, op: ClaimOp, standing: &Claim, now: Moment) {
+        let Some(peer) = self.any_box_of(&standing.availability_zone, now) else {
             return self.reply(op.to, CallerReply::Job(moved_answer()));
         };
         let route = crate::route::RouteOp::forward(op.submission.clone(), op.to);
@@ -285,7 +289,7 @@
                 let stands = Claim::parse(&found.value);
                 match stands {
                     Some(it) if it.ticket != end.claim.ticket => return self.end_superseded(&end.job),
-                    Some(it) if it.ended.is_some() => return self.end_recorded(&end.job),
+                    Some(it) if it.ended.is_some() => return self.end_recorded(&end.job, now),
                     _ => {}
                 }
                 let req = StoreRequest::CompareAndSwap {
@@ -296,7 +300,7 @@
                 };
                 self.call_store(Op::EndClaim(end), req);
             }
-            Some(StoreReply::Written { .. } | StoreReply::Found { value: None }) => self.end_recorded(&end.job),
+            Some(StoreReply::Written { .. } | StoreReply::Found { value: None }) => self.end_recorded(&end.job, now),
             _ => {
                 self.unreported.insert(end.job);
                 self.config.retry_ends_at.get_or_insert(now + END_RETRY);
@@ -335,12 +339,12 @@
     }
 
     /// The end of a job stands in the store: its callers may be told.
-    fn end_recorded(&mut self, job: &JobId) {
+    fn end_recorded(&mut self, job: &JobId, now: Moment) {
         if !self.unrecorded.remove(job) {
             return;
         }
         if let Some(view) = self.jobs.view(job) {
-            let answer = self.answer_of(&view);
+            let answer = self.answer_of(&view, now);
             self.answer_waiters(&view.spec.customer, &view.spec.request, &answer);
         }
     }
--- a/crates/entry/src/entry_box.rs
+++ b/crates/entry/src/entry_box.rs
@@ -22,7 +22,7 @@
     planning::Planning,
     quarantine::Quarantine,
     replicas::Replicas,
-    route::RouteOp,
+    route::{Ask, RouteOp},
     settle::SettleOp,
     waiters::{Respondent, Waiters},
 };
@@ -130,7 +130,10 @@
     pub(crate) config: crate::config::ConfigState,
     pub(crate) dead_since: BTreeMap<Holder, Moment>,
     pub(crate) recover_at: Option<Moment>,
+    pub(crate) adopted_at: Option<Moment>,
     pub(crate) draining: bool,
+    /// Boxes that did not answer their last call, and when that was found.
+    pub(crate) silent: BTreeMap<BoxId, Moment>,
     /// Jobs without a caller whose claim could not be made, and when it is tried again.
     pub(crate) unclaimed: Vec<(Moment, Submission)>,
     pub(crate) hand_over_at: Moment,
@@ -168,6 +171,8 @@
             dead_since: BTreeMap::new(),
             recover_at: Some(now + limits.settle),
             draining: false,
+            silent: BTreeMap::new(),
+            adopted_at: None,
             unclaimed: Vec::new(),
             hand_over_at: now,
             born: now,
@@ -236,13 +241,13 @@
         match req {
             CallerRequest::Submit(submission) => self.submit(submission, to, now),
             CallerRequest::Poll { customer, request, wait } => {
-                self.route(crate::route::Ask::Poll { wait: self.bounded(wait) }, customer, request, to, now);
+                self.route(Ask::Poll { wait: self.bounded(wait) }, customer, request, to, now);
             }
             CallerRequest::Cancel { customer, request } => {
-                self.route(crate::route::Ask::Cancel, customer, request, to, now);
+                self.route(Ask::Cancel, customer, request, to, now);
             }
             CallerRequest::Acknowledge { customer, request } => {
-                self.route(crate::route::Ask::Acknowledge, customer, request, to, now);
+                self.route(Ask::Acknowledge, customer, request, to, now);
             }
             CallerRequest::Mint => {
                 let ticket = self.jobs.mint(now);
@@ -281,15 +286,15 @@
                 let answer = crate::route::moved_answer();
                 self.out.push(Output::ToPeer { to, reply: PeerReply::Job(answer) });
             }
-            PeerRequest::Lookup { customer, request, wait, ticket: _ } => {
-                let ask = crate::route::Ask::Poll { wait: self.bounded(wait) };
-                self.answer_locally(ask, customer, request, respondent, now);
+            PeerRequest::Lookup { customer, request, wait, ticket: _, pass_on } => {
+                let ask = Ask::Poll { wait: self.bounded(wait) };
+                self.answer_peer(ask, customer, request, pass_on, respondent, now);
             }
-            PeerRequest::Cancel { customer, request } => {
-                self.answer_locally(crate::route::Ask::Cancel, customer, request, respondent, now);
+            PeerRequest::Cancel { customer, request, pass_on } => {
+                self.answer_peer(Ask::Cancel, customer, request, pass_on, respondent, now);
             }
-            PeerRequest::Acknowledge { customer, request } => {
-                self.answer_locally(crate::route::Ask::Acknowledge, customer, request, respondent, now);
+            PeerRequest::Acknowledge { customer, request, pass_on } => {
+                self.answer_peer(Ask::Acknowledge, customer, request, pass_on, respondent, now);
             }
             PeerRequest::Submit(submission) => self.submit(submission, respondent, now),
             PeerRequest::FetchConfiguration => {
@@ -300,6 +305,7 @@
     }
 
     fn on_peer_reply(&mut self, op: OpId, peer: BoxId, reply: Option<PeerReply>, now: Moment) {
+        self.note_answer(&peer, reply.is_some(), now);
         match (self.ops.remove(&op), reply) {
             (Some(Op::Heartbeat), Some(PeerReply::Heartbeat { incarnation, revision, leaving })) => {
                 self.on_heartbeat(&peer, incarnation, revision, leaving, now);
@@ -339,6 +345,9 @@
                 Effect::TicketTooOld { job } => self.renew_ticket(&job, now),
                 Effect::RunFailed { server, job } => self.on_run_failed(&server, &job, now),
                 Effect::Count(anomaly) => {
+                    if anomaly == lifecycle::Anomaly::LateGrant {
+                        self.offer_anew();
+                    }
                     self.observe(Observation::Count { name: crate::status::anomaly_name(anomaly) });
                 }
             }
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -104,6 +104,7 @@
                 request: spec.request.clone(),
                 wait: until.since(now),
                 ticket: None,
+                pass_on: false,
             };
             let route = crate::route::RouteOp::forward(it.submission.clone(), to);
             self.call_peer(Op::Route(Box::new(route)), &peer, req);
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -143,13 +143,14 @@
     Offer { from: BoxId, incarnation: Incarnation, seq: u64, full: bool, added: Vec<Queued>, removed: Vec<JobId> },
     /// Where your jobs may start, and which of them never can.
     Grant { starts: Vec<(JobId, Vec<Member>)>, refusals: Vec<(JobId, String)> },
-    /// How does this request stand with you? Not passed on.
+    /// How does this request stand? Passed on within the answering box's availability zone only if
+    /// asked from outside it.
     /// With a ticket, only the process that minted it may say that it knows nothing.
-    Lookup { customer: CustomerId, request: RequestId, wait: Duration, ticket: Option<JobId> },
-    /// Take it back. Not passed on.
-    Cancel { customer: CustomerId, request: RequestId },
-    /// The caller has its answer. Not passed on.
-    Acknowledge { customer: CustomerId, request: RequestId },
+    Lookup { customer: CustomerId, request: RequestId, wait: Duration, ticket: Option<JobId>, pass_on: bool },
+    /// Take it back.
+    Cancel { customer: CustomerId, request: RequestId, pass_on: bool },
+    /// The caller has its answer.
+    Acknowledge { customer: CustomerId, request: RequestId, pass_on: bool },
     /// Take this job: its claim belongs to your availability zone, or its ticket to you.
     Submit(Submission),
     /// Your document.
--- a/crates/entry/src/offers.rs
+++ b/crates/entry/src/offers.rs
@@ -48,6 +48,12 @@
 }
 
 impl EntryBox {
+    /// The planner grants a job that does not wait: what it holds of this queue is out of date.
+    pub(crate) fn offer_anew(&mut self) {
+        self.offering.need_full = true;
+        self.offering.changed = true;
+    }
+
     pub(crate) fn queue_changed(&mut self) {
         self.offering.changed = true;
         self.planning.mark_dirty();
@@ -132,6 +138,10 @@
         removed: Vec<JobId>,
         now: Moment,
     ) -> bool {
+        // A message that was overtaken by a later one tells what is no longer so.
+        if self.offered.get(&from).is_some_and(|o| o.incarnation == incarnation && seq <= o.seq) {
+            return false;
+        }
         let fits = self.offered.get(&from).is_some_and(|o| o.incarnation == incarnation && o.seq + 1 == seq);
         if !full && !fits {
             return true;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,11 +1,14 @@
 //! Heartbeats, deaths, and the directory of boxes.
 
 use backend::Holder;
-use model::{AvailabilityZoneId, BoxId, Incarnation, Moment, Revision};
+use model::{AvailabilityZoneId, BoxId, Duration, Incarnation, Moment, Revision};
 use platform::ListedBox;
 
 use crate::{EntryBox, PeerReply, PeerRequest, entry_box::Op};
 
+/// A box that did not answer is not chosen for this long if there is another.
+const SILENT_FOR: Duration = Duration::from_secs(10);
+
 impl EntryBox {
     /// Takes the platform's list into the directory. It lags, so nobody is removed by it; silence is
     /// what counts.
@@ -22,14 +25,27 @@
         self.directory.get(id).map(|listed| listed.peer_address)
     }
 
-    pub(crate) fn any_box_of(&self, zone: &AvailabilityZoneId) -> Option<BoxId> {
+    /// A box of another availability zone, if possible one that did not fail to answer of late.
+    pub(crate) fn any_box_of(&self, zone: &AvailabilityZoneId, now: Moment) -> Option<BoxId> {
         let here = |listed: &&ListedBox| listed.availability_zone == *zone && !listed.leaving;
-        let boxes: Vec<&BoxId> = self.directory.values().filter(here).map(|listed| &listed.id).collect();
-        // Whether a box of another availability zone lives is not known here: take them in turn.
+        let all: Vec<&BoxId> = self.directory.values().filter(here).map(|listed| &listed.id).collect();
+        let silent = |id: &BoxId| self.silent.get(id).is_some_and(|at| now.since(*at) < SILENT_FOR);
+        let answering: Vec<&BoxId> = all.iter().copied().filter(|id| !silent(id)).collect();
+        let boxes = if answering.is_empty() { all } else { answering };
+        // In turn, so that no box gets all of it.
         let turn = self.ops_begun() as usize % boxes.len().max(1);
         boxes.get(turn).map(|id| (*id).clone())
     }
 
+    /// Notes whether a box answered a call.
+    pub(crate) fn note_answer(&mut self, peer: &BoxId, answered: bool, now: Moment) {
+        if answered {
+            self.silent.remove(peer);
+        } else {
+            self.silent.insert(peer.clone(), now);
+        }
+    }
+
     pub(crate) fn own_heartbeat(&self) -> PeerReply {
         PeerReply::Heartbeat {
             incarnation: self.id.incarnation,
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -36,6 +36,8 @@
     open: BTreeSet<BoxId>,
     /// Taken as new if nobody knows it.
     submission: Option<Submission>,
+    /// How the claim says that it ended: the answer, if no box has it any more.
+    ended: Option<String>,
     /// Whether a box said that the request is orphaned.
     orphaned: bool,
     /// Whether the reply is passed on even if it says that nothing is known.
@@ -47,7 +49,16 @@
     pub(crate) fn forward(submission: Submission, to: Respondent) -> RouteOp {
         let name = (submission.spec.customer.clone(), submission.spec.request.clone());
         let ask = Ask::Poll { wait: submission.wait };
-        RouteOp { ask, name, to, open: BTreeSet::new(), submission: None, last_stop: true, orphaned: false }
+        RouteOp {
+            ask,
+            name,
+            to,
+            open: BTreeSet::new(),
+            submission: None,
+            last_stop: true,
+            orphaned: false,
+            ended: None,
+        }
     }
 
     /// A question to all peers.
@@ -57,15 +68,21 @@
         to: Respondent,
         submission: Option<Submission>,
     ) -> RouteOp {
-        RouteOp { ask, name, to, open: BTreeSet::new(), submission, last_stop: false, orphaned: false }
+        RouteOp { ask, name, to, open: BTreeSet::new(), submission, last_stop: false, orphaned: false, ended: None }
+    }
+
+    /// A question about a request whose claim says that it ended.
+    pub(crate) fn after_end(ask: Ask, name: (CustomerId, RequestId), to: Respondent, outcome: String) -> RouteOp {
+        RouteOp { ended: Some(outcome), ..RouteOp::around(ask, name, to, None) }
     }
 
-    fn request(&self) -> PeerRequest {
+    /// `pass_on` for a box of another availability zone, which then looks for the holder there.
+    fn request(&self, pass_on: bool) -> PeerRequest {
         let (customer, request) = self.name.clone();
         match self.ask {
-            Ask::Poll { wait } => PeerRequest::Lookup { customer, request, wait, ticket: None },
-            Ask::Cancel => PeerRequest::Cancel { customer, request },
-            Ask::Acknowledge => PeerRequest::Acknowledge { customer, request },
+            Ask::Poll { wait } => PeerRequest::Lookup { customer, request, wait, ticket: None, pass_on },
+            Ask::Cancel => PeerRequest::Cancel { customer, request, pass_on },
+            Ask::Acknowledge => PeerRequest::Acknowledge { customer, request, pass_on },
         }
     }
 }
@@ -94,7 +111,7 @@
         let holder = found.as_ref().map(|found| found.holder.clone()).or(moved_to).filter(live);
         match holder {
             Some(holder) => {
-                let req = route.request();
+                let req = route.request(false);
                 self.call_peer(Op::Route(Box::new(route)), &holder.box_id, req);
             }
             None if found.is_some_and(|found| found.whole) => self.reply(to, CallerReply::Job(moved_answer())),
@@ -106,6 +123,23 @@
         self.view.is_live_life(&holder.box_id, holder.incarnation, self.id.incarnation, now)
     }
 
+    /// Answers another box: from here alone, or from wherever the request is held.
+    pub(crate) fn answer_peer(
+        &mut self,
+        ask: Ask,
+        customer: CustomerId,
+        request: RequestId,
+        pass_on: bool,
+        to: Respondent,
+        now: Moment,
+    ) {
+        if pass_on {
+            self.route(ask, customer, request, to, now);
+        } else {
+            self.answer_locally(ask, customer, request, to, now);
+        }
+    }
+
     /// Answers from this box's own jobs alone.
     pub(crate) fn answer_locally(
         &mut self,
@@ -133,10 +167,10 @@
                 self.wait_for_end((customer, request), to, now + self.limits.call);
             }
             (Stage::Ended(_) | Stage::Moved(_) | Stage::Void, _) | (_, Ask::Acknowledge) => {
-                self.reply(to, CallerReply::Job(self.answer_of(&view)));
+                self.reply(to, CallerReply::Job(self.answer_of(&view, now)));
             }
             (_, Ask::Poll { wait }) if wait == Duration::ZERO => {
-                self.reply(to, CallerReply::Job(self.answer_of(&view)));
+                self.reply(to, CallerReply::Job(self.answer_of(&view, now)));
             }
             (_, Ask::Poll { wait }) => self.wait_for_end((customer, request), to, now + wait),
             (_, Ask::Cancel) => self.wait_for_end((customer, request), to, now + self.limits.call),
@@ -150,7 +184,7 @@
             return self.ask_store(route, now);
         }
         route.open = peers.iter().cloned().collect();
-        let req = route.request();
+        let req = route.request(false);
         // The round itself is one operation; each peer's call is another that points to it.
         let round = self.new_op(Op::Route(Box::new(route)));
         for peer in peers {
@@ -192,6 +226,9 @@
 
     /// Nobody in the availability zone knows the request: its claim may say more.
     fn ask_store(&mut self, route: RouteOp, now: Moment) {
+        if let Some(outcome) = route.ended {
+            return self.reply(route.to, CallerReply::Job(JobAnswer::Over { outcome }));
+        }
         if let Some(submission) = route.submission {
             return self.submit_new(submission, route.to, now);
         }
@@ -215,17 +252,17 @@
     }
 
     fn route_to_claim(&mut self, route: RouteOp, claim: Claim, version: u64, now: Moment) {
-        if let Some(outcome) = claim.ended {
-            return self.reply(route.to, CallerReply::Job(JobAnswer::Over { outcome }));
-        }
         if claim.availability_zone != self.id.availability_zone {
-            let Some(peer) = self.any_box_of(&claim.availability_zone) else {
+            let Some(peer) = self.any_box_of(&claim.availability_zone, now) else {
                 return self.reply(route.to, CallerReply::Job(moved_answer()));
             };
-            let req = route.request();
+            let req = route.request(true);
             let route = RouteOp { last_stop: true, ..route };
             return self.call_peer(Op::Route(Box::new(route)), &peer, req);
         }
+        if let Some(outcome) = claim.ended {
+            return self.reply(route.to, CallerReply::Job(JobAnswer::Over { outcome }));
+        }
         let live = self.is_live_ticket(&claim.ticket, now) && !route.orphaned;
         if !live && route.ask == Ask::Cancel && self.view.may_judge(now) {
             return self.cancel_orphan(route.name, route.to, claim, version, now);
@@ -235,11 +272,11 @@
     }
 
     /// The answer about a job of this box.
-    pub(crate) fn answer_of(&self, view: &JobView) -> JobAnswer {
+    pub(crate) fn answer_of(&self, view: &JobView, now: Moment) -> JobAnswer {
         let stage = match &view.stage {
             Stage::Ended(_) if self.unrecorded.contains(&view.job) => "recording",
             Stage::Ended(outcome) => return JobAnswer::Ended { job: view.job.clone(), outcome: outcome.clone() },
-            Stage::Moved(holder) if self.is_orphaned(&view.job, holder) => return JobAnswer::Orphaned,
+            Stage::Moved(holder) if self.is_orphaned(&view.job, holder, now) => return JobAnswer::Orphaned,
             Stage::Moved(_) => return moved_answer(),
             Stage::Void => return JobAnswer::NotKnown,
             Stage::Waiting => "waiting",
@@ -250,11 +287,13 @@
         JobAnswer::Pending { job: Some(view.job.clone()), stage: stage.to_owned() }
     }
 
-    /// Whether a job's holder is gone, and its gang does not stand so that it could be adopted.
-    pub(crate) fn is_orphaned(&self, job: &JobId, holder: &Holder) -> bool {
+    /// Whether a job's holder is gone or has given it up, and its gang does not stand so that it
+    /// could be adopted.
+    pub(crate) fn is_orphaned(&self, job: &JobId, holder: &Holder, now: Moment) -> bool {
         let gone = self.dead_since.contains_key(holder)
             || self.view.peers().get(&holder.box_id).is_some_and(|status| status.incarnation > holder.incarnation);
-        gone && !self.replicas.is_whole(job)
+        let long_ago = self.jobs.moved_at(job).is_some_and(|at| now.since(at) >= self.limits.settle);
+        (gone || long_ago) && !self.replicas.is_whole(job)
     }
 
     pub(crate) fn is_live_ticket(&self, ticket: &JobId, now: Moment) -> bool {
--- a/crates/entry/src/waiters.rs
+++ b/crates/entry/src/waiters.rs
@@ -67,7 +67,8 @@
 
     pub(crate) fn expire_waiters(&mut self, now: Moment) {
         for ((customer, request), to) in self.waiters.take_expired(now) {
-            let answer = self.jobs.find(&customer, &request).map_or(JobAnswer::NotKnown, |view| self.answer_of(&view));
+            let answer =
+                self.jobs.find(&customer, &request).map_or(JobAnswer::NotKnown, |view| self.answer_of(&view, now));
             self.reply(to, CallerReply::Job(answer));
         }
     }
--- a/crates/entry/tests/failures.rs
+++ b/crates/entry/tests/failures.rs
@@ -233,3 +233,39 @@
     cluster.advance(Duration::from_millis(14221));
     check_settles(cluster);
 }
+
+/// An old offer overtook a newer one, so that the planner kept granting jobs that had ended and had
+/// no room left for those that waited.
+#[test]
+fn an_overtaken_offer_is_dropped() {
+    let mut cluster = cluster(15131582428878866453);
+    let b = ["az-1-box-1", "az-1-box-2", "az-2-box-1", "az-2-box-2"];
+    cluster.set_network(125, 228);
+    cluster.submit(spec(1, 216, 78, 28820), true, &a_box(b[0]));
+    cluster.submit(spec(2, 40, 134, 1428), false, &a_box(b[3]));
+    cluster.submit(spec(3, 71, 197, 1873), true, &a_box(b[1]));
+    cluster.submit(spec(4, 115, 162, 5016), false, &a_box(b[2]));
+    cluster.advance(Duration::from_millis(14803));
+    cluster.submit(spec(5, 165, 89, 15590), true, &a_box(b[3]));
+    cluster.set_store_down(true);
+    cluster.advance(Duration::from_millis(11547));
+    cluster.set_network(122, 11);
+    cluster.submit(spec(6, 141, 216, 27696), false, &a_box(b[1]));
+    cluster.advance(Duration::from_millis(10913));
+    cluster.advance(Duration::from_millis(12899));
+    cluster.submit(spec(7, 101, 41, 23555), false, &a_box(b[3]));
+    cluster.advance(Duration::from_millis(1092));
+    cluster.set_network(92, 293);
+    let s = cluster.server_ids()[4].clone();
+    cluster.restart_server(&s);
+    cluster.advance(Duration::from_millis(1777));
+    cluster.submit(spec(8, 155, 87, 21928), false, &a_box(b[3]));
+    cluster.pause_box(&a_box(b[3]));
+    cluster.advance(Duration::from_millis(3241));
+    cluster.advance(Duration::from_millis(9583));
+    cluster.submit(spec(9, 210, 96, 21830), true, &a_box(b[1]));
+    cluster.pause_box(&a_box(b[1]));
+    cluster.advance(Duration::from_millis(11520));
+    cluster.resume_box(&a_box(b[1]));
+    check_settles(cluster);
+}
--- a/crates/lifecycle/src/adoption.rs
+++ b/crates/lifecycle/src/adoption.rs
@@ -18,7 +18,8 @@
     /// job is already held here, or when a member is not known to be armed, running or finished.
     pub fn adopt(&mut self, id: &JobId, lines: &BTreeMap<BackendServerId, Lease>, now: Moment) {
         let Some(first) = lines.values().next() else { return };
-        let known_here = self.jobs.get(id).is_some_and(|job| !matches!(job.phase, Phase::Moved { .. }));
+        let known_here =
+            self.jobs.get(id).is_some_and(|job| !matches!(job.phase, Phase::Moved { .. } | Phase::Void { .. }));
         if known_here || !first.members.iter().all(|m| lines.get(&m.server).is_some_and(is_adoptable)) {
             return;
         }
--- a/crates/lifecycle/src/coordinator.rs
+++ b/crates/lifecycle/src/coordinator.rs
@@ -283,6 +283,14 @@
         self.end(job, outcome, now);
     }
 
+    /// Since when another box holds a job.
+    pub fn moved_at(&self, job: &JobId) -> Option<Moment> {
+        match self.jobs.get(job)?.phase {
+            Phase::Moved { at, .. } => Some(at),
+            _ => None,
+        }
+    }
+
     /// Forgets how a job ended: its request has gone on under another ticket.
     pub fn void(&mut self, job: &JobId) {
         if let Some(it) = self.jobs.get_mut(job)
--- a/crates/lifecycle/src/ending.rs
+++ b/crates/lifecycle/src/ending.rs
@@ -139,8 +139,11 @@
     /// Back into the queue. A job that was adopted goes on under a ticket of this box, since the
     /// box that minted the old one may wake and try again under that.
     pub(crate) fn requeue(&mut self, id: &JobId, now: Moment) {
-        if !self.jobs[id].described {
-            return self.give_up_undescribed(id, now);
+        let job = &self.jobs[id];
+        // What may run only once and has not run is for its claim to decide on, not for an adopter.
+        let for_claim = job.adopted && !job.spec.repeatable && !job.ran;
+        if !job.described || for_claim {
+            return self.give_up_adopted(id, now);
         }
         let backoff = self.backoff(&self.jobs[id]);
         let job = self.jobs.get_mut(id).expect("the caller has read the job");
@@ -152,9 +155,9 @@
         self.effects.push(Effect::QueueChanged);
     }
 
-    /// An adopted job whose request could not be read cannot be tried again here. Its caller sends it
-    /// again, unless it may run only once and has.
-    fn give_up_undescribed(&mut self, id: &JobId, now: Moment) {
+    /// An adopted job that cannot be tried again here: its caller sends it again, unless it may run
+    /// only once and has.
+    fn give_up_adopted(&mut self, id: &JobId, now: Moment) {
         let job = self.jobs.get_mut(id).expect("the caller has read the job");
         if job.ran && !job.spec.repeatable {
             let why = "its box is gone, and what was asked for could not be read".to_owned();
--- a/crates/martend/src/convert.rs
+++ b/crates/martend/src/convert.rs
@@ -70,6 +70,7 @@
     let ticket = if m.ticket.is_empty() { None } else { Some(m.ticket.parse()?) };
     Ok(PeerRequest::Lookup {
         ticket,
+        pass_on: m.pass_on,
         customer: m.customer.parse()?,
         request: m.request.parse()?,
         wait: Duration::from_millis(m.wait_ms),
--- a/crates/martend/src/peer_client.rs
+++ b/crates/martend/src/peer_client.rs
@@ -82,21 +82,22 @@
             client.grant(Request::new(m)).await?;
             Ok(PeerReply::Granted)
         }
-        PeerRequest::Lookup { customer, request, wait, ticket } => {
+        PeerRequest::Lookup { customer, request, wait, ticket, pass_on } => {
             let m = wire::LookupRequest {
                 customer: customer.to_string(),
                 request: request.to_string(),
                 wait_ms: wait.millis(),
                 ticket: ticket.as_ref().map(ToString::to_string).unwrap_or_default(),
+                pass_on,
             };
             job_reply(client.lookup(Request::new(m)).await?)
         }
-        PeerRequest::Cancel { customer, request } => {
-            let m = wire::NameRequest { customer: customer.to_string(), request: request.to_string() };
+        PeerRequest::Cancel { customer, request, pass_on } => {
+            let m = wire::NameRequest { customer: customer.to_string(), request: request.to_string(), pass_on };
             job_reply(client.cancel(Request::new(m)).await?)
         }
-        PeerRequest::Acknowledge { customer, request } => {
-            let m = wire::NameRequest { customer: customer.to_string(), request: request.to_string() };
+        PeerRequest::Acknowledge { customer, request, pass_on } => {
+            let m = wire::NameRequest { customer: customer.to_string(), request: request.to_string(), pass_on };
             job_reply(client.acknowledge(Request::new(m)).await?)
         }
         PeerRequest::Submit(submission) => {
--- a/crates/martend/src/peer_server.rs
+++ b/crates/martend/src/peer_server.rs
@@ -37,8 +37,8 @@
     Status::internal("the box gave a reply to another question")
 }
 
-fn name(m: wire::NameRequest) -> Result<(model::CustomerId, model::RequestId), ConvertError> {
-    Ok((m.customer.parse()?, m.request.parse()?))
+fn name(m: wire::NameRequest) -> Result<(model::CustomerId, model::RequestId, bool), ConvertError> {
+    Ok((m.customer.parse()?, m.request.parse()?, m.pass_on))
 }
 
 #[tonic::async_trait]
@@ -70,12 +70,13 @@
 
     async fn cancel(&self, req: Request<wire::NameRequest>) -> Result<Response<wire::JobReply>, Status> {
         let name = name(req.into_inner());
-        self.ask_job(name.map(|(customer, request)| PeerRequest::Cancel { customer, request })).await
+        self.ask_job(name.map(|(customer, request, pass_on)| PeerRequest::Cancel { customer, request, pass_on })).await
     }
 
     async fn acknowledge(&self, req: Request<wire::NameRequest>) -> Result<Response<wire::JobReply>, Status> {
         let name = name(req.into_inner());
-        self.ask_job(name.map(|(customer, request)| PeerRequest::Acknowledge { customer, request })).await
+        self.ask_job(name.map(|(customer, request, pass_on)| PeerRequest::Acknowledge { customer, request, pass_on }))
+            .await
     }
 
     async fn submit(&self, req: Request<wire::SubmitRequest>) -> Result<Response<wire::JobReply>, Status> {
--- a/crates/test-utils/src/cluster.rs
+++ b/crates/test-utils/src/cluster.rs
@@ -11,7 +11,7 @@
 use model::{AvailabilityZoneId, BackendServerId, BoxId, Duration, Incarnation, Moment, OperatorFile, Revision};
 use platform::{ListedBox, StoreReply, StoreRequest};
 use policy::Planner;
-use spread::{CONFIG_KEY, Document};
+use spread::{Applied, CONFIG_KEY, Document};
 use standins::{Checkpoints, KvTable, LeaseTable, Oracle, Violation};
 
 use crate::{
@@ -92,6 +92,7 @@
     answered: BTreeSet<u64>,
     next_call: u64,
     next_reply: u64,
+    applied: Vec<Option<Applied>>,
     checkpoints: Checkpoints,
     listed: Vec<ListedBox>,
     pub(crate) oracle: Oracle,
@@ -116,6 +117,7 @@
             answered: BTreeSet::new(),
             next_call: 0,
             next_reply: 0,
+            applied: Vec::new(),
             checkpoints: Checkpoints::default(),
             listed: Vec::new(),
             oracle: Oracle::default(),
@@ -189,6 +191,36 @@
         self.now = until;
     }
 
+    /// An operator applies a file, edited from a revision, through a box; gives the operator's number.
+    pub fn apply(&mut self, id: &BoxId, apply: &str, base: Revision, file: OperatorFile) -> usize {
+        let n = self.applied.len();
+        self.applied.push(None);
+        if let Some(life) = self.live_life(id) {
+            let to = self.owe(&life, Asker::Operator(n));
+            let apply = apply.parse().expect("a valid id");
+            let req = entry::CallerRequest::Apply { id: apply, base, file };
+            self.give(&life, Input::Caller { to, req });
+        }
+        n
+    }
+
+    /// What an operator was told.
+    pub fn applied(&self, n: usize) -> Option<&Applied> {
+        self.applied[n].as_ref()
+    }
+
+    /// The lowest revision in force on any live box or backend server.
+    pub fn lowest_revision(&self) -> Revision {
+        let boxes = self.boxes.values().filter_map(|it| it.entry.as_ref()).map(|it| it.status(self.now).revision);
+        let servers = self.servers.values().map(|it| it.table.info().revision);
+        boxes.chain(servers).min().unwrap_or_default()
+    }
+
+    /// When the tasks of a backend server began.
+    pub fn starts_on(&self, id: &BackendServerId) -> Vec<Moment> {
+        self.servers[id].table.runs.iter().map(|run| run.began).collect()
+    }
+
     /// The time.
     pub fn now(&self) -> Moment {
         self.now
@@ -319,11 +351,15 @@
     fn carry_out(&mut self, from: &Life, output: Output) {
         let from = from.clone();
         match output {
-            Output::ToCaller { to, reply } => {
-                if let Some(Asker::Caller { caller, call }) = self.owed.remove(&(from, to)) {
+            Output::ToCaller { to, reply } => match (self.owed.remove(&(from, to)), reply) {
+                (Some(Asker::Caller { caller, call }), reply) => {
                     self.send(Event::AtCaller { caller, reply: Some(reply), call });
                 }
-            }
+                (Some(Asker::Operator(n)), entry::CallerReply::Applied(applied)) => {
+                    self.applied[n] = Some(applied);
+                }
+                _ => {}
+            },
             Output::ToPeer { to, reply } => {
                 let id = from.id.clone();
                 if let Some(Asker::Peer { life, op, call }) = self.owed.remove(&(from, to))
@@ -499,7 +535,10 @@
         if self.faults.is_cut(&from.id, &peer) {
             return;
         }
-        let Some(life) = self.live_life(&peer) else { return };
+        let Some(life) = self.live_life(&peer) else {
+            // Nothing listens there: the connection is refused.
+            return self.send(Event::FromPeer { to: from, op, peer, reply: None, call });
+        };
         let to = self.owe(&life, Asker::Peer { life: from, op, call });
         self.give(&life, Input::Peer { to, req });
     }
--- a/crates/test-utils/src/events.rs
+++ b/crates/test-utils/src/events.rs
@@ -83,8 +83,17 @@
 /// Whom a box replies to.
 #[derive(Debug, Clone)]
 pub(crate) enum Asker {
-    Caller { caller: CallerId, call: u64 },
-    Peer { life: Life, op: OpId, call: u64 },
+    Caller {
+        caller: CallerId,
+        call: u64,
+    },
+    /// The operator of that number.
+    Operator(usize),
+    Peer {
+        life: Life,
+        op: OpId,
+        call: u64,
+    },
 }
 
 /// A reply that a box owes.
--- a/crates/test-utils/src/faults.rs
+++ b/crates/test-utils/src/faults.rs
@@ -153,6 +153,11 @@
         self.faults.max_delay_ms = max_delay_ms;
     }
 
+    /// Whether a box has left or died.
+    pub fn has_left(&self, id: &BoxId) -> bool {
+        self.live_life(id).is_none()
+    }
+
     /// Starts every box that is dead or has left with a new life.
     pub fn start_all(&mut self) {
         for id in self.box_ids() {
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -119,6 +119,8 @@
     pub wait_ms: u64,
     #[prost(string, tag = "4")]
     pub ticket: ::prost::alloc::string::String,
+    #[prost(bool, tag = "5")]
+    pub pass_on: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct NameRequest {
@@ -126,6 +128,8 @@
     pub customer: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
     pub request: ::prost::alloc::string::String,
+    #[prost(bool, tag = "3")]
+    pub pass_on: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SubmitRequest {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod codegen;
 mod replays;
+mod slopes;
 mod tidy;
 
 use std::process::ExitCode;
@@ -11,6 +12,7 @@
 commands:
   codegen [--check]  make the generated code from its sources; with --check only compare
   replay             measure placement against two baselines (use `cargo run --release -p xtask -- replay`)
+  slopes             measure what one more worker, task or byte costs (use --release, as above)
   tidy               check what the linter cannot: docs, file sizes, generated code, paths, words";
 
 fn main() -> ExitCode {
@@ -20,6 +22,7 @@
         ["codegen"] => codegen::write(),
         ["codegen", "--check"] => codegen::check(),
         ["replay"] => replays::run(),
+        ["slopes"] => slopes::run(),
         ["tidy"] => tidy::check(),
         ["--help" | "-h"] => {
             println!("{USAGE}");
