Check that no member begins before all are armed

Cause: breaking the code on purpose, so that a gang went once any member was armed, was not noticed: the oracle only measured how long a member ran alone. Change: the virtual cluster checks each begin against the other members' lease tables. Conclusion: an oracle is proved by the breaks it catches.

--- a/crates/standins/src/lease_table.rs
+++ b/crates/standins/src/lease_table.rs
@@ -129,6 +129,11 @@
         Some((self.info.revision, self.document.as_deref()?))
     }
 
+    /// Where a job's lease stands here, if one is known.
+    pub fn state_of(&self, job: &JobId) -> Option<(LeaseToken, &TaskState)> {
+        self.rows.get(job).map(|row| (row.token, &row.state))
+    }
+
     /// Free resources.
     pub fn free(&self) -> Resources {
         let held: Resources = self.rows.values().filter(|r| r.state.holds()).map(|r| r.task.resources()).sum();
--- a/crates/standins/src/oracle.rs
+++ b/crates/standins/src/oracle.rs
@@ -26,6 +26,18 @@
         /// For how long.
         alone: Duration,
     },
+    /// A member began while another had not been armed.
+    #[display("began in part: {job} attempt {attempt} began on {began} while {missing} was not armed")]
+    BeganInPart {
+        /// The job.
+        job: JobId,
+        /// The attempt.
+        attempt: Attempt,
+        /// The member that began.
+        began: BackendServerId,
+        /// The member that was not armed.
+        missing: BackendServerId,
+    },
     /// A caller was given something else than the whole answer to its own request.
     #[display("wrong answer: {customer}/{request} got {got:?}")]
     WrongAnswer {
--- a/crates/test-utils/src/cluster.rs
+++ b/crates/test-utils/src/cluster.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use backend::{BackendReply, BackendRequest, ServerInfo};
+use backend::{BackendReply, BackendRequest, ServerInfo, TaskState};
 use entry::{EntryBox, Identity, Input, Limits, Output};
 use fastrand::Rng;
 use model::{AvailabilityZoneId, BackendServerId, BoxId, Duration, Incarnation, Moment, OperatorFile, Revision};
@@ -437,7 +437,10 @@
             }
             return self.reply_from_server(from, op, id, req, reply, call);
         }
+        let runs_before = server.table.runs.len();
         let reply = server.table.call(req.clone(), now);
+        let began = server.table.runs[runs_before..].to_vec();
+        self.check_begun(&id, &began);
         if let (BackendRequest::Watch { table, since, wait }, BackendReply::Table(update)) = (&req, &reply)
             && update.table == *table
             && update.version == *since
@@ -451,6 +454,28 @@
         self.after_server(&id);
     }
 
+    /// When a member begins, every other one must have been armed for the same attempt. A member that
+    /// was lost since, by a lapse or a restart, had been.
+    fn check_begun(&mut self, began: &BackendServerId, runs: &[standins::RunRecord]) {
+        for run in runs {
+            for member in run.task.members.iter().filter(|m| m.server != *began) {
+                let Some(other) = self.servers.get(&member.server) else { continue };
+                let armed = match other.table.state_of(&run.job) {
+                    Some((token, state)) => token.attempt > run.token.attempt || *state != TaskState::Reserved,
+                    None => other.lives > 1,
+                };
+                if !armed {
+                    self.oracle.saw_violation(Violation::BeganInPart {
+                        job: run.job.clone(),
+                        attempt: run.token.attempt,
+                        began: began.clone(),
+                        missing: member.server.clone(),
+                    });
+                }
+            }
+        }
+    }
+
     fn reply_from_server(
         &mut self,
         to: Life,
