--- a/crates/test-utils/src/cluster.rs
+++ b/crates/test-utils/src/cluster.rs
@@ -440,7 +440,6 @@
         let runs_before = server.table.runs.len();
         let reply = server.table.call(req.clone(), now);
         let began = server.table.runs[runs_before..].to_vec();
-        self.check_begun(&id, &began);
         if let (BackendRequest::Watch { table, since, wait }, BackendReply::Table(update)) = (&req, &reply)
             && update.table == *table
             && update.version == *since
@@ -450,6 +449,7 @@
             self.queue.push(until, Event::ServerWake(id));
             return;
         }
+        self.check_begun(&id, &began);
         self.reply_from_server(from, op, id.clone(), req, reply, call);
         self.after_server(&id);
     }
