--- a/crates/marten/src/main.rs
+++ b/crates/marten/src/main.rs
@@ -1,5 +1,13 @@
 //! `marten`: the command line of operators and callers. `marten --help` lists the commands.
 
+/// Writes a line to standard output. A reader that has gone, such as `head`, is no failure.
+macro_rules! say {
+    ($($text:tt)*) => {{
+        use std::io::Write as _;
+        let _ = writeln!(std::io::stdout(), $($text)*);
+    }};
+}
+
 mod client;
 mod commands;
 mod diff;
--- a/crates/martend/examples/quickstart/main.rs
+++ b/crates/martend/examples/quickstart/main.rs
@@ -26,6 +26,7 @@
 const DRAIN_TIME: Duration = Duration::from_secs(25);
 
 fn main() -> ExitCode {
+    martend::telemetry::init_metrics();
     let stay = std::env::args().any(|arg| arg == "--stay");
     let result = smol::block_on(run(stay));
     match result {
--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -9,7 +9,7 @@
 
 /// Why a gang can never run in an availability zone.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
-#[display("{gang} is asked for; the most that one {within} of the availability zone holds is {most} such tasks")]
+#[display("{gang} is asked for; one {within} here holds at most {most} such tasks")]
 pub struct NeverFits {
     /// What was asked for.
     pub gang: Gang,
--- a/xtask/src/slopes.rs
+++ b/xtask/src/slopes.rs
@@ -10,7 +10,7 @@
 };
 
 use backend::{BackendReply, BackendRequest, Holder, Lease, Renewal, ServerInfo, TableUpdate, TaskState};
-use entry::{BackendOp, EntryBox, Identity, Input, Limits};
+use entry::{BackendOp, EntryBox, Identity, Input, Limits, PeerRequest, ReplyTo};
 use model::{
     AvailabilityZoneId, Duration, Gang, Incarnation, JobId, LeaseToken, Member, Moment, OperatorFile, Resources,
     Revision, Within,
@@ -170,6 +170,7 @@
         let reply = Some(BackendReply::Table(update));
         entry.handle(Input::BackendReply { op: BackendOp::Watch, server: server.id.clone(), req, reply }, now);
     }
+    entry.handle(Input::Peer { to: ReplyTo(1), req: heartbeat() }, now);
     entry
 }
 
@@ -177,7 +178,7 @@
     let lease = |n: usize| Lease {
         job: job(n + 1),
         token: LeaseToken::default(),
-        holder: Holder { box_id: "az-1-box-1".parse().expect("a valid id"), incarnation: Incarnation(1) },
+        holder: Holder { box_id: "az-1-box-2".parse().expect("a valid id"), incarnation: Incarnation(1) },
         customer: format!("team-{}", n % 110).parse().expect("a valid id"),
         request: format!("request-{n}").parse().expect("a valid id"),
         class: "batch".parse().expect("a valid id"),
@@ -210,6 +211,16 @@
     }
 }
 
+/// The holder of all leases lives.
+fn heartbeat() -> PeerRequest {
+    PeerRequest::Heartbeat {
+        from: "az-1-box-2".parse().expect("a valid id"),
+        incarnation: Incarnation(1),
+        revision: Revision(1),
+        leaving: false,
+    }
+}
+
 /// Processor time of an idle box's tick, and of one changed lease.
 fn ticks(text: &mut String) {
     let mut tick_points = Vec::new();
@@ -219,6 +230,7 @@
         let mut now = Moment::from_millis(20_000);
         let times = (0..200).map(|_| {
             now = now + Duration::from_millis(100);
+            entry.handle(Input::Peer { to: ReplyTo(1), req: heartbeat() }, now);
             let begun = Instant::now();
             std::hint::black_box(entry.handle(Input::Tick, now));
             begun.elapsed()
