--- a/crates/policy/tests/planner.rs
+++ b/crates/policy/tests/planner.rs
@@ -82,12 +82,12 @@
 }
 
 /// A small model of what runs, kept by the test alone.
-struct Zone {
+struct World {
     file: Arc<OperatorFile>,
     running: BTreeMap<JobId, (Queued, Vec<Member>, bool)>,
 }
 
-impl Zone {
+impl World {
     fn snapshot(&self, queue: Vec<Queued>) -> Snapshot {
         let servers = self.file.backend_servers.values();
         let running = self.running.values().map(|(it, members, stopping)| Running {
@@ -162,7 +162,7 @@
     /// were told to stop have stopped.
     #[test]
     fn a_guaranteed_shape_can_always_be_reclaimed(asks in proptest::collection::vec(ask(), 0..25)) {
-        let mut zone = Zone { file: file(), running: BTreeMap::new() };
+        let mut zone = World { file: file(), running: BTreeMap::new() };
         let mut planner = CellPlanner::new("z".parse().expect("a valid id"));
         for (n, ask) in asks.iter().enumerate() {
             let queue = vec![queued(n, &Ask { court: false, ..ask.clone() })];
@@ -188,7 +188,7 @@
     /// Every decision can be carried out, and the same snapshot gives the same decisions.
     #[test]
     fn decisions_can_be_carried_out(asks in proptest::collection::vec(ask(), 1..30)) {
-        let mut zone = Zone { file: file(), running: BTreeMap::new() };
+        let mut zone = World { file: file(), running: BTreeMap::new() };
         let mut planner = CellPlanner::new("z".parse().expect("a valid id"));
         let mut queue: Vec<Queued> = asks.iter().enumerate().map(|(n, ask)| queued(n, ask)).collect();
         for _ in 0..5 {
--- a/crates/standins/src/lease_table.rs
+++ b/crates/standins/src/lease_table.rs
@@ -6,11 +6,14 @@
 };
 
 use backend::{
-    Answer, BackendReply, BackendRequest, Holder, Lease, Refusal, Renewal, ServerInfo, TableUpdate, TaskSpec, TaskState,
+    Answer, BackendReply, BackendRequest, Holder, Refusal, Renewal, ServerInfo, TableUpdate, TaskSpec, TaskState,
 };
 use model::{BackendServerId, CustomerId, Digest, Duration, JobId, LeaseToken, Moment, RequestId, Resources, Revision};
 
-use crate::Work;
+use crate::{
+    Work,
+    lease_row::{Event, Row, request_name},
+};
 
 /// How long an ended lease and its answer are kept unless acknowledged.
 const RETENTION: Duration = Duration::from_secs(3600);
@@ -18,8 +21,6 @@
 const MEMORY: Duration = Duration::from_secs(48 * 3600);
 /// How long a stand-in task takes to write a checkpoint.
 const CHECKPOINT_COST: Duration = Duration::from_millis(20);
-/// A task on a backend server that fails everything fails after this long.
-const FAIL_AFTER: Duration = Duration::from_millis(10);
 /// Removed lines that a watch can still be told of one by one.
 const REMOVED_KEPT: usize = 1024;
 
@@ -58,22 +59,6 @@
     pub runs: Vec<RunRecord>,
 }
 
-struct Row {
-    task: TaskSpec,
-    holder: Holder,
-    token: LeaseToken,
-    state: TaskState,
-    changed: u64,
-    until: Moment,
-    began: Option<Moment>,
-    done_at: Option<Moment>,
-    stop_at: Option<Moment>,
-    ended: Option<Moment>,
-    progress: Duration,
-    run: Option<usize>,
-    acknowledged: bool,
-}
-
 struct Seen {
     token: LeaseToken,
     ran: bool,
@@ -484,58 +469,3 @@
         }
     }
 }
-
-fn request_name(task: &TaskSpec) -> (CustomerId, RequestId) {
-    (task.spec.customer.clone(), task.spec.request.clone())
-}
-
-enum Event {
-    Lapse,
-    Stop,
-    BadServer,
-    Done,
-}
-
-impl Row {
-    fn next_event(&self, fail_since: Option<Moment>) -> Option<(Moment, Event)> {
-        if !self.state.holds() {
-            return None;
-        }
-        let mut next = (self.until, Event::Lapse);
-        let mut consider = |at: Option<Moment>, event: Event| {
-            if let Some(at) = at
-                && at < next.0
-            {
-                next = (at, event);
-            }
-        };
-        consider(self.stop_at, Event::Stop);
-        consider(self.done_at, Event::Done);
-        if let (Some(since), Some(began)) = (fail_since, self.began) {
-            consider(Some(since.max(began + FAIL_AFTER)), Event::BadServer);
-        }
-        Some(next)
-    }
-
-    fn line(&self, job: &JobId, now: Moment) -> Lease {
-        let spec = &self.task.spec;
-        Lease {
-            job: job.clone(),
-            token: self.token,
-            holder: self.holder.clone(),
-            customer: spec.customer.clone(),
-            request: spec.request.clone(),
-            class: spec.class.clone(),
-            resources: self.task.resources(),
-            members: self.task.members.clone(),
-            state: self.state.clone(),
-            declared: spec.declared,
-            ran_for: self.began.map_or(Duration::ZERO, |began| self.ended.unwrap_or(now).since(began)),
-            waited: self.task.waited,
-            repeatable: spec.repeatable,
-            checkpointable: spec.checkpointable,
-            stopping: self.stop_at.is_some(),
-            acknowledged: self.acknowledged,
-        }
-    }
-}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod faults;
 mod kv_table;
+mod lease_row;
 mod lease_table;
 mod oracle;
 mod server;
--- a/crates/test-utils/src/cluster.rs
+++ b/crates/test-utils/src/cluster.rs
@@ -5,18 +5,19 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use backend::{BackendReply, BackendRequest, ServerInfo, TaskState};
+use backend::ServerInfo;
 use entry::{EntryBox, Identity, Input, Limits, Output};
 use fastrand::Rng;
 use model::{AvailabilityZoneId, BackendServerId, BoxId, Duration, Incarnation, Moment, OperatorFile, Revision};
-use platform::{ListedBox, StoreReply, StoreRequest};
+use platform::{ListedBox, StoreRequest};
 use policy::Planner;
 use spread::{Applied, CONFIG_KEY, Document};
 use standins::{Checkpoints, KvTable, LeaseTable, Oracle, Violation};
 
 use crate::{
-    events::{Asker, Event, Life, Owed, Queue},
+    events::{Asker, Event, Life, Owed, Queue, trace},
     faults::Faults,
+    outside::{StoreWatcher, Watcher},
     virtual_caller::VirtualCaller,
 };
 
@@ -55,26 +56,10 @@
     pub(crate) table: LeaseTable,
     pub(crate) lives: u64,
     pub(crate) old_runs: Vec<standins::RunRecord>,
-    watchers: Vec<Watcher>,
+    pub(crate) watchers: Vec<Watcher>,
     pub(crate) leaving_since: Option<Moment>,
 }
 
-struct Watcher {
-    to: Life,
-    req: BackendRequest,
-    until: Moment,
-    call: u64,
-}
-
-struct StoreWatcher {
-    to: Life,
-    op: entry::OpId,
-    key: String,
-    above: u64,
-    until: Moment,
-    call: u64,
-}
-
 /// A cluster.
 pub struct Cluster {
     pub(crate) now: Moment,
@@ -87,7 +72,7 @@
     pub(crate) callers: Vec<VirtualCaller>,
     pub(crate) limits: Limits,
     pub(crate) planner: MakePlanner,
-    store_watchers: Vec<StoreWatcher>,
+    pub(crate) store_watchers: Vec<StoreWatcher>,
     owed: BTreeMap<Owed, Asker>,
     answered: BTreeSet<u64>,
     next_call: u64,
@@ -421,141 +406,6 @@
         self.queue.push(self.now + delay, event);
     }
 
-    fn at_server(&mut self, from: Life, op: entry::BackendOp, id: BackendServerId, req: BackendRequest, call: u64) {
-        if self.faults.is_server_cut(&from.id, &id) {
-            return;
-        }
-        let now = self.now;
-        let Some(server) = self.servers.get_mut(&id) else { return };
-        if let BackendRequest::Reserve { .. } = &req
-            && let Some(since) = server.leaving_since
-        {
-            let held = server.table.free();
-            let reply = server.table.call(req.clone(), now);
-            if held != server.table.free() {
-                self.oracle.saw_violation(Violation::WorkWhileLeaving { server: id.clone(), after: now.since(since) });
-            }
-            return self.reply_from_server(from, op, id, req, reply, call);
-        }
-        let runs_before = server.table.runs.len();
-        let reply = server.table.call(req.clone(), now);
-        let began = server.table.runs[runs_before..].to_vec();
-        if let (BackendRequest::Watch { table, since, wait }, BackendReply::Table(update)) = (&req, &reply)
-            && update.table == *table
-            && update.version == *since
-        {
-            let until = now + *wait;
-            server.watchers.push(Watcher { to: from, req, until, call });
-            self.queue.push(until, Event::ServerWake(id));
-            return;
-        }
-        self.check_begun(&id, &began);
-        self.reply_from_server(from, op, id.clone(), req, reply, call);
-        self.after_server(&id);
-    }
-
-    /// When a member begins, every other one must have been armed for the same attempt. A member that
-    /// was lost since, by a lapse or a restart, had been.
-    fn check_begun(&mut self, began: &BackendServerId, runs: &[standins::RunRecord]) {
-        for run in runs {
-            for member in run.task.members.iter().filter(|m| m.server != *began) {
-                let Some(other) = self.servers.get(&member.server) else { continue };
-                let armed = match other.table.state_of(&run.job) {
-                    Some((token, state)) => token.attempt > run.token.attempt || *state != TaskState::Reserved,
-                    None => other.lives > 1,
-                };
-                if !armed {
-                    self.oracle.saw_violation(Violation::BeganInPart {
-                        job: run.job.clone(),
-                        attempt: run.token.attempt,
-                        began: began.clone(),
-                        missing: member.server.clone(),
-                    });
-                }
-            }
-        }
-    }
-
-    fn reply_from_server(
-        &mut self,
-        to: Life,
-        op: entry::BackendOp,
-        server: BackendServerId,
-        req: BackendRequest,
-        reply: BackendReply,
-        call: u64,
-    ) {
-        if !self.faults.is_server_cut(&to.id, &server) {
-            self.send(Event::FromServer { to, op, server, req, reply: Some(reply), call });
-        }
-    }
-
-    /// Answers watches that have news or have waited long enough, and plans the next change.
-    pub(crate) fn after_server(&mut self, id: &BackendServerId) {
-        let now = self.now;
-        let Some(server) = self.servers.get_mut(id) else { return };
-        let version = server.table.version();
-        let due = |w: &Watcher| {
-            let BackendRequest::Watch { since, .. } = &w.req else { return true };
-            *since != version || w.until <= now
-        };
-        let (ready, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut server.watchers).into_iter().partition(due);
-        server.watchers = waiting;
-        let replies: Vec<_> = ready.into_iter().map(|w| (server.table.call(w.req.clone(), now), w)).collect();
-        if let Some(at) = server.table.next_event() {
-            self.queue.push(at.max(now + Duration::from_millis(1)), Event::ServerWake(id.clone()));
-        }
-        for (reply, w) in replies {
-            self.reply_from_server(w.to, entry::BackendOp::Watch, id.clone(), w.req, reply, w.call);
-        }
-    }
-
-    fn at_store(&mut self, from: Life, op: entry::OpId, req: StoreRequest, call: u64) {
-        if self.faults.store_down || self.faults.is_cut_from_platform(&from.id) {
-            return;
-        }
-        let reply = self.store.call(&req, self.now);
-        if let StoreRequest::Watch { key, above, wait } = &req
-            && store_version(&reply) <= *above
-            && *wait > Duration::ZERO
-        {
-            let until = self.now + *wait;
-            self.store_watchers.push(StoreWatcher { to: from, op, key: key.clone(), above: *above, until, call });
-            self.queue.push(until, Event::StoreWake);
-            return;
-        }
-        self.reply_from_store(from, op, reply, call);
-        self.after_store();
-    }
-
-    fn reply_from_store(&mut self, to: Life, op: entry::OpId, reply: StoreReply, call: u64) {
-        if self.faults.lose_store_answers > 0 {
-            self.faults.lose_store_answers -= 1;
-            return;
-        }
-        if !self.faults.store_down && !self.faults.is_cut_from_platform(&to.id) {
-            self.send(Event::FromStore { to, op, reply: Some(reply), call });
-        }
-    }
-
-    fn after_store(&mut self) {
-        let now = self.now;
-        let mut replies = Vec::new();
-        let mut waiting = Vec::new();
-        for watcher in std::mem::take(&mut self.store_watchers) {
-            let reply = self.store.look(&watcher.key, now);
-            if store_version(&reply) > watcher.above || watcher.until <= now {
-                replies.push((watcher, reply));
-            } else {
-                waiting.push(watcher);
-            }
-        }
-        self.store_watchers = waiting;
-        for (watcher, reply) in replies {
-            self.reply_from_store(watcher.to, watcher.op, reply, watcher.call);
-        }
-    }
-
     fn at_peer(&mut self, from: Life, op: entry::OpId, peer: BoxId, req: entry::PeerRequest, call: u64) {
         if self.faults.is_cut(&from.id, &peer) {
             return;
@@ -630,13 +480,6 @@
     }
 }
 
-fn store_version(reply: &StoreReply) -> u64 {
-    match reply {
-        StoreReply::Found { value: Some(value) } => value.version,
-        _ => 0,
-    }
-}
-
 impl Cluster {
     /// What every live box says of itself, for a failed test's message.
     pub fn statuses(&self) -> String {
@@ -645,15 +488,3 @@
         lines.join("\n")
     }
 }
-
-/// With `MARTENSCALE_TRACE` set, prints what boxes do, for following a failed case by eye.
-fn trace(now: Moment, life: &Life, output: &Output) {
-    if std::env::var_os("MARTENSCALE_TRACE").is_none() {
-        return;
-    }
-    let text = format!("{output:?}");
-    // Watches and heartbeats go on all the time and hide the rest.
-    if !text.contains("Watch") && !text.contains("Heartbeat") {
-        println!("{now} {} {text}", life.id);
-    }
-}
--- a/crates/test-utils/src/events.rs
+++ b/crates/test-utils/src/events.rs
@@ -3,7 +3,7 @@
 use std::{cmp::Ordering, collections::BinaryHeap};
 
 use backend::{BackendReply, BackendRequest};
-use entry::{BackendOp, CallerReply, CallerRequest, OpId, PeerReply, PeerRequest, ReplyTo};
+use entry::{BackendOp, CallerReply, CallerRequest, OpId, Output, PeerReply, PeerRequest, ReplyTo};
 use model::{BackendServerId, BoxId, Incarnation, Moment};
 use platform::{StoreReply, StoreRequest};
 
@@ -146,3 +146,15 @@
         self.heap.pop().map(|it| (it.at, it.event))
     }
 }
+
+/// With `MARTENSCALE_TRACE` set, prints what boxes do, for following a failed case by eye.
+pub(crate) fn trace(now: Moment, life: &Life, output: &Output) {
+    if std::env::var_os("MARTENSCALE_TRACE").is_none() {
+        return;
+    }
+    let text = format!("{output:?}");
+    // Watches and heartbeats go on all the time and hide the rest.
+    if !text.contains("Watch") && !text.contains("Heartbeat") {
+        println!("{now} {} {text}", life.id);
+    }
+}
--- a/crates/test-utils/src/lib.rs
+++ b/crates/test-utils/src/lib.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod events;
 mod faults;
+mod outside;
 mod virtual_caller;
 
 pub use crate::{
