Let a claim that was given up be cancelled

Change: a cancellation that nobody answers for fences the ticket and ends the claim, whether or not the ticket's box lives.

--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -38,8 +38,6 @@
     submission: Option<Submission>,
     /// How the claim says that it ended: the answer, if no box has it any more.
     ended: Option<String>,
-    /// Whether a box said that the request is orphaned.
-    orphaned: bool,
     /// Whether the reply is passed on even if it says that nothing is known.
     last_stop: bool,
 }
@@ -49,16 +47,7 @@
     pub(crate) fn forward(submission: Submission, to: Respondent) -> RouteOp {
         let name = (submission.spec.customer.clone(), submission.spec.request.clone());
         let ask = Ask::Poll { wait: submission.wait };
-        RouteOp {
-            ask,
-            name,
-            to,
-            open: BTreeSet::new(),
-            submission: None,
-            last_stop: true,
-            orphaned: false,
-            ended: None,
-        }
+        RouteOp { ask, name, to, open: BTreeSet::new(), submission: None, last_stop: true, ended: None }
     }
 
     /// A question to all peers.
@@ -68,7 +57,7 @@
         to: Respondent,
         submission: Option<Submission>,
     ) -> RouteOp {
-        RouteOp { ask, name, to, open: BTreeSet::new(), submission, last_stop: false, orphaned: false, ended: None }
+        RouteOp { ask, name, to, open: BTreeSet::new(), submission, last_stop: false, ended: None }
     }
 
     /// A question about a request whose claim says that it ended.
@@ -207,11 +196,8 @@
         route.open.remove(peer);
         let done = route.open.is_empty();
         let known = match reply {
-            Some(PeerReply::Job(JobAnswer::Orphaned)) => {
-                route.orphaned = true;
-                None
-            }
-            Some(PeerReply::Job(answer)) if answer != JobAnswer::NotKnown => Some(answer),
+            Some(PeerReply::Job(JobAnswer::Orphaned | JobAnswer::NotKnown)) => None,
+            Some(PeerReply::Job(answer)) => Some(answer),
             _ => None,
         };
         if known.is_none() && !done {
@@ -263,12 +249,11 @@
         if let Some(outcome) = claim.ended {
             return self.reply(route.to, CallerReply::Job(JobAnswer::Over { outcome }));
         }
-        let live = self.is_live_ticket(&claim.ticket, now) && !route.orphaned;
-        if !live && route.ask == Ask::Cancel && self.view.may_judge(now) {
+        // Nobody holds it, also if the box that minted the ticket lives: it gave the ticket up.
+        if route.ask == Ask::Cancel && self.view.may_judge(now) {
             return self.cancel_orphan(route.name, route.to, claim, version, now);
         }
-        let answer = if live { moved_answer() } else { orphan_answer() };
-        self.reply(route.to, CallerReply::Job(answer));
+        self.reply(route.to, CallerReply::Job(orphan_answer()));
     }
 
     /// The answer about a job of this box.
--- a/crates/entry/tests/failures.rs
+++ b/crates/entry/tests/failures.rs
@@ -269,3 +269,18 @@
     cluster.resume_box(&a_box(b[1]));
     check_settles(cluster);
 }
+
+/// A claim took effect, its answer was lost, and its box gave the ticket up; the caller's
+/// cancellation was sent in circles.
+#[test]
+fn a_claim_that_was_given_up_can_be_cancelled() {
+    let mut cluster = cluster(9662536676347374336);
+    let first = a_box("az-1-box-2");
+    let caller = cluster.submit(spec(1, 0, 0, 20), false, &first);
+    cluster.lose_store_answers(1);
+    cluster.cancel(caller);
+    cluster.advance(Duration::from_millis(10));
+    cluster.cut_box_from_platform(&first, true);
+    cluster.advance(Duration::from_millis(9996));
+    check_settles(cluster);
+}
