Do not give up a claim whose answer is on its way

Change: a ticket of this box whose claim is still on its way is waited for. Conclusion: the store's order, not this box's, says which claim stands.

--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -99,6 +99,12 @@
         })
     }
 
+    /// Whether a claim under this ticket has been sent and its answer has not come yet: its write may
+    /// have taken effect, and the job is started once that is known.
+    fn is_claim_on_its_way(&self, ticket: &JobId) -> bool {
+        self.ops.values().any(|op| matches!(op, Op::Claim(op) if op.claim.ticket == *ticket))
+    }
+
     pub(crate) fn is_claiming(&self, spec: &JobSpec) -> bool {
         self.is_claiming_name(&(spec.customer.clone(), spec.request.clone()))
     }
@@ -199,6 +205,9 @@
 
     /// The standing claim is an earlier one of this very process.
     fn on_own_claim(&mut self, op: ClaimOp, standing: &Claim, version: u64, now: Moment) {
+        if self.is_claim_on_its_way(&standing.ticket) {
+            return self.reply(op.to, CallerReply::Job(crate::route::claiming_answer()));
+        }
         let view = self.jobs.view(&standing.ticket);
         match view.as_ref().map(|view| &view.stage) {
             // Its ticket was given up before it was started, or the job was not run.
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -291,7 +291,7 @@
     JobAnswer::Unsettled { why: "another box is taking the job over".to_owned(), retry_after: RETRY_MOVED }
 }
 
-fn claiming_answer() -> JobAnswer {
+pub(crate) fn claiming_answer() -> JobAnswer {
     JobAnswer::Pending { job: None, stage: "claiming".to_owned() }
 }
 
--- a/crates/entry/tests/failures.rs
+++ b/crates/entry/tests/failures.rs
@@ -284,3 +284,29 @@
     cluster.advance(Duration::from_millis(9996));
     check_settles(cluster);
 }
+
+/// Two claims of one box for the same request: the second found the first's ticket in the store,
+/// took it for given up since the answer was still on its way, and the request ran twice.
+#[test]
+fn a_claim_on_its_way_is_not_given_up() {
+    let mut cluster = cluster(15059078604556363222);
+    let b = ["az-1-box-1", "az-1-box-2", "az-2-box-1", "az-2-box-2"];
+    cluster.advance(Duration::from_millis(1724));
+    cluster.submit(spec(1, 128, 0, 17201), false, &a_box(b[3]));
+    cluster.submit(spec(2, 101, 84, 6417), false, &a_box(b[0]));
+    cluster.advance(Duration::from_millis(779));
+    cluster.cut_box_from_servers(&a_box(b[2]), true);
+    cluster.submit(spec(3, 104, 4, 23158), false, &a_box(b[1]));
+    cluster.advance(Duration::from_millis(3345));
+    cluster.cut_box_from_peers(&a_box(b[0]), true);
+    cluster.submit(spec(4, 111, 236, 3991), true, &a_box(b[1]));
+    cluster.submit(spec(5, 253, 26, 9523), true, &a_box(b[1]));
+    cluster.submit(spec(6, 85, 184, 59), true, &a_box(b[2]));
+    cluster.set_network(164, 314);
+    cluster.submit(spec(7, 229, 55, 10846), true, &a_box(b[1]));
+    cluster.advance(Duration::from_millis(11153));
+    cluster.kill_box(&a_box(b[1]));
+    cluster.submit(spec(8, 180, 156, 596), true, &a_box(b[2]));
+    cluster.advance(Duration::from_millis(13124));
+    check_settles(cluster);
+}
