--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -372,19 +372,10 @@
     /// Claims a waiting job anew, under a ticket that young lease tables accept. It goes the way of
     /// any submission, so that a box which has fenced the old ticket in between is found out.
     pub(crate) fn renew_ticket(&mut self, job: &JobId, now: Moment) {
-        let Some(claim) = self.claimed.get(job) else { return };
-        let durable = claim.durable.is_some();
-        let Some((spec, origin)) = self.jobs.release(job) else { return };
-        self.claimed.remove(job);
-        let submission = Submission {
-            spec: (*spec).clone(),
-            wait: Duration::ZERO,
-            durable,
-            retry: false,
-            ticket: None,
-            resume: origin.resume,
-            may_have_run: !origin.certain,
-        };
+        if !self.claimed.contains_key(job) {
+            return;
+        }
+        let Some(submission) = self.release(job) else { return };
         self.submit_new(submission, Respondent::Nobody, now);
     }
 
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -3,7 +3,7 @@
 //! Running gangs are adopted by the planner once it hears that their holder is leaving.
 
 use lifecycle::Origin;
-use model::{BoxId, Duration, Moment};
+use model::{BoxId, Duration, JobId, Moment};
 
 use crate::{
     CallerReply, EntryBox, JobAnswer, PeerReply, PeerRequest, Submission, entry_box::Op, route::Ask,
@@ -59,21 +59,26 @@
             return;
         }
         for waiting in self.jobs.waiting(now) {
-            let Some((spec, Origin { resume, certain })) = self.jobs.release(&waiting.job) else { continue };
-            let durable = self.claimed.remove(&waiting.job).is_some_and(|claim| claim.durable.is_some());
-            let submission = Submission {
-                spec: (*spec).clone(),
-                wait: Duration::ZERO,
-                durable,
-                retry: false,
-                ticket: None,
-                resume,
-                may_have_run: !certain,
-            };
+            let Some(submission) = self.release(&waiting.job) else { continue };
             self.hand_over(HandOver { submission, refused: Vec::new() }, now);
         }
     }
 
+    /// Gives a waiting job up as a submission that can be made anew, here or elsewhere.
+    pub(crate) fn release(&mut self, job: &JobId) -> Option<Submission> {
+        let (spec, Origin { resume, certain }) = self.jobs.release(job)?;
+        let durable = self.claimed.remove(job).is_some_and(|claim| claim.durable.is_some());
+        Some(Submission {
+            spec: (*spec).clone(),
+            wait: Duration::ZERO,
+            durable,
+            retry: false,
+            ticket: None,
+            resume,
+            may_have_run: !certain,
+        })
+    }
+
     fn hand_over(&mut self, it: HandOver, now: Moment) {
         match self.successor(&it.refused, now) {
             Some(peer) => {
--- a/crates/marten/src/main.rs
+++ b/crates/marten/src/main.rs
@@ -28,20 +28,13 @@
             ExitCode::SUCCESS
         }
         Ok(Some(opts)) => {
-            init_logs(&opts);
+            logs::init(opts.log_level, opts.log_format);
             finish(smol::block_on(commands::run(&opts)))
         }
         Err(e) => finish(Err(e)),
     }
 }
 
-fn init_logs(opts: &Options) {
-    let config = simplelog::Config::default();
-    let mode = simplelog::TerminalMode::Stderr;
-    // Another logger cannot stand: this is the first thing the process does.
-    let _ = simplelog::TermLogger::init(opts.log_level, config, mode, simplelog::ColorChoice::Auto);
-}
-
 fn finish(result: Result<(), Failure>) -> ExitCode {
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/marten/src/options.rs
+++ b/crates/marten/src/options.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use log::LevelFilter;
+use logs::LogFormat;
 use model::Revision;
 
 use crate::exit::Failure;
@@ -50,6 +51,7 @@
     pub(crate) format: Format,
     pub(crate) timeout_s: u64,
     pub(crate) log_level: LevelFilter,
+    pub(crate) log_format: LogFormat,
 }
 
 fn opts() -> getopts::Options {
@@ -65,6 +67,7 @@
     opts.optopt("t", "timeout", "longest time to wait for a job, in seconds (600)", "SECONDS");
     opts.optflag("", "detach", "submit: return as soon as the job is kept by the platform");
     opts.optopt("", "log", "error, warn (the default), info, debug or trace", "LEVEL");
+    opts.optflag("", "log-json", "write log lines as JSON, one object a line");
     opts.optflag("h", "help", "show this text");
     opts
 }
@@ -99,6 +102,7 @@
             boxes: boxes?,
             format,
             timeout_s: parse_opt(&matches, "timeout", "a number of seconds")?.unwrap_or(600),
+            log_format: if matches.opt_present("log-json") { LogFormat::Json } else { LogFormat::Text },
             log_level: parse_opt(&matches, "log", "a level")?.unwrap_or(LevelFilter::Warn),
         }))
     }
--- a/crates/martend/src/lib.rs
+++ b/crates/martend/src/lib.rs
@@ -13,5 +13,5 @@
 
 pub use crate::{
     host::{Addresses, Daemon, Parts, start},
-    settings::{LogFormat, LogSettings, RawLimits, RawSettings, Settings},
+    settings::{LogSettings, RawLimits, RawSettings, Settings},
 };
--- a/crates/martend/src/main.rs
+++ b/crates/martend/src/main.rs
@@ -39,7 +39,7 @@
         println!("{path}: the settings can be used");
         return ExitCode::SUCCESS;
     }
-    telemetry::init_logs(&settings.log);
+    logs::init(settings.log.level, settings.log.format);
     telemetry::init_metrics();
     match smol::block_on(run(settings)) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/martend/src/settings.rs
+++ b/crates/martend/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use entry::Limits;
+use logs::LogFormat;
 use model::{AvailabilityZoneId, BoxId, CheckError, Duration, JsonPath};
 use platform::ListedBox;
 use serde::{Deserialize, Serialize};
@@ -49,16 +50,6 @@
     }
 }
 
-/// How log lines are written.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum LogFormat {
-    /// For people.
-    Text,
-    /// One JSON object a line.
-    Json,
-}
-
 /// Time limits that differ from the defaults, in milliseconds.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/martend/src/telemetry.rs
+++ b/crates/martend/src/telemetry.rs
@@ -1,14 +1,13 @@
-//! Metrics and logs.
+//! Metrics, and what is logged of an entry box.
 
-use std::{io::Write, sync::OnceLock};
+use std::sync::OnceLock;
 
 use entry::Observation;
-use log::{Level, LevelFilter, Log, Metadata, Record};
+use log::Level;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use model::BoxId;
-use simplelog::{ColorChoice, CombinedLogger, Config, ConfigBuilder, SharedLogger, TermLogger, TerminalMode};
 
-use crate::{LogFormat, LogSettings, host::Health};
+use crate::host::Health;
 
 /// Upper bounds of the histograms' buckets, in seconds: from a quick label to a batch of days.
 const BUCKETS: [f64; 16] =
@@ -35,61 +34,6 @@
     METRICS.get().map(PrometheusHandle::render).unwrap_or_default()
 }
 
-/// Makes the logger; a second call does nothing.
-pub fn init_logs(settings: &LogSettings) {
-    let logger: Box<dyn SharedLogger> = match settings.format {
-        LogFormat::Text => {
-            let config = ConfigBuilder::new().set_time_format_rfc3339().build();
-            TermLogger::new(settings.level, config, TerminalMode::Stderr, ColorChoice::Auto)
-        }
-        LogFormat::Json => Box::new(JsonLines { level: settings.level }),
-    };
-    // A logger stands already if the process that embeds this made one.
-    let _ = CombinedLogger::init(vec![logger]);
-}
-
-/// One JSON object a line on standard error.
-struct JsonLines {
-    level: LevelFilter,
-}
-
-impl Log for JsonLines {
-    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
-        metadata.level() <= self.level
-    }
-
-    fn log(&self, record: &Record<'_>) {
-        if !self.enabled(record.metadata()) {
-            return;
-        }
-        let at = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0, |d| d.as_millis());
-        let line = serde_json::json!({
-            "at_ms": at as u64,
-            "level": record.level().as_str(),
-            "target": record.target(),
-            "message": record.args().to_string(),
-        });
-        // Nothing can be done about a log that cannot be written.
-        let _ = writeln!(std::io::stderr().lock(), "{line}");
-    }
-
-    fn flush(&self) {}
-}
-
-impl SharedLogger for JsonLines {
-    fn level(&self) -> LevelFilter {
-        self.level
-    }
-
-    fn config(&self) -> Option<&Config> {
-        None
-    }
-
-    fn as_log(self: Box<Self>) -> Box<dyn Log> {
-        self
-    }
-}
-
 /// Counts and logs what an entry box saw.
 pub(crate) fn observe(box_id: &BoxId, observation: &Observation) {
     let id = box_id.to_string();
--- a/crates/martend/tests/processes.rs
+++ b/crates/martend/tests/processes.rs
@@ -29,6 +29,9 @@
 /// A lease lapses after this.
 const LEASE_MS: u64 = 3000;
 
+/// A caller on its way, with its job and what it is told at last.
+type Caller = smol::Task<(JobSpec, Option<Outcome>)>;
+
 /// A daemon's process, killed when dropped.
 struct Daemon {
     child: Child,
@@ -168,7 +171,7 @@
     daemons
 }
 
-fn hand_in(boxes: &[SocketAddr], over: &Arc<AtomicUsize>) -> Vec<smol::Task<(JobSpec, Option<Outcome>)>> {
+fn hand_in(boxes: &[SocketAddr], over: &Arc<AtomicUsize>) -> Vec<Caller> {
     let hand_in = |n: usize| {
         let spec = job(n);
         let mut boxes = boxes.to_vec();
@@ -189,8 +192,19 @@
     }
 }
 
+/// Everything, with some jobs over and the others on their way.
+async fn start_under_load() -> (Outside, Vec<Daemon>, Vec<Caller>) {
+    let outside = start_outside().await;
+    let daemons = start_daemons(&outside).await;
+    let boxes: Vec<SocketAddr> = daemons.iter().map(|daemon| daemon.callers).collect();
+    let over = Arc::new(AtomicUsize::new(0));
+    let callers = hand_in(&boxes, &over);
+    until_over(&over, BEFORE_KILL).await;
+    (outside, daemons, callers)
+}
+
 /// Every caller got an outcome, none of them is false, and no promise was broken.
-async fn check(outside: &Outside, callers: Vec<smol::Task<(JobSpec, Option<Outcome>)>>) -> usize {
+async fn check(outside: &Outside, callers: Vec<Caller>) -> usize {
     let mut oracle = Oracle::default();
     let mut done = 0;
     for caller in callers {
@@ -210,12 +224,7 @@
 #[test]
 fn callers_get_their_answers_while_a_box_is_killed() {
     smol::block_on(async {
-        let outside = start_outside().await;
-        let mut daemons = start_daemons(&outside).await;
-        let boxes: Vec<SocketAddr> = daemons.iter().map(|daemon| daemon.callers).collect();
-        let over = Arc::new(AtomicUsize::new(0));
-        let callers = hand_in(&boxes, &over);
-        until_over(&over, BEFORE_KILL).await;
+        let (outside, mut daemons, callers) = start_under_load().await;
         daemons[0].child.kill().expect("the daemon can be killed");
         // What the killed box had begun that may run only once may end as unknown; nothing else may.
         let done = check(&outside, callers).await;
@@ -226,12 +235,7 @@
 #[test]
 fn a_box_that_is_told_to_leave_cuts_nobody_off() {
     smol::block_on(async {
-        let outside = start_outside().await;
-        let mut daemons = start_daemons(&outside).await;
-        let boxes: Vec<SocketAddr> = daemons.iter().map(|daemon| daemon.callers).collect();
-        let over = Arc::new(AtomicUsize::new(0));
-        let callers = hand_in(&boxes, &over);
-        until_over(&over, BEFORE_KILL).await;
+        let (outside, mut daemons, callers) = start_under_load().await;
         let pid = daemons[0].child.id().to_string();
         let told = Command::new("kill").args(["-TERM", &pid]).status().expect("kill can be run");
         assert!(told.success());
