Do not adopt what has gone on under a newer ticket

Change: such a gang is left to its lease. Conclusion: a request's name points to what was done last.

--- a/crates/entry/tests/failures.rs
+++ b/crates/entry/tests/failures.rs
@@ -310,3 +310,26 @@
     cluster.advance(Duration::from_millis(13124));
     check_settles(cluster);
 }
+
+/// A box adopted the gang of an old ticket of a request that it had finished under a newer one, and
+/// no longer found the answer.
+#[test]
+fn an_old_ticket_does_not_hide_the_answer_of_a_newer_one() {
+    let mut cluster = cluster(152692497636566649);
+    let b = ["az-1-box-1", "az-1-box-2", "az-2-box-1", "az-2-box-2"];
+    cluster.advance(Duration::from_millis(7924));
+    cluster.submit(spec(1, 8, 2, 6858), false, &a_box(b[0]));
+    cluster.submit(spec(2, 232, 250, 159), true, &a_box(b[3]));
+    cluster.submit(spec(3, 144, 58, 6265), true, &a_box(b[0]));
+    cluster.submit(spec(4, 23, 55, 28142), true, &a_box(b[2]));
+    cluster.set_network(127, 51);
+    cluster.advance(Duration::from_millis(9470));
+    cluster.submit(spec(5, 100, 22, 21764), false, &a_box(b[3]));
+    let s = cluster.server_ids()[0].clone();
+    cluster.fail_server(&s, true);
+    cluster.submit(spec(6, 172, 3, 8749), true, &a_box(b[0]));
+    let s = cluster.server_ids()[1].clone();
+    cluster.leave_server(&s, true);
+    cluster.drain_box(&a_box(b[0]));
+    check_settles(cluster);
+}
--- a/crates/lifecycle/src/adoption.rs
+++ b/crates/lifecycle/src/adoption.rs
@@ -18,9 +18,12 @@
     /// job is already held here, or when a member is not known to be armed, running or finished.
     pub fn adopt(&mut self, id: &JobId, lines: &BTreeMap<BackendServerId, Lease>, now: Moment) {
         let Some(first) = lines.values().next() else { return };
-        let known_here =
-            self.jobs.get(id).is_some_and(|job| !matches!(job.phase, Phase::Moved { .. } | Phase::Void { .. }));
-        if known_here || !first.members.iter().all(|m| lines.get(&m.server).is_some_and(is_adoptable)) {
+        if self.is_of_account(id) || !first.members.iter().all(|m| lines.get(&m.server).is_some_and(is_adoptable)) {
+            return;
+        }
+        let name = (first.customer.clone(), first.request.clone());
+        if self.by_request.get(&name).is_some_and(|other| other != id && self.is_of_account(other)) {
+            // The request has gone on here under another ticket; this gang ends with its lease.
             return;
         }
         let newest = lines.values().map(|lease| lease.token).max().unwrap_or_default();
@@ -34,11 +37,16 @@
         job.parts = first.members.iter().cloned().map(Part::new).collect();
         let limits = self.limits;
         job.phase = Phase::Adopting { next: now, until: now + limits.lease_ttl };
-        self.by_request.insert((first.customer.clone(), first.request.clone()), id.clone());
+        self.by_request.insert(name, id.clone());
         self.jobs.insert(id.clone(), job);
         self.tick_adopting(id, now);
     }
 
+    /// Whether a job is held here or has ended here, rather than given up.
+    fn is_of_account(&self, id: &JobId) -> bool {
+        self.jobs.get(id).is_some_and(|job| !matches!(job.phase, Phase::Moved { .. } | Phase::Void { .. }))
+    }
+
     pub(crate) fn tick_adopting(&mut self, id: &JobId, now: Moment) {
         self.finish_adoption(id, now);
         let resend = now + self.limits.resend_every;
