Let offers expire, and plan together while all boxes leave

Change: an offer counts for 5 s (a box with a queue offers every second); when all live boxes are leaving, the lowest of them plans. Conclusion: soft state needs an end of its own.

--- a/crates/entry/src/offers.rs
+++ b/crates/entry/src/offers.rs
@@ -16,6 +16,8 @@
 pub(crate) struct Offered {
     incarnation: Incarnation,
     seq: u64,
+    /// When it last came; a box with a queue offers at least every `offer_every`.
+    pub(crate) last: Moment,
     pub(crate) jobs: BTreeMap<JobId, (Queued, Moment)>,
 }
 
@@ -146,12 +148,13 @@
         if !full && !fits {
             return true;
         }
-        let empty = || Offered { incarnation, seq, jobs: BTreeMap::new() };
+        let empty = || Offered { incarnation, seq, last: now, jobs: BTreeMap::new() };
         let offered = self.offered.entry(from).or_insert_with(empty);
         if full {
             *offered = empty();
         }
         offered.seq = seq;
+        offered.last = now;
         for job in &removed {
             offered.jobs.remove(job);
         }
--- a/crates/entry/src/planning.rs
+++ b/crates/entry/src/planning.rs
@@ -10,6 +10,8 @@
 
 /// A round of planning is made at least this often.
 const REPLAN_AFTER: Duration = Duration::from_secs(2);
+/// An offer counts for this long; several times the longest pause between two of a box with a queue.
+const OFFER_LIFE: Duration = Duration::from_secs(5);
 /// Starts over which the time per start is averaged.
 const RATE_WINDOW: f64 = 32.0;
 /// The time per start before anything is known.
@@ -127,7 +129,8 @@
         running.extend(granted.filter(|gang| !known.contains(&gang.job)).cloned());
         let mut queue: Vec<Queued> = self.jobs.waiting(now).into_iter().map(queued).collect();
         for (id, offered) in &self.offered {
-            if self.view.is_live(id, now) {
+            // A box that no longer offers has no queue, or another planner.
+            if self.view.is_live(id, now) && now.since(offered.last) < OFFER_LIFE {
                 queue.extend(offered.jobs.values().map(|(it, since)| aged(it, *since, now)));
             }
         }
--- a/crates/entry/tests/failures.rs
+++ b/crates/entry/tests/failures.rs
@@ -333,3 +333,34 @@
     cluster.drain_box(&a_box(b[0]));
     check_settles(cluster);
 }
+
+/// Two boxes were leaving at once, each planned with what the other had offered long ago, and the
+/// ghosts of those jobs kept the room that the last waiting job needed.
+#[test]
+fn offers_that_are_no_longer_made_do_not_count() {
+    let mut cluster = cluster(5424817390085647602);
+    let b = ["az-1-box-1", "az-1-box-2", "az-2-box-1", "az-2-box-2"];
+    cluster.submit(spec(1, 74, 0, 15063), false, &a_box(b[2]));
+    cluster.submit(spec(2, 174, 58, 8790), false, &a_box(b[3]));
+    cluster.submit(spec(3, 22, 0, 7860), true, &a_box(b[1]));
+    cluster.submit(spec(4, 214, 77, 12870), true, &a_box(b[1]));
+    cluster.set_network(103, 246);
+    cluster.cut_box_from_platform(&a_box(b[1]), true);
+    cluster.advance(Duration::from_millis(12008));
+    let s = cluster.server_ids()[3].clone();
+    cluster.leave_server(&s, true);
+    cluster.submit(spec(5, 118, 59, 3224), false, &a_box(b[3]));
+    cluster.lose_store_answers(3);
+    cluster.pause_box(&a_box(b[1]));
+    cluster.advance(Duration::from_millis(12126));
+    let s = cluster.server_ids()[4].clone();
+    cluster.restart_server(&s);
+    cluster.advance(Duration::from_millis(4657));
+    cluster.drain_box(&a_box(b[3]));
+    let s = cluster.server_ids()[3].clone();
+    cluster.leave_server(&s, true);
+    cluster.submit(spec(6, 242, 98, 15288), false, &a_box(b[0]));
+    cluster.drain_box(&a_box(b[2]));
+    cluster.advance(Duration::from_millis(1712));
+    check_settles(cluster);
+}
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -141,12 +141,18 @@
     }
 
     /// The box that plans: the lowest that is live, staying and steady; else the lowest that is live
-    /// and staying; else this one.
+    /// and staying; else the lowest that is live.
     pub fn planner(&self, now: Moment) -> &BoxId {
         let own = (&self.me, &self.own);
         let all = || self.peers.iter().chain(std::iter::once(own)).filter(|(_, s)| !s.leaving && self.is_fresh(s, now));
         let steady = all().filter(|(_, s)| now.since(s.steady_since) >= self.steady_time(s));
-        steady.map(|(id, _)| id).min().or_else(|| all().map(|(id, _)| id).min()).unwrap_or(&self.me)
+        let lowest_live = self.peers.iter().filter(|(_, s)| self.is_fresh(s, now)).map(|(id, _)| id).min();
+        steady
+            .map(|(id, _)| id)
+            .min()
+            .or_else(|| all().map(|(id, _)| id).min())
+            .or(lowest_live.filter(|id| **id < self.me))
+            .unwrap_or(&self.me)
     }
 
     fn is_fresh(&self, status: &Status, now: Moment) -> bool {
