Let a claim remember that its request has run

Change: a claim tells whether the request has run under an earlier ticket and whether it goes on from a checkpoint; whoever takes the claim over keeps that. Conclusion: what is known of a request belongs to its claim, not its box.

--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -31,6 +31,12 @@
     pub durable: Option<JobSpec>,
     /// Whether the request may run more than once.
     pub repeatable: bool,
+    /// Whether it may have run under an earlier ticket.
+    #[serde(default)]
+    pub has_run: bool,
+    /// Whether it goes on from the checkpoint of an earlier ticket.
+    #[serde(default)]
+    pub resume: bool,
     /// The name of the outcome, once it has ended.
     pub ended: Option<String>,
 }
@@ -83,6 +89,8 @@
             availability_zone: self.id.availability_zone.clone(),
             durable: submission.durable.then(|| submission.spec.clone()),
             repeatable: submission.spec.repeatable,
+            has_run: submission.may_have_run,
+            resume: submission.resume,
             ended: None,
         };
         ClaimOp { submission, to, claim, over, standing: None, rounds: 0 }
@@ -161,13 +169,16 @@
     }
 
     /// Another ticket holds the request: its holder may live, be elsewhere, or be gone.
-    fn on_standing_claim(&mut self, op: ClaimOp, found: Versioned, now: Moment) {
+    fn on_standing_claim(&mut self, mut op: ClaimOp, found: Versioned, now: Moment) {
         let Some(standing) = Claim::parse(&found.value) else {
             return self.replace_claim(op, found.version, now);
         };
         if standing.ticket == op.claim.ticket {
             return self.claim_stands(op, now);
         }
+        // What the claim knows of earlier tickets goes on with the request.
+        op.submission.may_have_run |= standing.has_run;
+        op.submission.resume |= standing.resume;
         if standing.ended.as_deref() == Some("not_run") {
             return self.replace_claim(op, found.version, now);
         }
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -168,8 +168,8 @@
                 durable: true,
                 retry: false,
                 ticket: None,
-                resume: false,
-                may_have_run: false,
+                resume: claim.resume,
+                may_have_run: claim.has_run,
             };
             let afterwards = Afterwards::Reclaim { submission, to: Respondent::Nobody, version: found.version };
             self.begin_settle(claim.ticket, claim.repeatable, afterwards, now);
--- a/crates/entry/tests/failures.rs
+++ b/crates/entry/tests/failures.rs
@@ -364,3 +364,18 @@
     cluster.advance(Duration::from_millis(1712));
     check_settles(cluster);
 }
+
+/// A preempted job was handed over and its new box died before it went on; it was begun afresh, since
+/// nobody knew that it had run.
+#[test]
+fn a_claim_remembers_that_its_request_has_run() {
+    let mut cluster = cluster(963152525737585236);
+    let b = ["az-1-box-1", "az-1-box-2", "az-2-box-1", "az-2-box-2"];
+    cluster.submit(spec(1, 247, 172, 11547), false, &a_box(b[1]));
+    cluster.advance(Duration::from_millis(11));
+    cluster.submit(spec(2, 216, 2, 12861), true, &a_box(b[0]));
+    cluster.drain_box(&a_box(b[1]));
+    cluster.advance(Duration::from_millis(242));
+    cluster.kill_box(&a_box(b[0]));
+    check_settles(cluster);
+}
