Give a new ticket to jobs that go on from a checkpoint

Change: a job that goes on from a checkpoint can be released. Conclusion: certainty matters for a fresh begin, not for going on.

--- a/crates/entry/tests/failures.rs
+++ b/crates/entry/tests/failures.rs
@@ -379,3 +379,22 @@
     cluster.kill_box(&a_box(b[0]));
     check_settles(cluster);
 }
+
+/// A preempted job that was handed over could not get a ticket that a restarted backend server takes.
+#[test]
+fn a_job_that_goes_on_from_a_checkpoint_gets_a_new_ticket() {
+    let mut cluster = cluster(6202180286628862445);
+    let b = ["az-1-box-1", "az-1-box-2", "az-2-box-1", "az-2-box-2"];
+    cluster.submit(spec(1, 23, 180, 5300), false, &a_box(b[3]));
+    cluster.advance(Duration::from_millis(10));
+    cluster.drain_box(&a_box(b[3]));
+    cluster.kill_box(&a_box(b[1]));
+    cluster.kill_box(&a_box(b[0]));
+    cluster.submit(spec(2, 112, 34, 3079), false, &a_box(b[3]));
+    let s = cluster.server_ids()[0].clone();
+    cluster.leave_server(&s, false);
+    cluster.advance(Duration::from_millis(4226));
+    let s = cluster.server_ids()[4].clone();
+    cluster.restart_server(&s);
+    check_settles(cluster);
+}
--- a/crates/lifecycle/src/coordinator.rs
+++ b/crates/lifecycle/src/coordinator.rs
@@ -262,8 +262,9 @@
     /// `None` if the job has to stay.
     pub fn release(&mut self, job: &JobId) -> Option<(Arc<JobSpec>, Origin)> {
         let it = self.jobs.get(job)?;
-        let fresh = !it.ran || it.resume || it.spec.repeatable;
-        if !matches!(it.phase, Phase::Waiting { .. }) || !fresh || (!it.certain && !it.spec.repeatable) {
+        // What has run can go on elsewhere only from a checkpoint, or if it may run again.
+        let fresh = it.resume || it.spec.repeatable || (!it.ran && it.certain);
+        if !matches!(it.phase, Phase::Waiting { .. }) || !fresh {
             return None;
         }
         let origin = Origin { resume: it.resume, certain: it.certain && !it.ran };
