Mark a claim before its preempted job is handed over

Change: the claim says that the request has run, and goes on from a checkpoint, before the job is given up. Conclusion: the claim must know before the box forgets.

--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -328,6 +328,47 @@
         }
     }
 
+    /// Whether a job's claim tells what another box must know to go on with it; begins to write that if
+    /// not. Else a box that takes the request over could begin it afresh.
+    pub(crate) fn claim_tells_of_run(&mut self, job: &JobId) -> bool {
+        let Some(claim) = self.claimed.get(job) else { return true };
+        if claim.resume || !self.jobs.resumes(job) {
+            return true;
+        }
+        let Some(view) = self.jobs.view(job) else { return true };
+        if !self.ops.values().any(|op| matches!(op, Op::MarkClaim(it) if it == job)) {
+            let key = claim_key(&view.spec.customer, &view.spec.request);
+            self.call_store(Op::MarkClaim(job.clone()), StoreRequest::Get { key });
+        }
+        false
+    }
+
+    pub(crate) fn on_mark_reply(&mut self, job: JobId, reply: Option<StoreReply>) {
+        let Some(claim) = self.claimed.get_mut(&job) else { return };
+        match reply {
+            Some(StoreReply::Found { value: Some(found) }) => {
+                if Claim::parse(&found.value).is_some_and(|it| it.ticket == claim.ticket && !it.resume) {
+                    let marked = Claim { has_run: true, resume: true, ..claim.clone() };
+                    let req = StoreRequest::CompareAndSwap {
+                        key: found.key,
+                        version: found.version,
+                        value: marked.to_text(),
+                        ttl: Some(CLAIM_TTL),
+                    };
+                    return self.call_store(Op::MarkClaim(job), req);
+                }
+                // Marked by an earlier write whose answer was lost, or taken over by another ticket.
+                claim.has_run = true;
+                claim.resume = true;
+            }
+            Some(StoreReply::Written { .. }) => {
+                claim.has_run = true;
+                claim.resume = true;
+            }
+            _ => {}
+        }
+    }
+
     /// Cancels a request whose box is gone: its ticket is fenced, then its claim is ended.
     pub(crate) fn cancel_orphan(
         &mut self,
--- a/crates/entry/src/handover.rs
+++ b/crates/entry/src/handover.rs
@@ -59,6 +59,9 @@
             return;
         }
         for waiting in self.jobs.waiting(now) {
+            if !self.claim_tells_of_run(&waiting.job) {
+                continue;
+            }
             let Some(submission) = self.release(&waiting.job) else { continue };
             self.hand_over(HandOver { submission, refused: Vec::new() }, now);
         }
--- a/crates/entry/tests/failures.rs
+++ b/crates/entry/tests/failures.rs
@@ -398,3 +398,20 @@
     cluster.restart_server(&s);
     check_settles(cluster);
 }
+
+/// While a preempted job was being handed over, another box asked about its claim, was told that it
+/// was not known, and began it afresh.
+#[test]
+fn a_job_being_handed_over_is_not_begun_afresh() {
+    let mut cluster = cluster(8035879228453120847);
+    let b = ["az-1-box-1", "az-1-box-2", "az-2-box-1", "az-2-box-2"];
+    cluster.submit(spec(1, 247, 124, 12435), false, &a_box(b[0]));
+    cluster.advance(Duration::from_millis(10873));
+    cluster.submit(spec(2, 7, 156, 14354), false, &a_box(b[3]));
+    cluster.submit(spec(3, 8, 2, 12130), true, &a_box(b[0]));
+    cluster.advance(Duration::from_millis(10652));
+    cluster.pause_box(&a_box(b[1]));
+    cluster.drain_box(&a_box(b[0]));
+    cluster.advance(Duration::from_millis(1977));
+    check_settles(cluster);
+}
--- a/crates/lifecycle/src/coordinator.rs
+++ b/crates/lifecycle/src/coordinator.rs
@@ -284,6 +284,11 @@
         self.end(job, outcome, now);
     }
 
+    /// Whether a waiting job goes on from a checkpoint.
+    pub fn resumes(&self, job: &JobId) -> bool {
+        self.jobs.get(job).is_some_and(|it| it.resume)
+    }
+
     /// Since when another box holds a job.
     pub fn moved_at(&self, job: &JobId) -> Option<Moment> {
         match self.jobs.get(job)?.phase {
