--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -2,13 +2,13 @@
 //! only once or must outlive their box.
 
 use lifecycle::Stage;
-use model::{CustomerId, Duration, JobId, JobSpec, Moment, Outcome, RequestId};
+use model::{AvailabilityZoneId, CustomerId, Duration, JobId, JobSpec, Moment, Outcome, RequestId};
 use platform::{StoreReply, StoreRequest, Versioned};
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    CallerReply, EntryBox, JobAnswer, PeerReply, PeerRequest, Submission, entry_box::Op, message::Zone,
-    route::moved_answer, settle::Afterwards, waiters::Respondent,
+    CallerReply, EntryBox, JobAnswer, PeerReply, PeerRequest, Submission, entry_box::Op, route::moved_answer,
+    settle::Afterwards, waiters::Respondent,
 };
 
 /// Every claim's key begins so.
@@ -26,7 +26,7 @@
     /// The ticket that it runs under.
     pub ticket: JobId,
     /// The availability zone of the box that minted it.
-    pub availability_zone: Zone,
+    pub availability_zone: AvailabilityZoneId,
     /// The request, if it must outlive its box.
     pub durable: Option<JobSpec>,
     /// Whether the request may run more than once.
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -5,8 +5,8 @@
 use backend::{BackendReply, BackendRequest};
 use derive_more::Display;
 use model::{
-    ApplyId, AvailabilityZoneId, BackendServerId, BoxId, ClassId, CustomerId, Duration, Incarnation, JobId, JobSpec,
-    Member, OperatorFile, Outcome, RequestId, Revision,
+    ApplyId, BackendServerId, BoxId, ClassId, CustomerId, Duration, Incarnation, JobId, JobSpec, Member, OperatorFile,
+    Outcome, RequestId, Revision,
 };
 use platform::{ListedBox, StoreReply, StoreRequest};
 use policy::Queued;
@@ -243,6 +243,3 @@
     /// Something dropped, refused or lost, by a fixed name.
     Count { name: &'static str },
 }
-
-/// The availability zone that a box belongs to travels with its claims.
-pub(crate) type Zone = AvailabilityZoneId;
