--- a/crates/entry/src/claims.rs
+++ b/crates/entry/src/claims.rs
@@ -3,7 +3,7 @@
 
 use lifecycle::Stage;
 use model::{AvailabilityZoneId, CustomerId, Duration, JobId, JobSpec, Moment, Outcome, RequestId};
-use platform::{StoreReply, StoreRequest, Versioned};
+use outside::{StoreReply, StoreRequest, Versioned};
 use serde::{Deserialize, Serialize};
 
 use crate::{
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -4,7 +4,7 @@
 
 use backend::{BackendReply, BackendRequest};
 use model::{ApplyId, BackendServerId, BoxId, Duration, Moment, OperatorFile, Revision};
-use platform::{StoreReply, StoreRequest};
+use outside::{StoreReply, StoreRequest};
 use spread::{Applied, Apply, ApplyStep, CONFIG_KEY, Taken};
 
 use crate::{
--- a/crates/entry/src/entry_box.rs
+++ b/crates/entry/src/entry_box.rs
@@ -10,7 +10,7 @@
 use lifecycle::{Coordinator, Effect};
 use membership::View;
 use model::{AvailabilityZoneId, BoxId, Duration, Incarnation, Moment, OperatorFile};
-use platform::ListedBox;
+use outside::ListedBox;
 use policy::Planner;
 use spread::{Apply, Current};
 
@@ -321,7 +321,7 @@
         }
     }
 
-    fn on_store_reply(&mut self, op: OpId, reply: Option<platform::StoreReply>, now: Moment) {
+    fn on_store_reply(&mut self, op: OpId, reply: Option<outside::StoreReply>, now: Moment) {
         match self.ops.remove(&op) {
             Some(Op::Claim(claim)) => self.on_claim_reply(*claim, reply, now),
             Some(Op::Route(route)) => self.on_route_claim(*route, reply, now),
@@ -417,7 +417,7 @@
         self.out.push(Output::CallBackend { op, server, req, limit });
     }
 
-    pub(crate) fn call_store(&mut self, op: Op, req: platform::StoreRequest) {
+    pub(crate) fn call_store(&mut self, op: Op, req: outside::StoreRequest) {
         let op = self.new_op(op);
         self.out.push(Output::CallStore { op, req });
     }
--- a/crates/entry/src/message.rs
+++ b/crates/entry/src/message.rs
@@ -8,7 +8,7 @@
     ApplyId, BackendServerId, BoxId, ClassId, CustomerId, Duration, Incarnation, JobId, JobSpec, Member, OperatorFile,
     Outcome, RequestId, Revision,
 };
-use platform::{ListedBox, StoreReply, StoreRequest};
+use outside::{ListedBox, StoreReply, StoreRequest};
 use policy::Queued;
 use serde::{Deserialize, Serialize};
 use spread::Applied;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -2,7 +2,7 @@
 
 use backend::Holder;
 use model::{AvailabilityZoneId, BoxId, Duration, Incarnation, Moment, Revision};
-use platform::ListedBox;
+use outside::ListedBox;
 
 use crate::{EntryBox, PeerReply, PeerRequest, entry_box::Op};
 
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -8,7 +8,7 @@
 use backend::Holder;
 use lifecycle::{JobView, Stage};
 use model::{BoxId, CustomerId, Duration, JobId, Moment, RequestId};
-use platform::{StoreReply, StoreRequest};
+use outside::{StoreReply, StoreRequest};
 
 use crate::{
     CallerReply, Claim, EntryBox, JobAnswer, OpId, PeerReply, PeerRequest, Submission, claims::claim_key,
--- a/crates/entry/src/settle.rs
+++ b/crates/entry/src/settle.rs
@@ -9,7 +9,7 @@
 
 use backend::{BackendReply, BackendRequest};
 use model::{BackendServerId, Duration, JobId, LeaseToken, Moment, NotRunReason, Outcome};
-use platform::{StoreReply, StoreRequest};
+use outside::{StoreReply, StoreRequest};
 
 use crate::{
     BackendOp, CallerReply, Claim, EntryBox, JobAnswer, Observation, OpId, Submission, claims::CLAIM_PREFIX,
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,16 @@
+//! Jobs of several steps: what a caller hands in, and what must be remembered of its progress.
+//!
+//! A [`Job`] never changes once it is stored. Each of its occurrences (a timed job has several) has
+//! one [`Progress`], which only the active scheduler writes. Nothing here does I/O.
+
+mod id;
+mod job;
+mod progress;
+mod state;
+
+pub use crate::{
+    id::{Fence, JobId, OccurrenceId, ParseNameError, QueueId, RunNumber, TaskId},
+    job::{Duration, Job, JobError, Need, RawJob, RawStep, Schedule, Step},
+    progress::{Failures, GroupProgress, Placed, Progress, Saved},
+    state::JobState,
+};
--- /dev/null
+++ b/crates/jobs/src/progress.rs
@@ -0,0 +1,112 @@
+//! What must be remembered of an occurrence, so that another scheduler can go on from it.
+
+use std::sync::Arc;
+
+use model::BackendServerId;
+use serde::{Deserialize, Serialize};
+
+use crate::{Job, JobState, RunNumber};
+
+/// A checkpoint, opaque to the scheduler.
+pub type Saved = Arc<str>;
+
+/// Where one task was told to run, or is about to be told.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placed {
+    /// The task's index in its step.
+    #[serde(rename = "i")]
+    pub index: u32,
+    /// The backend server.
+    #[serde(rename = "on")]
+    pub server: BackendServerId,
+}
+
+/// Ends that count against a group's budget of attempts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Failures(pub u32);
+
+/// The progress of a group: tasks that start and end together. A gang is one group; any other task is
+/// a group of its own.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct GroupProgress {
+    /// All its tasks have ended well.
+    #[serde(rename = "d", default, skip_serializing_if = "is_false")]
+    pub done: bool,
+    /// A member has begun at some time.
+    #[serde(rename = "b", default, skip_serializing_if = "is_false")]
+    pub begun: bool,
+    /// Ends that count against the budget.
+    #[serde(rename = "f", default, skip_serializing_if = "no_failures")]
+    pub failures: Failures,
+    /// The number of the latest run; 0 if there was none.
+    #[serde(rename = "r", default, skip_serializing_if = "no_run")]
+    pub run: RunNumber,
+    /// The latest checkpoint of an earlier run.
+    #[serde(rename = "s", default, skip_serializing_if = "Option::is_none")]
+    pub saved: Option<Saved>,
+    /// Where the latest run was placed; empty once it is known to be over.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub placed: Vec<Placed>,
+}
+
+/// The progress of one occurrence: its groups, by step.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Progress {
+    /// By step, then by group.
+    #[serde(rename = "g")]
+    pub groups: Vec<Vec<GroupProgress>>,
+    /// The occurrence can never succeed.
+    #[serde(rename = "x", default, skip_serializing_if = "is_false")]
+    pub failed: bool,
+}
+
+impl Progress {
+    /// Nothing has happened yet.
+    pub fn new(job: &Job) -> Progress {
+        let groups_of = |step: &crate::Step| if step.gang { 1 } else { step.count as usize };
+        let groups = job.steps.iter().map(|step| vec![GroupProgress::default(); groups_of(step)]).collect();
+        Progress { groups, failed: false }
+    }
+
+    /// Whether every task has ended well.
+    pub fn done(&self) -> bool {
+        self.groups.iter().flatten().all(|group| group.done)
+    }
+
+    /// Whether a task has begun.
+    pub fn begun(&self) -> bool {
+        self.groups.iter().flatten().any(|group| group.begun || group.done)
+    }
+
+    /// Whether every task of a step has ended well.
+    pub fn step_done(&self, step: usize) -> bool {
+        self.groups[step].iter().all(|group| group.done)
+    }
+
+    /// The state of a job whose occurrences have come this far.
+    pub fn job_state<'a>(all: impl Iterator<Item = &'a Progress> + Clone, cancelled: bool) -> JobState {
+        if all.clone().any(|progress| progress.failed) {
+            return JobState::Failed;
+        }
+        if all.clone().all(Progress::done) {
+            return JobState::Succeeded;
+        }
+        if cancelled {
+            return JobState::Cancelled;
+        }
+        if all.into_iter().any(Progress::begun) { JobState::Running } else { JobState::Queued }
+    }
+}
+
+fn is_false(b: &bool) -> bool {
+    !*b
+}
+
+fn no_failures(failures: &Failures) -> bool {
+    failures.0 == 0
+}
+
+fn no_run(run: &RunNumber) -> bool {
+    run.0 == 0
+}
--- /dev/null
+++ b/crates/logs/src/bounded.rs
@@ -0,0 +1,127 @@
+//! Lines of a service: never blocking, and bounded by kind and second.
+//!
+//! A line's kind is its `event=` field. Lines go through a bounded queue to a thread that writes them; a
+//! full queue, or a kind that comes too often, drops lines and counts them, and the count is logged.
+
+use std::{
+    collections::HashMap,
+    io::Write,
+    sync::{
+        Mutex,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use log::{LevelFilter, Log, Metadata, Record};
+use simplelog::{Config, SharedLogger};
+
+/// Lines that wait to be written: a second's worth of a busy scheduler.
+const QUEUE: usize = 2048;
+/// Lines of one kind in one second; a burst of 15 jobs of 20 tasks a second starts 300.
+const PER_KIND: u32 = 400;
+/// The count of a kind starts again after this long.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Writes lines to standard output.
+pub(crate) struct BoundedLines {
+    level: LevelFilter,
+    queue: SyncSender<String>,
+    dropped: AtomicU64,
+    kinds: Mutex<Kinds>,
+}
+
+struct Kinds {
+    since: Instant,
+    counts: HashMap<String, u32>,
+}
+
+impl BoundedLines {
+    pub(crate) fn new(level: LevelFilter) -> BoundedLines {
+        let (queue, lines) = sync_channel(QUEUE);
+        std::thread::spawn(move || write_lines(&lines));
+        BoundedLines {
+            level,
+            queue,
+            dropped: AtomicU64::new(0),
+            kinds: Mutex::new(Kinds { since: Instant::now(), counts: HashMap::new() }),
+        }
+    }
+
+    fn push(&self, level: log::Level, message: &str) {
+        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let line = format!("{}.{:03} {level} {message}\n", at.as_secs(), at.subsec_millis());
+        if self.queue.try_send(line).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Whether another line of this kind may go out; at the turn of a second, tells what was left out before.
+    fn admit(&self, message: &str) -> bool {
+        let kind = message.split_whitespace().find_map(|field| field.strip_prefix("event=")).unwrap_or("");
+        let mut kinds = self.kinds.lock().expect("no holder panics");
+        if kinds.since.elapsed() >= WINDOW {
+            kinds.since = Instant::now();
+            let counts = std::mem::take(&mut kinds.counts);
+            self.report(&counts);
+        }
+        let count = kinds.counts.entry(kind.to_owned()).or_insert(0);
+        *count += 1;
+        *count <= PER_KIND
+    }
+
+    fn report(&self, counts: &HashMap<String, u32>) {
+        for (kind, count) in counts.iter().filter(|(_, count)| **count > PER_KIND) {
+            self.push(log::Level::Warn, &format!("event=log_left_out kind={kind} lines={}", count - PER_KIND));
+        }
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            self.push(log::Level::Warn, &format!("event=log_left_out kind=any lines={dropped} why=output_is_slow"));
+        }
+    }
+}
+
+fn write_lines(lines: &Receiver<String>) {
+    let mut out = std::io::stdout();
+    while let Ok(mut text) = lines.recv() {
+        // What has queued up meanwhile goes out in one call.
+        while let Ok(more) = lines.try_recv() {
+            text.push_str(&more);
+        }
+        // Nothing can be done about a log that cannot be written.
+        let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+    }
+}
+
+impl Log for BoundedLines {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.level() <= self.level
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let message = record.args().to_string();
+        if self.admit(&message) {
+            self.push(record.level(), &message);
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+impl SharedLogger for BoundedLines {
+    fn level(&self) -> LevelFilter {
+        self.level
+    }
+
+    fn config(&self) -> Option<&Config> {
+        None
+    }
+
+    fn as_log(self: Box<Self>) -> Box<dyn Log> {
+        self
+    }
+}
--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -1,6 +1,8 @@
 //! The loggers of both binaries: lines for people, or one JSON object a line. `simplelog` has no form
 //! for machines, so that one is added to it here.
 
+mod bounded;
+
 use std::io::Write;
 
 use log::{LevelFilter, Log, Metadata, Record};
@@ -30,6 +32,13 @@
     let _ = CombinedLogger::init(vec![logger]);
 }
 
+/// Makes the logger of a service on a platform: lines of `key=value` fields on standard output, bounded and
+/// never blocking. A second call does nothing.
+pub fn init_service(level: LevelFilter) {
+    // A logger stands already if the process that embeds this made one.
+    let _ = CombinedLogger::init(vec![Box::new(bounded::BoundedLines::new(level))]);
+}
+
 /// One JSON object a line on standard error.
 struct JsonLines {
     level: LevelFilter,
--- a/crates/martend/examples/cost.rs
+++ b/crates/martend/examples/cost.rs
@@ -16,7 +16,7 @@
 use hyper::Method;
 use model::{Gang, JobSpec, OperatorFile, Resources, Revision, Within};
 use net::http::Client;
-use platform::SystemClock;
+use outside::SystemClock;
 use standins::{BackendHandle, Checkpoints, LeaseTable, PlatformHandle, Work, serve_backend, serve_platform};
 
 /// Workers of one availability zone; 143 is the size to design for.
--- a/crates/martend/examples/quickstart/report.rs
+++ b/crates/martend/examples/quickstart/report.rs
@@ -4,7 +4,7 @@
 
 use hdrhistogram::Histogram;
 use model::Duration;
-use platform::Clock;
+use outside::Clock;
 use standins::Oracle;
 
 use crate::{
--- a/crates/martend/examples/quickstart/world.rs
+++ b/crates/martend/examples/quickstart/world.rs
@@ -13,7 +13,7 @@
 use martend::{Daemon, Parts, RawLimits, RawSettings, Settings};
 use model::{AvailabilityZoneId, BackendServerId, OperatorFile, RackId, Revision};
 use net::http::Client;
-use platform::{ListedBox, SystemClock};
+use outside::{ListedBox, SystemClock};
 use smol::net::TcpListener;
 use standins::{BackendHandle, Checkpoints, LeaseTable, PlatformHandle, serve_backend, serve_platform};
 
--- /dev/null
+++ b/crates/martend/src/deployment/mod.rs
@@ -0,0 +1,109 @@
+//! A box on the users' platform: the runtime joined with the platform's adapter.
+
+mod settings;
+
+use std::{sync::Arc, time::Duration as StdDuration};
+
+use async_signal::{Signal, Signals};
+use futures_lite::{FutureExt, StreamExt};
+use hyper::StatusCode;
+use net::{
+    BoxFuture,
+    http::{Call, Client, Handler, ServerLimits, serve, serve_until, text_response},
+};
+use outside::{Clock, SystemClock};
+use runtime::Node;
+use smol::net::TcpListener;
+use users_platform::{
+    decode::UsersDecoder,
+    front::{Front, Readiness},
+    servers::Servers,
+    store::Store,
+};
+
+use crate::telemetry;
+
+pub use settings::{DeploymentSettings, RawDeployment, is_chosen, read};
+
+/// A box that leaves goes on taking connections for so long: the balancer asks every second, and takes a box
+/// out after two misses (users' protocol page).
+const STILL_TAKES: StdDuration = StdDuration::from_millis(2300);
+/// Kept back from the time that a leaving box has, to end in order.
+const END_MARGIN: StdDuration = StdDuration::from_millis(500);
+/// Most callers' connections: below the descriptors that the users' machines have (4,100).
+const MOST_CONNECTIONS: usize = 3000;
+
+/// Runs a box until it is told to end. `path` is read again on SIGHUP.
+pub async fn run(settings: DeploymentSettings, path: &str) -> std::io::Result<()> {
+    let peers = TcpListener::bind(settings.runtime.peers_address).await?;
+    let callers = TcpListener::bind(settings.callers_address).await?;
+    let readiness = TcpListener::bind(settings.readiness_address).await?;
+    let metrics = TcpListener::bind(settings.metrics_address).await?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
+    log::info!("event=started box={} zone={}", settings.runtime.box_id, settings.runtime.availability_zone);
+    let node = Node::start(
+        settings.runtime.clone(),
+        peers,
+        Arc::new(Store::new(Client::default(), settings.store_address)),
+        Arc::new(Servers::default()),
+        Arc::new(UsersDecoder),
+        Arc::clone(&clock),
+    );
+    let front = Front { requests: Arc::clone(&node.requests), view: Arc::clone(&node.view), clock };
+    let (taking, stop) = smol::channel::bounded::<()>(1);
+    let limits = ServerLimits { connections: MOST_CONNECTIONS, ..ServerLimits::default() };
+    let serving = smol::spawn(serve_until(callers, Arc::new(front), limits, stop));
+    let _beside = [
+        smol::spawn(serve(readiness, Arc::new(Readiness { view: Arc::clone(&node.view) }))),
+        smol::spawn(serve(metrics, Arc::new(MetricsPage))),
+    ];
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Hup) => reload(path),
+            _ => break,
+        }
+    }
+    leave(&node, &settings, taking, serving).await;
+    log::info!("event=ended box={}", settings.runtime.box_id);
+    Ok(())
+}
+
+/// Takes no new work, lets what is under way end, and gives up the election at once.
+async fn leave(node: &Node, settings: &DeploymentSettings, taking: smol::channel::Sender<()>, serving: smol::Task<()>) {
+    log::info!("event=leaving box={}", settings.runtime.box_id);
+    node.view.start_draining();
+    smol::Timer::after(STILL_TAKES).await;
+    taking.close();
+    let rest = StdDuration::from(settings.grace).saturating_sub(STILL_TAKES + END_MARGIN);
+    let expire = async {
+        smol::Timer::after(rest).await;
+        log::warn!("event=left_open why=grace_over");
+    };
+    serving.or(expire).await;
+}
+
+/// Only the level of logs can change while a box runs; the rest holds from its next start.
+fn reload(path: &str) {
+    match read(path) {
+        Ok(settings) => {
+            log::set_max_level(settings.log_level);
+            log::info!("event=reloaded log_level={}", settings.log_level);
+        }
+        Err(why) => log::error!("event=reload_failed why={why:?} outcome=settings_stay"),
+    }
+}
+
+/// Serves metrics in Prometheus's text format.
+struct MetricsPage;
+
+impl Handler for MetricsPage {
+    fn handle(&self, call: Call) -> BoxFuture<'_, Option<hyper::Response<http_body_util::Full<bytes::Bytes>>>> {
+        Box::pin(async move {
+            if call.path != "/metrics" {
+                return Some(text_response(StatusCode::NOT_FOUND, "there is only /metrics\n".to_owned()));
+            }
+            Some(text_response(StatusCode::OK, telemetry::render()))
+        })
+    }
+}
--- /dev/null
+++ b/crates/martend/src/deployment/settings.rs
@@ -0,0 +1,127 @@
+//! Settings of a box on the users' platform, in JSON.
+
+use std::net::SocketAddr;
+
+use model::{AvailabilityZoneId, BoxId, CheckError, Duration, JsonPath};
+use scheduler::Timing;
+use serde::{Deserialize, Serialize};
+
+/// The lease of an election, unless the store allows none so short: three renewals, of which two may be lost
+/// to a store that is slow (240 ms an answer).
+const ELECTION_TTL: Duration = Duration::from_millis(1500);
+/// Wait of the watch on the configuration; it tells every second that the store is reached.
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
+/// A watch's wait, a slow answer, and one try more.
+const STORE_SILENCE: Duration = Duration::from_millis(2000);
+
+#[derive(Deserialize)]
+struct SettingsFile {
+    deployment: RawDeployment,
+}
+
+/// Settings as they stand under `deployment`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawDeployment {
+    /// The box's id.
+    #[serde(rename = "box")]
+    pub box_id: BoxId,
+    /// The box's availability zone.
+    pub availability_zone: AvailabilityZoneId,
+    /// Where callers are served.
+    pub callers_address: SocketAddr,
+    /// Where the balancer asks whether the box takes callers.
+    pub readiness_address: SocketAddr,
+    /// Where other boxes are served.
+    pub peers_address: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_address: SocketAddr,
+    /// The platform's store.
+    pub store_address: SocketAddr,
+    /// Boxes known from the start; they may be gone.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The shortest lease of the store, in milliseconds.
+    pub shortest_ttl_ms: u64,
+    /// The longest lease that a backend server grants, in milliseconds.
+    pub lease_ms: u64,
+    /// How many times as long tasks run away from their data or spread over racks.
+    pub far_factor: f64,
+    /// How long a box that is told to end may take, in milliseconds.
+    pub grace_ms: u64,
+    /// `error`, `warn`, `info`, `debug` or `trace`.
+    pub log_level: log::LevelFilter,
+}
+
+/// Settings, checked.
+#[derive(Debug, Clone)]
+pub struct DeploymentSettings {
+    /// Of the box itself.
+    pub runtime: runtime::Settings,
+    /// Where callers are served.
+    pub callers_address: SocketAddr,
+    /// Where the balancer asks.
+    pub readiness_address: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_address: SocketAddr,
+    /// The platform's store.
+    pub store_address: SocketAddr,
+    /// How long a box that is told to end may take.
+    pub grace: Duration,
+    /// What is logged.
+    pub log_level: log::LevelFilter,
+}
+
+impl TryFrom<RawDeployment> for DeploymentSettings {
+    type Error = CheckError;
+    fn try_from(raw: RawDeployment) -> Result<DeploymentSettings, CheckError> {
+        let path = JsonPath::root().field("deployment");
+        within(&path, "lease_ms", raw.lease_ms, 1000, 600_000)?;
+        within(&path, "shortest_ttl_ms", raw.shortest_ttl_ms, 1, 60_000)?;
+        within(&path, "grace_ms", raw.grace_ms, 1000, 600_000)?;
+        if !(raw.far_factor >= 1.0) {
+            return Err(CheckError::new(&path.field("far_factor"), raw.far_factor, "allowed is 1 or more"));
+        }
+        let election_ttl = ELECTION_TTL.max(Duration::from_millis(raw.shortest_ttl_ms));
+        let timing =
+            Timing { lease: Duration::from_millis(raw.lease_ms), far_factor: raw.far_factor, ..Timing::default() };
+        Ok(DeploymentSettings {
+            runtime: runtime::Settings {
+                box_id: raw.box_id,
+                availability_zone: raw.availability_zone,
+                peers_address: raw.peers_address,
+                seeds: raw.seeds,
+                election_ttl,
+                watch_wait: WATCH_WAIT,
+                store_silence: STORE_SILENCE,
+                timing,
+            },
+            callers_address: raw.callers_address,
+            readiness_address: raw.readiness_address,
+            metrics_address: raw.metrics_address,
+            store_address: raw.store_address,
+            grace: Duration::from_millis(raw.grace_ms),
+            log_level: raw.log_level,
+        })
+    }
+}
+
+fn within(path: &JsonPath, name: &str, ms: u64, min: u64, max: u64) -> Result<(), CheckError> {
+    if (min..=max).contains(&ms) {
+        return Ok(());
+    }
+    Err(CheckError::new(&path.field(name), ms, format!("allowed is {min} to {max} milliseconds")))
+}
+
+/// Whether a settings file is one for a box on the users' platform.
+pub fn is_chosen(path: &str) -> bool {
+    let text = std::fs::read(path).unwrap_or_default();
+    serde_json::from_slice::<serde_json::Value>(&text).is_ok_and(|value| value.get("deployment").is_some())
+}
+
+/// Reads and checks a settings file; the error names the file, the field and what is allowed.
+pub fn read(path: &str) -> Result<DeploymentSettings, String> {
+    let text = std::fs::read(path).map_err(|e| format!("{path}: {e}"))?;
+    let file: SettingsFile = model::from_json(&text).map_err(|e| format!("{path}: {e}"))?;
+    DeploymentSettings::try_from(file.deployment).map_err(|e| format!("{path}: {e}"))
+}
--- a/crates/martend/src/host.rs
+++ b/crates/martend/src/host.rs
@@ -8,7 +8,7 @@
 };
 use model::{BackendServerId, BoxId, Duration, Incarnation, OperatorFile};
 use net::NetError;
-use platform::{Clock, HttpListing, HttpStore, Listing, Store, SystemClock};
+use outside::{Clock, HttpListing, HttpStore, Listing, Store, SystemClock};
 use policy::Planner;
 use smol::{
     Task,
@@ -286,7 +286,7 @@
         .detach();
     }
 
-    fn call_store(&mut self, op: entry::OpId, req: platform::StoreRequest) {
+    fn call_store(&mut self, op: entry::OpId, req: outside::StoreRequest) {
         let events = self.events.clone();
         let call = self.store.call(req);
         smol::spawn(async move {
--- a/crates/martend/src/lib.rs
+++ b/crates/martend/src/lib.rs
@@ -4,6 +4,7 @@
 //! and comes back as inputs. Nothing here decides anything about jobs.
 
 mod convert;
+pub mod deployment;
 mod host;
 mod http_api;
 mod peer_client;
--- a/crates/martend/src/main.rs
+++ b/crates/martend/src/main.rs
@@ -4,12 +4,15 @@
 
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
-use martend::{Parts, RawSettings, Settings, start, telemetry};
+use martend::{Parts, RawSettings, Settings, deployment, start, telemetry};
 use policy::CellPlanner;
 use smol::net::TcpListener;
 
-const BRIEF: &str = "usage: martend --settings FILE [--check]";
+const BRIEF: &str =
+    "usage: martend --settings FILE [--check]\n\nWithout --settings, the variable MARTENSCALE_CONFIG names the file.";
 
+/// Names the settings file where the command line does not.
+const SETTINGS_VARIABLE: &str = "MARTENSCALE_CONFIG";
 /// The settings cannot be used.
 const EXIT_SETTINGS: u8 = 2;
 /// The daemon could not start.
@@ -28,9 +31,12 @@
         print!("{}", opts.usage(BRIEF));
         return ExitCode::SUCCESS;
     }
-    let Some(path) = matches.opt_str("settings") else {
+    let Some(path) = matches.opt_str("settings").or_else(|| std::env::var(SETTINGS_VARIABLE).ok()) else {
         return fail(EXIT_SETTINGS, BRIEF);
     };
+    if deployment::is_chosen(&path) {
+        return run_deployment(&path, matches.opt_present("check"));
+    }
     let settings = match read_settings(&path) {
         Ok(settings) => settings,
         Err(why) => return fail(EXIT_SETTINGS, &why),
@@ -47,6 +53,23 @@
     }
 }
 
+fn run_deployment(path: &str, check_only: bool) -> ExitCode {
+    let settings = match deployment::read(path) {
+        Ok(settings) => settings,
+        Err(why) => return fail(EXIT_SETTINGS, &why),
+    };
+    if check_only {
+        println!("{path}: the settings can be used");
+        return ExitCode::SUCCESS;
+    }
+    logs::init_service(settings.log_level);
+    telemetry::init_metrics();
+    match smol::block_on(deployment::run(settings, path)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => fail(EXIT_START, &format!("martend cannot run: {e}")),
+    }
+}
+
 fn fail(code: u8, why: &str) -> ExitCode {
     eprintln!("{why}");
     ExitCode::from(code)
--- a/crates/martend/src/settings.rs
+++ b/crates/martend/src/settings.rs
@@ -5,7 +5,7 @@
 use entry::Limits;
 use logs::LogFormat;
 use model::{AvailabilityZoneId, BoxId, CheckError, Duration, JsonPath};
-use platform::ListedBox;
+use outside::ListedBox;
 use serde::{Deserialize, Serialize};
 
 /// Settings as they stand in JSON. `docs/operations.md` lists them with units, defaults and bounds.
--- a/crates/martend/tests/processes.rs
+++ b/crates/martend/tests/processes.rs
@@ -15,7 +15,7 @@
 use hyper::Method;
 use model::{BackendServerId, Gang, JobSpec, OperatorFile, Outcome, Resources, Revision, Within};
 use net::http::Client;
-use platform::{Clock, ListedBox, SystemClock};
+use outside::{Clock, ListedBox, SystemClock};
 use standins::{
     BackendHandle, Checkpoints, Final, LeaseTable, Oracle, PlatformHandle, Work, serve_backend, serve_platform,
 };
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -11,11 +11,13 @@
 };
 
 use bytes::Bytes;
+use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
-    Method, Request, Response, StatusCode,
+    HeaderMap, Method, Request, Response, StatusCode,
     body::Incoming,
     client::conn::http1::{self, SendRequest},
+    header::{CONTENT_TYPE, HOST, HeaderValue},
     service::service_fn,
 };
 use serde::{Serialize, de::DeserializeOwned};
@@ -26,6 +28,8 @@
 
 /// Longest body that is read, in bytes: the platform's values reach 1 MB, with room for framing.
 pub const MAX_BODY: usize = 4 * 1024 * 1024;
+/// `hyper` takes no smaller buffer for the head of a request, in bytes.
+const MIN_HEAD_BUFFER: usize = 8192;
 /// Most idle connections kept per address.
 const MAX_IDLE: usize = 8;
 /// How long a connection may take to stand.
@@ -70,16 +74,28 @@
         body: Bytes,
         limit: Duration,
     ) -> Result<Reply, NetError> {
-        let mut sender = self.sender(addr).await?;
         let req = Request::builder()
             .method(method)
             .uri(path)
-            .header("host", addr.to_string())
-            .header("content-type", "application/json")
-            .body(Full::new(body))
+            .body(body)
             .map_err(|e| NetError::Unsent { why: e.to_string() })?;
-        let reply = within(limit, async {
-            let res = sender.send_request(req).await.map_err(lost)?;
+        self.send(addr, req, limit).await
+    }
+
+    /// Sends one request with its own headers and reads the whole reply, as [`Client::call`] does.
+    ///
+    /// A connection whose reply did not come in time is closed: nothing more is to be expected of it.
+    pub async fn send(&self, addr: SocketAddr, req: Request<Bytes>, limit: Duration) -> Result<Reply, NetError> {
+        let begun = std::time::Instant::now();
+        let connecting = within(limit, self.sender(addr)).await;
+        let mut sender = connecting.map_err(|e| NetError::Unsent { why: e.to_string() })?;
+        let (mut parts, body) = req.into_parts();
+        let host = HeaderValue::from_str(&addr.to_string()).expect("an address is a valid header");
+        parts.headers.insert(HOST, host);
+        parts.headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let req = Request::from_parts(parts, Full::new(body));
+        let reply = within(limit.saturating_sub(begun.elapsed()), async {
+            let res = sender.send_request(req).await.map_err(unsent_or_lost)?;
             let status = res.status();
             let body = Limited::new(res.into_body(), MAX_BODY).collect().await.map_err(lost)?.to_bytes();
             Ok(Reply { status, body })
@@ -89,6 +105,11 @@
         Ok(reply)
     }
 
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.idle.lock().expect("no holder panics").remove(&addr);
+    }
+
     /// Posts a JSON value and reads a JSON value, whatever the status.
     pub async fn post_json<T: DeserializeOwned>(
         &self,
@@ -134,6 +155,11 @@
     }
 }
 
+/// A request that `hyper` gave back was never written.
+fn unsent_or_lost(e: hyper::Error) -> NetError {
+    if e.is_canceled() { NetError::Unsent { why: e.to_string() } } else { lost(e) }
+}
+
 fn lost(e: impl std::fmt::Display) -> NetError {
     NetError::Lost { why: e.to_string() }
 }
@@ -147,6 +173,8 @@
     pub path: String,
     /// The query, without `?`; empty if there is none.
     pub query: String,
+    /// The headers.
+    pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
 }
@@ -162,7 +190,7 @@
     let body = serde_json::to_vec(value).expect("our own types always serialize");
     let mut res = Response::new(Full::new(Bytes::from(body)));
     *res.status_mut() = status;
-    res.headers_mut().insert("content-type", hyper::header::HeaderValue::from_static("application/json"));
+    res.headers_mut().insert("content-type", HeaderValue::from_static("application/json"));
     res
 }
 
@@ -170,13 +198,49 @@
 pub fn text_response(status: StatusCode, text: String) -> Response<Full<Bytes>> {
     let mut res = Response::new(Full::new(Bytes::from(text)));
     *res.status_mut() = status;
-    res.headers_mut().insert("content-type", hyper::header::HeaderValue::from_static("text/plain; charset=utf-8"));
+    res.headers_mut().insert("content-type", HeaderValue::from_static("text/plain; charset=utf-8"));
     res
 }
 
+/// Limits of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerLimits {
+    /// Connections held open at once; more are closed on arrival.
+    pub connections: usize,
+    /// How long the head of a request may take to arrive, also on an idle connection.
+    pub head: Duration,
+    /// Longest head, in bytes.
+    pub head_bytes: usize,
+    /// Longest body, in bytes.
+    pub body_bytes: usize,
+}
+
+impl Default for ServerLimits {
+    fn default() -> ServerLimits {
+        ServerLimits {
+            connections: MAX_CONNECTIONS,
+            head: Duration::from_secs(30),
+            head_bytes: 64 * 1024,
+            body_bytes: MAX_BODY,
+        }
+    }
+}
+
 /// Serves connections until the future is dropped, which also closes every connection.
 pub async fn serve(listener: TcpListener, handler: Arc<dyn Handler>) {
-    let open = AtomicUsize::new(0);
+    let (_never, stop) = smol::channel::bounded(1);
+    serve_until(listener, handler, ServerLimits::default(), stop).await;
+}
+
+/// Serves connections until `stop` is closed; then no more are taken, each is closed once its request is
+/// answered, and the future ends with the last of them.
+pub async fn serve_until(
+    listener: TcpListener,
+    handler: Arc<dyn Handler>,
+    limits: ServerLimits,
+    stop: smol::channel::Receiver<()>,
+) {
+    let open = Arc::new(AtomicUsize::new(0));
     let ex = smol::Executor::new();
     let accept = async {
         loop {
@@ -185,42 +249,76 @@
                 smol::Timer::after(Duration::from_millis(50)).await;
                 continue;
             };
-            if open.load(Ordering::Relaxed) >= MAX_CONNECTIONS {
+            if open.load(Ordering::Relaxed) >= limits.connections {
                 continue;
             }
             open.fetch_add(1, Ordering::Relaxed);
-            ex.spawn(async {
-                serve_connection(stream, &handler).await;
+            let (handler, stop, open) = (Arc::clone(&handler), stop.clone(), Arc::clone(&open));
+            ex.spawn(async move {
+                serve_connection(stream, &handler, limits, &stop).await;
                 open.fetch_sub(1, Ordering::Relaxed);
             })
             .detach();
         }
     };
-    ex.run(accept).await
+    let stopped = async {
+        let _ = stop.recv().await;
+    };
+    ex.run(accept.or(stopped)).await;
+    drop(listener);
+    let emptied = async {
+        while open.load(Ordering::Relaxed) > 0 {
+            smol::Timer::after(Duration::from_millis(10)).await;
+        }
+    };
+    ex.run(emptied).await;
 }
 
-async fn serve_connection(stream: TcpStream, handler: &Arc<dyn Handler>) {
+async fn serve_connection(
+    stream: TcpStream,
+    handler: &Arc<dyn Handler>,
+    limits: ServerLimits,
+    stop: &smol::channel::Receiver<()>,
+) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let service = service_fn(|req: Request<Incoming>| async move { answer(req, handler).await });
-    // A connection that breaks ends here; the caller sees the break.
-    let _ = hyper::server::conn::http1::Builder::new()
+    let service = service_fn(|req: Request<Incoming>| async move { answer(req, handler, limits.body_bytes).await });
+    let conn = hyper::server::conn::http1::Builder::new()
         .timer(SmolTimer::new())
-        .header_read_timeout(Duration::from_secs(30))
-        .serve_connection(FuturesIo::new(stream), service)
-        .await;
+        .header_read_timeout(limits.head)
+        .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER))
+        .serve_connection(FuturesIo::new(stream), service);
+    let mut conn = std::pin::pin!(conn);
+    // A connection that breaks ends here; the caller sees the break.
+    let ended = async {
+        let _ = conn.as_mut().await;
+        true
+    };
+    let stopped = async {
+        let _ = stop.recv().await;
+        false
+    };
+    if !ended.or(stopped).await {
+        conn.as_mut().graceful_shutdown();
+        let _ = conn.await;
+    }
 }
 
-async fn answer(req: Request<Incoming>, handler: &Arc<dyn Handler>) -> std::io::Result<Response<Full<Bytes>>> {
+async fn answer(
+    req: Request<Incoming>,
+    handler: &Arc<dyn Handler>,
+    most: usize,
+) -> std::io::Result<Response<Full<Bytes>>> {
     let (parts, body) = req.into_parts();
-    let Ok(body) = Limited::new(body, MAX_BODY).collect().await else {
-        return Ok(text_response(StatusCode::PAYLOAD_TOO_LARGE, format!("a body may have {MAX_BODY} bytes\n")));
+    let Ok(body) = Limited::new(body, most).collect().await else {
+        return Ok(text_response(StatusCode::PAYLOAD_TOO_LARGE, format!("a body may have {most} bytes\n")));
     };
     let call = Call {
         method: parts.method,
         path: parts.uri.path().to_owned(),
         query: parts.uri.query().unwrap_or_default().to_owned(),
+        headers: parts.headers,
         body: body.to_bytes(),
     };
     handler.handle(call).await.ok_or_else(|| std::io::Error::other("the handler closed the connection"))
--- a/crates/platform/src/lib.rs
+++ b/crates/outside/src/lib.rs
@@ -5,12 +5,16 @@
 //! 2,000 reads a second, a waiting watch counted as one), so nothing here retries by itself.
 
 mod clock;
+mod coordination;
 mod http;
 mod listing;
 mod store;
 
 pub use crate::{
     clock::{Clock, SystemClock},
+    coordination::{
+        Change, Committed, CoordinationStore, Item, LeaseId, Put, Snapshot, StoreError, Transaction, Watched,
+    },
     http::{HttpListing, HttpStore, LISTING_PATH, STORE_PATH},
     listing::{ListedBox, Listing},
     store::{Store, StoreReply, StoreRequest, Versioned},
--- /dev/null
+++ b/crates/runtime/src/border.rs
@@ -0,0 +1,123 @@
+//! What an adapter to a platform provides.
+
+use std::net::SocketAddr;
+
+use jobs::{Fence, RunNumber, Saved, TaskId};
+use model::{BackendServerId, Duration};
+use net::{BoxFuture, NetError};
+use outside::Item;
+use scheduler::{Listing, ServerInfo, StartReply};
+
+use crate::Configuration;
+
+/// One life of a backend server, and where it is reached.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Target {
+    /// Which life is meant: another one that answers there obeys nothing.
+    pub id: BackendServerId,
+    /// Where.
+    pub addr: SocketAddr,
+}
+
+/// Renews the lease of everything that runs on a backend server, acknowledges ends, and asks for its listing.
+#[derive(Debug, Clone)]
+pub struct Hold {
+    /// The scheduler's fencing token.
+    pub fence: Fence,
+    /// Ends up to this serial number are acknowledged.
+    pub acknowledged: u64,
+    /// The lease from now on; `None` renews nothing.
+    pub lease: Option<Duration>,
+    /// The answer may wait this long for an end.
+    pub wait: Duration,
+}
+
+/// What a backend server answers to a [`Hold`].
+#[derive(Debug, Clone)]
+pub enum HoldReply {
+    /// What it runs and what ended.
+    Listing(Listing),
+    /// It obeys a later scheduler.
+    Fenced,
+    /// Another life of it answered.
+    Gone,
+}
+
+/// Starts a run.
+#[derive(Debug, Clone)]
+pub struct Start {
+    /// The scheduler's fencing token.
+    pub fence: Fence,
+    /// What.
+    pub task: TaskId,
+    /// Which run of it.
+    pub run: RunNumber,
+    /// The job's text.
+    pub text: std::sync::Arc<str>,
+    /// Where to go on from.
+    pub saved: Option<Saved>,
+    /// The lease from now on.
+    pub lease: Duration,
+}
+
+/// What a backend server answers to a stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopReply {
+    /// The run ends, or never begins.
+    Stopped,
+    /// It obeys a later scheduler.
+    Fenced,
+    /// Another life of it answered.
+    Gone,
+}
+
+/// Calls to backend servers. Nothing here retries; each call to a backend server ends within its limit.
+pub trait BackendServers: Send + Sync + 'static {
+    /// Renews, acknowledges and lists.
+    fn hold(&self, target: Target, hold: Hold) -> BoxFuture<'_, Result<HoldReply, NetError>>;
+    /// Starts a run. The error is an answer that did not come.
+    fn start(&self, target: Target, start: Start) -> BoxFuture<'_, StartReply>;
+    /// Stops a run.
+    fn stop(
+        &self,
+        target: Target,
+        fence: Fence,
+        task: TaskId,
+        run: RunNumber,
+    ) -> BoxFuture<'_, Result<StopReply, NetError>>;
+    /// Forgets the connections to a backend server that has gone.
+    fn forget(&self, target: &Target);
+}
+
+/// A backend server as the platform lists it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ListedServer {
+    /// Where it is.
+    pub target: Target,
+    /// What it is.
+    pub info: ServerInfo,
+}
+
+/// Why an item of the store cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("{key}: {why}")]
+pub struct DecodeError {
+    /// The item's key.
+    pub key: String,
+    /// What is wrong.
+    pub why: String,
+}
+
+/// Reads what the platform and its operators keep in the store.
+pub trait Decoder: Send + Sync + 'static {
+    /// The key of the configuration in force.
+    fn configuration_key(&self) -> String;
+    /// Reads the configuration.
+    fn configuration(&self, document: &[u8]) -> Result<Configuration, DecodeError>;
+    /// Every backend server has a key under this prefix.
+    fn servers_prefix(&self) -> String;
+    /// Reads a backend server's item.
+    fn server(&self, item: &Item) -> Result<ListedServer, DecodeError>;
+    /// Which backend server a key under the prefix belongs to.
+    fn server_of_key(&self, key: &str) -> Option<BackendServerId>;
+}
--- /dev/null
+++ b/crates/runtime/src/directory.rs
@@ -0,0 +1,77 @@
+//! Keeps the scheduler's backend servers as the platform lists them.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use model::{BackendServerId, Duration};
+use outside::{Change, Item};
+
+use crate::{
+    border::ListedServer,
+    follow::{Seen, follow},
+    leader::{Active, Parts},
+};
+
+/// Longest wait of the watch on backend servers.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+
+/// Follows the platform's list of backend servers.
+pub(crate) async fn follow_servers(parts: Parts, active: Arc<Active>) {
+    let prefix = parts.decoder.servers_prefix();
+    let mut listed: BTreeSet<BackendServerId> = BTreeSet::new();
+    let on = |seen: Seen| match seen {
+        Seen::All(items) => take_all(&parts, &active, &mut listed, &items),
+        Seen::Changes(changes) => {
+            for change in &changes {
+                match change {
+                    Change::Put(item) => take(&parts, &active, &mut listed, item),
+                    Change::Removed { key } => remove(&parts, &active, &mut listed, key),
+                }
+            }
+        }
+    };
+    follow(&*parts.store, &parts.view, &prefix, None, WATCH_WAIT, on).await;
+}
+
+fn take_all(parts: &Parts, active: &Arc<Active>, listed: &mut BTreeSet<BackendServerId>, items: &[Item]) {
+    let before = std::mem::take(listed);
+    for item in items {
+        take(parts, active, listed, item);
+    }
+    for id in before.difference(listed) {
+        unlist(active, id);
+    }
+}
+
+fn take(parts: &Parts, active: &Arc<Active>, listed: &mut BTreeSet<BackendServerId>, item: &Item) {
+    match parts.decoder.server(item) {
+        Ok(server) => {
+            listed.insert(server.target.id.clone());
+            take_server(parts, active, server);
+        }
+        Err(e) => log::error!("event=server_unreadable why={}", e),
+    }
+}
+
+fn take_server(parts: &Parts, active: &Arc<Active>, server: ListedServer) {
+    let now = parts.view.clock().now();
+    let ListedServer { target, info } = server;
+    // One address has one life at a time: the earlier one is over.
+    for replaced in active.links.replaced_by(&target) {
+        active.update(|scheduler| scheduler.server_gone(&replaced, now));
+        active.links.close(&replaced);
+    }
+    active.update(|scheduler| scheduler.server_listed(target.id.clone(), info, now));
+    active.links.open(&target, active);
+}
+
+fn remove(parts: &Parts, active: &Arc<Active>, listed: &mut BTreeSet<BackendServerId>, key: &str) {
+    if let Some(id) = parts.decoder.server_of_key(key) {
+        listed.remove(&id);
+        unlist(active, &id);
+    }
+}
+
+fn unlist(active: &Arc<Active>, id: &BackendServerId) {
+    log::info!("server={id} event=unlisted");
+    active.update(|scheduler| scheduler.server_unlisted(id));
+}
--- /dev/null
+++ b/crates/runtime/src/election.rs
@@ -0,0 +1,188 @@
+//! Election: one box at a time holds the scheduler's key, under a lease that it renews.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use jobs::Fence;
+use model::{BoxId, Duration, Moment, Revision};
+use outside::{Change, Committed, CoordinationStore, Item, LeaseId, Put, StoreError, Transaction};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    follow::{Backoff, Seen, follow},
+    keys,
+    leader::{self, ActiveSlot, Parts},
+    settings::Settings,
+    view::{Leader, View},
+};
+
+/// Candidates wait a random time up to this before they stand, so that few writes collide.
+const STAND_WITHIN: Duration = Duration::from_millis(40);
+/// How long a write of the key may take.
+const WRITE_LIMIT: Duration = Duration::from_millis(1000);
+/// A box without a scheduler looks this often whether it may stand.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// Renewals in the life of a lease: two may be lost.
+const RENEWALS: f64 = 3.0;
+/// Longest wait of the watch on the key.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
+
+/// The value of the scheduler's key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Record {
+    #[serde(rename = "box")]
+    box_id: BoxId,
+    addr: SocketAddr,
+    /// Tells this candidacy from an earlier one of the same box.
+    nonce: u64,
+}
+
+/// Why a box schedules no more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+#[display(rename_all = "snake_case")]
+enum Ended {
+    LeaseLost,
+    Unconfirmed,
+    Deposed,
+    Resigned,
+}
+
+/// Follows who schedules.
+pub(crate) async fn follow_leader(store: Arc<dyn CoordinationStore>, view: Arc<View>) {
+    let on = |seen: Seen| match seen {
+        Seen::All(items) => view.set_leader(items.iter().find(|item| item.key == keys::SCHEDULER).and_then(leader_of)),
+        Seen::Changes(changes) => {
+            for change in &changes {
+                match change {
+                    Change::Put(item) => view.set_leader(leader_of(item)),
+                    Change::Removed { .. } => view.set_leader(None),
+                }
+            }
+        }
+    };
+    follow(&*store, &view, keys::SCHEDULER, None, WATCH_WAIT, on).await;
+}
+
+fn leader_of(item: &Item) -> Option<Leader> {
+    let record: Record = serde_json::from_slice(&item.value).ok()?;
+    Some(Leader { box_id: record.box_id, addr: record.addr, fence: Fence(item.revision.0) })
+}
+
+/// Stands for election whenever there is no scheduler, and schedules while elected.
+pub(crate) async fn run(settings: Settings, parts: Parts, active: ActiveSlot) {
+    loop {
+        if may_stand(&parts.view) {
+            smol::Timer::after(STAND_WITHIN.scaled(fastrand::f64()).into()).await;
+            if may_stand(&parts.view)
+                && let Some(won) = stand(&settings, &parts).await
+            {
+                lead(&settings, &parts, &active, won).await;
+            }
+        }
+        let changed = async {
+            parts.view.leader_changed().await;
+        };
+        let tick = async {
+            smol::Timer::after(LOOK_EVERY.into()).await;
+        };
+        futures_lite::FutureExt::or(changed, tick).await;
+    }
+}
+
+fn may_stand(view: &View) -> bool {
+    view.leader().is_none() && view.reaches_store() && !view.draining() && view.configuration().is_some()
+}
+
+/// An election that this box has won.
+struct Won {
+    fence: Fence,
+    lease: LeaseId,
+    /// Until when the lease lives at least.
+    confirmed: Moment,
+}
+
+async fn stand(settings: &Settings, parts: &Parts) -> Option<Won> {
+    let asked = parts.view.clock().now();
+    let lease = parts.store.grant(settings.election_ttl).await.ok()?;
+    let record = Record { box_id: settings.box_id.clone(), addr: settings.peers_address, nonce: fastrand::u64(..) };
+    let value = serde_json::to_vec(&record).expect("our own types always serialize");
+    let put = Put { key: keys::SCHEDULER.to_owned(), value, lease: Some(lease) };
+    let expect = vec![(keys::SCHEDULER.to_owned(), Revision(0))];
+    let transaction = Transaction { expect, put: vec![put], remove: Vec::new() };
+    let fence = match parts.store.commit(transaction, WRITE_LIMIT).await {
+        Ok(Committed::Done(revision)) => Fence(revision.0),
+        Ok(Committed::Conflict(items)) => {
+            parts.view.set_leader(items.first().and_then(leader_of));
+            return None;
+        }
+        Ok(Committed::LeaseGone) | Err(StoreError::Refused { .. }) => return None,
+        Err(StoreError::Lost { .. }) => found(parts, &record).await?,
+    };
+    log::info!("event=elected box={} fence={fence}", settings.box_id);
+    parts.view.set_leader(Some(Leader { box_id: record.box_id, addr: record.addr, fence }));
+    Some(Won { fence, lease, confirmed: asked + settings.election_ttl })
+}
+
+/// Whether a write without an answer has won the election.
+async fn found(parts: &Parts, record: &Record) -> Option<Fence> {
+    let item = parts.store.get(keys::SCHEDULER.to_owned()).await.ok()??;
+    let holder: Record = serde_json::from_slice(&item.value).ok()?;
+    (holder == *record).then_some(Fence(item.revision.0))
+}
+
+async fn lead(settings: &Settings, parts: &Parts, active: &ActiveSlot, won: Won) {
+    let (fence, lease) = (won.fence, won.lease);
+    let schedule = async {
+        leader::run(settings, parts, active, fence).await;
+        Ended::Deposed
+    };
+    let ended = futures_lite::FutureExt::or(keep(settings, parts, won), schedule).await;
+    active.clear();
+    parts.view.set_leader(None);
+    log::info!("event=stopped_scheduling box={} fence={fence} why={ended}", settings.box_id);
+    if ended == Ended::Resigned
+        && let Err(e) = parts.store.end(lease).await
+    {
+        log::warn!("event=lease_not_ended fence={fence} why={e}");
+    }
+}
+
+/// Renews the lease until it is lost, cannot be confirmed for too long, or the box leaves.
+async fn keep(settings: &Settings, parts: &Parts, won: Won) -> Ended {
+    let every = settings.election_ttl.scaled(1.0 / RENEWALS);
+    let mut confirmed = won.confirmed;
+    let mut backoff = Backoff::new();
+    let mut last = parts.view.clock().now();
+    loop {
+        let next = async {
+            let since = parts.view.clock().now().since(last);
+            let rest = every.millis().saturating_sub(since.millis());
+            smol::Timer::after(std::time::Duration::from_millis(rest)).await;
+        };
+        let leaving = async {
+            while !parts.view.draining() {
+                parts.view.leader_changed().await;
+            }
+        };
+        futures_lite::FutureExt::or(next, leaving).await;
+        if parts.view.draining() {
+            return Ended::Resigned;
+        }
+        let sent = parts.view.clock().now();
+        match parts.store.keep(won.lease).await {
+            Ok(true) => {
+                confirmed = sent + settings.election_ttl;
+                last = sent;
+                parts.view.store_answered();
+                backoff.reset();
+            }
+            Ok(false) => return Ended::LeaseLost,
+            Err(e) => {
+                log::debug!("event=lease_not_renewed fence={} why={e}", won.fence);
+                if parts.view.clock().now() > confirmed + settings.timing.unconfirmed_renewal {
+                    return Ended::Unconfirmed;
+                }
+                backoff.wait().await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/keys.rs
@@ -0,0 +1,55 @@
+//! Keys in the platform's store.
+
+use jobs::{JobId, OccurrenceId};
+use model::BoxId;
+
+/// The elected scheduler; the key's revision is its fence.
+pub(crate) const SCHEDULER: &str = "marten/scheduler";
+/// What callers have handed in and cancelled.
+pub(crate) const INTAKE: &str = "marten/in/";
+/// What the scheduler must remember.
+pub(crate) const PROGRESS: &str = "marten/progress/";
+/// The boxes and where they talk to each other.
+pub(crate) const BOXES: &str = "marten/box/";
+
+const JOB: &str = "/job";
+const CANCEL: &str = "/cancel";
+
+/// What a key under [`INTAKE`] holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Intake {
+    Job(JobId),
+    Cancel(JobId),
+}
+
+pub(crate) fn job(id: JobId) -> String {
+    format!("{INTAKE}{id}{JOB}")
+}
+
+pub(crate) fn cancel(id: JobId) -> String {
+    format!("{INTAKE}{id}{CANCEL}")
+}
+
+pub(crate) fn intake(key: &str) -> Option<Intake> {
+    let rest = key.strip_prefix(INTAKE)?;
+    if let Some(id) = rest.strip_suffix(JOB) {
+        return id.parse().ok().map(Intake::Job);
+    }
+    rest.strip_suffix(CANCEL)?.parse().ok().map(Intake::Cancel)
+}
+
+pub(crate) fn progress(id: OccurrenceId) -> String {
+    format!("{PROGRESS}{id}")
+}
+
+pub(crate) fn progress_of_job(id: JobId) -> String {
+    format!("{PROGRESS}{id}.")
+}
+
+pub(crate) fn occurrence(key: &str) -> Option<OccurrenceId> {
+    key.strip_prefix(PROGRESS)?.parse().ok()
+}
+
+pub(crate) fn member_box(id: &BoxId) -> String {
+    format!("{BOXES}{id}")
+}
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,29 @@
+//! What a box does on a platform that keeps its state: it takes callers' requests, follows the
+//! configuration, and schedules while it is elected.
+//!
+//! Every box can take every request, since a job is accepted once the store holds it. The elected
+//! scheduler finds new jobs in the store. All I/O to the outside goes through the traits of
+//! [`border`], so that this crate knows no platform's protocol.
+
+pub mod border;
+mod configuration;
+mod directory;
+mod election;
+mod follow;
+mod keys;
+mod leader;
+mod links;
+mod node;
+mod relay;
+mod requests;
+mod settings;
+mod view;
+mod writer;
+
+pub use crate::{
+    configuration::{Access, CallLimits, Configuration, Denied, Route},
+    node::Node,
+    requests::{CancelOutcome, Requests, StateOutcome, SubmitOutcome},
+    settings::Settings,
+    view::View,
+};
--- /dev/null
+++ b/crates/runtime/src/view.rs
@@ -0,0 +1,153 @@
+//! What a box believes of the world, each belief with its age or version.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+};
+
+use jobs::Fence;
+use model::{BoxId, Duration, Moment};
+use outside::Clock;
+use smol::channel::{Receiver, Sender};
+
+use crate::Configuration;
+
+/// Who schedules.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Leader {
+    pub(crate) box_id: BoxId,
+    pub(crate) addr: SocketAddr,
+    pub(crate) fence: Fence,
+}
+
+#[derive(Default)]
+struct Beliefs {
+    configuration: Option<Arc<Configuration>>,
+    leader: Option<Leader>,
+    store_seen: Option<Moment>,
+    /// Another box that reaches the store answered at this time.
+    peer_seen: Option<Moment>,
+    boxes: BTreeMap<BoxId, SocketAddr>,
+    draining: bool,
+}
+
+/// What a box believes.
+pub struct View {
+    beliefs: Mutex<Beliefs>,
+    /// Holds a token when the scheduler may have changed, or the box leaves.
+    changed: (Sender<()>, Receiver<()>),
+    clock: Arc<dyn Clock>,
+    store_silence: Duration,
+}
+
+impl View {
+    pub(crate) fn new(clock: Arc<dyn Clock>, store_silence: Duration) -> View {
+        View { beliefs: Mutex::default(), changed: smol::channel::bounded(1), clock, store_silence }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Beliefs> {
+        self.beliefs.lock().expect("no holder panics")
+    }
+
+    /// The newest configuration that this box has seen.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.lock().configuration.clone()
+    }
+
+    /// Takes a configuration unless a newer one is known. Returns whether it is new.
+    pub(crate) fn take_configuration(&self, new: Configuration) -> bool {
+        let mut beliefs = self.lock();
+        let old = beliefs.configuration.as_ref().map(|old| old.version);
+        if old.is_some_and(|old| old >= new.version) {
+            return false;
+        }
+        log::info!("event=configuration version={} before={}", new.version, old.unwrap_or(0));
+        beliefs.configuration = Some(Arc::new(new));
+        true
+    }
+
+    pub(crate) fn leader(&self) -> Option<Leader> {
+        self.lock().leader.clone()
+    }
+
+    pub(crate) fn set_leader(&self, leader: Option<Leader>) {
+        let mut beliefs = self.lock();
+        if beliefs.leader == leader {
+            return;
+        }
+        match &leader {
+            Some(new) => log::info!("event=scheduler_known box={} fence={}", new.box_id, new.fence),
+            None => log::info!("event=scheduler_unknown"),
+        }
+        beliefs.leader = leader;
+        drop(beliefs);
+        self.tell_change();
+    }
+
+    fn tell_change(&self) {
+        // A full channel holds the news already.
+        let _ = self.changed.0.try_send(());
+    }
+
+    /// Waits until the scheduler may have changed, or the box leaves. Only the election waits for this.
+    pub(crate) async fn leader_changed(&self) {
+        // The view holds the sender too, so that the channel never closes.
+        let _ = self.changed.1.recv().await;
+    }
+
+    pub(crate) fn store_answered(&self) {
+        let now = self.clock.now();
+        let mut beliefs = self.lock();
+        let silent = beliefs.store_seen.is_none_or(|seen| now.since(seen) > self.store_silence);
+        beliefs.store_seen = Some(now);
+        if silent {
+            log::info!("event=store_reached");
+        }
+    }
+
+    /// Whether the store has answered this box lately.
+    pub fn reaches_store(&self) -> bool {
+        let now = self.clock.now();
+        self.lock().store_seen.is_some_and(|seen| now.since(seen) <= self.store_silence)
+    }
+
+    pub(crate) fn peer_answered(&self) {
+        let now = self.clock.now();
+        self.lock().peer_seen = Some(now);
+    }
+
+    fn reaches_peer(&self) -> bool {
+        let now = self.clock.now();
+        self.lock().peer_seen.is_some_and(|seen| now.since(seen) <= self.store_silence)
+    }
+
+    pub(crate) fn set_boxes(&self, boxes: BTreeMap<BoxId, SocketAddr>) {
+        self.lock().boxes = boxes;
+    }
+
+    pub(crate) fn boxes(&self) -> Vec<SocketAddr> {
+        self.lock().boxes.values().copied().collect()
+    }
+
+    /// The box is leaving: it takes no new connections and stands in no election.
+    pub fn start_draining(&self) {
+        self.lock().draining = true;
+        self.tell_change();
+    }
+
+    /// Whether the box is leaving.
+    pub fn draining(&self) -> bool {
+        self.lock().draining
+    }
+
+    /// Whether new callers should come here.
+    pub fn ready(&self) -> bool {
+        let configured = self.lock().configuration.is_some();
+        configured && !self.draining() && (self.reaches_store() || self.reaches_peer())
+    }
+
+    pub(crate) fn clock(&self) -> &dyn Clock {
+        &*self.clock
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/batch.rs
@@ -0,0 +1,83 @@
+//! Writes of progress to the store, many in one call.
+
+use std::collections::BTreeMap;
+
+use jobs::{OccurrenceId, Progress};
+use model::Revision;
+
+use crate::Scheduler;
+
+/// One occurrence's progress as it is to be stored.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    /// Whose.
+    pub occurrence: OccurrenceId,
+    /// The version of the progress in memory that this is.
+    pub version: u64,
+    /// The progress.
+    pub progress: Progress,
+    /// The store's revision of what it replaces; 0 if there is nothing yet.
+    pub replaces: Revision,
+}
+
+/// Writes that take effect together or not at all.
+#[derive(Debug, Clone, Default)]
+pub struct Batch {
+    /// At least one.
+    pub entries: Vec<Entry>,
+}
+
+impl Scheduler {
+    /// What should be stored next, at most `most` entries; `None` if everything is stored.
+    ///
+    /// Only one batch may be under way at a time. The same changes are given again until
+    /// [`Scheduler::stored`] is told of them, so that a write without an answer is made up for by the next:
+    /// either it took effect, which the next finds by its conflict, or the next makes its condition false.
+    pub fn next_batch(&mut self, most: usize) -> Option<Batch> {
+        let chosen: Vec<OccurrenceId> = self.dirty.iter().take(most).copied().collect();
+        let entries: Vec<Entry> = chosen.iter().filter_map(|&id| self.entry(id)).collect();
+        if entries.is_empty() { None } else { Some(Batch { entries }) }
+    }
+
+    fn entry(&self, id: OccurrenceId) -> Option<Entry> {
+        let occurrence = self.jobs.get(&id.job)?.occurrences.get(id.number as usize)?;
+        Some(Entry {
+            occurrence: id,
+            version: occurrence.version,
+            progress: occurrence.progress.clone(),
+            replaces: occurrence.store_revision,
+        })
+    }
+
+    /// A batch is in the store, at `revision`.
+    pub fn stored(&mut self, batch: Batch, revision: Revision) {
+        for entry in batch.entries {
+            self.entry_stored(entry, revision);
+        }
+        self.acknowledge_stored();
+        self.send_stored_starts();
+    }
+
+    fn entry_stored(&mut self, entry: Entry, revision: Revision) {
+        let id = entry.occurrence;
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let Some(occurrence) = job.occurrences.get_mut(id.number as usize) else { return };
+        occurrence.store_revision = revision;
+        occurrence.stored_version = entry.version;
+        occurrence.stored_progress = entry.progress;
+        if occurrence.version == entry.version {
+            self.dirty.remove(&id);
+        }
+        self.unsent.insert(id);
+    }
+
+    /// The store holds other revisions than the batch expected: an earlier write of ours took effect after all.
+    pub fn found_in_store(&mut self, revisions: &BTreeMap<OccurrenceId, Revision>) {
+        for (id, &revision) in revisions {
+            let occurrence = self.jobs.get_mut(&id.job).and_then(|job| job.occurrences.get_mut(id.number as usize));
+            if let Some(occurrence) = occurrence {
+                occurrence.store_revision = revision;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/ends.rs
@@ -0,0 +1,61 @@
+//! What a backend server says of what runs, and of what ran.
+
+use derive_more::Display;
+use jobs::{RunNumber, Saved, TaskId};
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "snake_case")]
+pub enum EndKind {
+    /// Well.
+    Done,
+    /// Through its own fault or the backend server's; counts as an attempt.
+    Failed,
+    /// On an order.
+    Stopped,
+    /// Its lease ran out.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// Its gang did not come together in time.
+    Alone,
+}
+
+/// An end that a backend server lists until it is acknowledged.
+#[derive(Debug, Clone)]
+pub struct End {
+    /// Counts the backend server's ends, from 1.
+    pub serial: u64,
+    /// What ended.
+    pub task: TaskId,
+    /// Which run of it.
+    pub run: RunNumber,
+    /// How.
+    pub kind: EndKind,
+    /// The latest checkpoint, if the run made one.
+    pub saved: Option<Saved>,
+}
+
+/// A run that goes on.
+#[derive(Debug, Clone)]
+pub struct RunningTask {
+    /// What runs.
+    pub task: TaskId,
+    /// Which run of it.
+    pub run: RunNumber,
+    /// The latest checkpoint, if the run made one.
+    pub saved: Option<Saved>,
+    /// Share of its work that is done, 0 to 100.
+    pub percent: u32,
+}
+
+/// Everything that a backend server lists.
+#[derive(Debug, Clone, Default)]
+pub struct Listing {
+    /// What runs.
+    pub running: Vec<RunningTask>,
+    /// Ends that are not acknowledged yet.
+    pub ended: Vec<End>,
+    /// There may be more ends than are listed.
+    pub more_ends: bool,
+}
--- /dev/null
+++ b/crates/scheduler/src/health.rs
@@ -0,0 +1,45 @@
+//! Whether a backend server can be trusted with work, learned from how its runs end.
+
+use jobs::JobId;
+use model::{Duration, Moment};
+
+/// A backend server is set aside once tasks of this many jobs failed on it with nothing done between.
+const FAILED_JOBS: usize = 2;
+/// How long it is set aside before one task is tried on it.
+const SET_ASIDE: Duration = Duration::from_secs(8);
+
+/// What the ends of one backend server tell.
+#[derive(Debug, Default)]
+pub(crate) struct Health {
+    /// Jobs that failed here since something was last done here.
+    failed: Vec<JobId>,
+    set_aside_until: Option<Moment>,
+}
+
+impl Health {
+    pub(crate) fn done(&mut self) {
+        self.failed.clear();
+        self.set_aside_until = None;
+    }
+
+    /// Returns whether this sets the backend server aside.
+    pub(crate) fn failed(&mut self, job: JobId, now: Moment) -> bool {
+        if !self.failed.contains(&job) {
+            self.failed.push(job);
+        }
+        let aside = self.failed.len() >= FAILED_JOBS;
+        if aside {
+            self.set_aside_until = Some(now + SET_ASIDE);
+        }
+        aside
+    }
+
+    /// Whether a task failed here and none has been done since.
+    pub(crate) fn doubtful(&self) -> bool {
+        !self.failed.is_empty()
+    }
+
+    pub(crate) fn set_aside(&self, now: Moment) -> bool {
+        self.set_aside_until.is_some_and(|until| now < until)
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/lib.rs
@@ -0,0 +1,34 @@
+//! The active scheduler of a deployment, without I/O.
+//!
+//! One box at a time is elected; it holds a [`Scheduler`]. The host feeds it what backend servers list,
+//! what the store has taken and what callers want, and carries out what it asks for. Three rules keep
+//! its promises, whoever is elected next:
+//!
+//! - *store, then order*: a start is sent only after the store holds where it goes ([`Scheduler::next_batch`]);
+//! - *store, then acknowledge, then tell*: an end is acknowledged and shown only after the store holds it;
+//! - *one place at a time*: a task is placed again only when its earlier run is known to be over: listed as
+//!   ended, absent from a listing that must show it, or past every lease that it can have been given.
+
+mod batch;
+mod ends;
+mod health;
+mod listing;
+mod live;
+mod orders;
+mod plan;
+mod policy;
+mod preempt;
+mod room;
+mod scheduler;
+mod server;
+mod timing;
+
+pub use crate::{
+    batch::{Batch, Entry},
+    ends::{End, EndKind, Listing, RunningTask},
+    orders::{Order, StartReply},
+    policy::{CustomerPolicy, Policy, QueuePolicy, ServiceId},
+    scheduler::{Counts, Scheduler},
+    server::ServerInfo,
+    timing::Timing,
+};
--- /dev/null
+++ b/crates/scheduler/src/live.rs
@@ -0,0 +1,185 @@
+//! Runs under way, as the scheduler knows them beside what is stored.
+
+use std::sync::Arc;
+
+use jobs::{Duration, Job, JobState, Need, OccurrenceId, Progress, Saved, Step, TaskId};
+use model::{BackendServerId, Moment, Revision};
+
+/// How far a start has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// The store does not hold it yet: no order has left.
+    Planned,
+    /// Ordered this often, without an answer.
+    Sent {
+        /// From 1.
+        tries: u32,
+    },
+    /// The backend server has it.
+    Running,
+    /// An earlier scheduler placed it; its backend server has not been heard yet.
+    Restored,
+}
+
+/// One task of a run.
+#[derive(Debug, Clone)]
+pub(crate) struct Member {
+    pub(crate) index: u32,
+    pub(crate) server: BackendServerId,
+    pub(crate) phase: Phase,
+    /// A listing that was asked for after this must show the run, if it goes on.
+    pub(crate) settled: Option<Moment>,
+    pub(crate) stop_sent: Option<Moment>,
+    pub(crate) saved: Option<Saved>,
+    pub(crate) percent: u32,
+    /// When it was last seen to get on.
+    pub(crate) advanced: Moment,
+}
+
+/// Why a run is being stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+#[display(rename_all = "snake_case")]
+pub(crate) enum StopReason {
+    /// Another member has ended or could not start.
+    GangBroken,
+    /// Its caller cancelled the job.
+    Cancelled,
+    /// Another task of the occurrence has failed for good.
+    Hopeless,
+    /// A job that goes before it needs the room.
+    Preempted,
+    /// Its backend server is leaving.
+    Evacuated,
+    /// It does not get on.
+    Stalled,
+}
+
+/// Tasks that start and end together.
+#[derive(Debug, Clone)]
+pub(crate) struct Group {
+    pub(crate) members: Vec<Member>,
+    /// The version of the progress that holds where the members are placed.
+    pub(crate) placed_version: u64,
+    pub(crate) stopping: Option<StopReason>,
+    pub(crate) not_before: Moment,
+    /// Since when it could have started; `None` while it cannot.
+    pub(crate) ready_since: Option<Moment>,
+    /// When its latest run was placed.
+    pub(crate) placed_at: Moment,
+    /// Backend servers where it failed.
+    pub(crate) avoid: Vec<BackendServerId>,
+}
+
+impl Default for Group {
+    fn default() -> Group {
+        Group {
+            members: Vec::new(),
+            placed_version: 0,
+            stopping: None,
+            not_before: Moment::ZERO,
+            ready_since: None,
+            placed_at: Moment::ZERO,
+            avoid: Vec::new(),
+        }
+    }
+}
+
+/// One occurrence of a job.
+#[derive(Debug)]
+pub(crate) struct Occurrence {
+    pub(crate) progress: Progress,
+    pub(crate) stored_progress: Progress,
+    /// Rises with each change of `progress`.
+    pub(crate) version: u64,
+    pub(crate) stored_version: u64,
+    pub(crate) store_revision: Revision,
+    /// As `progress.groups`.
+    pub(crate) groups: Vec<Vec<Group>>,
+}
+
+impl Occurrence {
+    pub(crate) fn new(job: &Job) -> Occurrence {
+        let progress = Progress::new(job);
+        let groups = progress.groups.iter().map(|step| vec![Group::default(); step.len()]).collect();
+        Occurrence {
+            stored_progress: progress.clone(),
+            progress,
+            version: 0,
+            stored_version: 0,
+            store_revision: Revision(0),
+            groups,
+        }
+    }
+
+    /// Whether nothing of it runs or will run.
+    pub(crate) fn over(&self) -> bool {
+        let finished = self.progress.failed || self.progress.done();
+        finished && self.groups.iter().flatten().all(|group| group.members.is_empty())
+    }
+}
+
+/// A job with its occurrences.
+#[derive(Debug)]
+pub(crate) struct JobEntry {
+    pub(crate) job: Arc<Job>,
+    pub(crate) cancelled: bool,
+    pub(crate) occurrences: Vec<Occurrence>,
+    /// When its last task ended or it was cancelled, as far as known.
+    pub(crate) ended: Option<Moment>,
+}
+
+impl JobEntry {
+    pub(crate) fn new(job: Job) -> JobEntry {
+        let occurrences = (0..job.occurrences()).map(|_| Occurrence::new(&job)).collect();
+        JobEntry { job: Arc::new(job), cancelled: false, occurrences, ended: None }
+    }
+
+    /// What callers may be told: only what the store holds.
+    pub(crate) fn state(&self) -> JobState {
+        Progress::job_state(self.occurrences.iter().map(|o| &o.stored_progress), self.cancelled)
+    }
+
+    /// Run time of the longest chain of its steps, as declared.
+    pub(crate) fn chain(&self) -> Duration {
+        let mut until: Vec<Duration> = Vec::with_capacity(self.job.steps.len());
+        for step in &self.job.steps {
+            let from = step.after.iter().map(|&i| until[i]).max().unwrap_or(Duration::ZERO);
+            until.push(from + step.estimate);
+        }
+        until.into_iter().max().unwrap_or(Duration::ZERO)
+    }
+}
+
+/// Names a group: a gang, or one task of another step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct GroupId {
+    pub(crate) occurrence: OccurrenceId,
+    pub(crate) step: usize,
+    pub(crate) group: usize,
+}
+
+impl GroupId {
+    /// The group that a task belongs to.
+    pub(crate) fn of(task: TaskId, step: &Step) -> GroupId {
+        let group = if step.gang { 0 } else { task.index as usize };
+        GroupId { occurrence: task.occurrence, step: task.step as usize, group }
+    }
+
+    /// A member's task.
+    pub(crate) fn task(&self, index: u32) -> TaskId {
+        TaskId { occurrence: self.occurrence, step: self.step as u32, index }
+    }
+
+    /// Indices of its tasks in the step.
+    pub(crate) fn indices(&self, step: &Step) -> std::ops::Range<u32> {
+        if step.gang { 0..step.count } else { self.group as u32..self.group as u32 + 1 }
+    }
+}
+
+/// A core counts one, an accelerator as much as this many cores, when work is weighed (users' rules page).
+pub(crate) const CORES_PER_ACCELERATOR: f64 = 8.0;
+
+/// Weighs room in cores.
+pub(crate) fn weight(need: &Need) -> f64 {
+    need.cpu_milli as f64 / 1000.0 + need.accelerators as f64 * CORES_PER_ACCELERATOR
+}
--- /dev/null
+++ b/crates/scheduler/src/server.rs
@@ -0,0 +1,111 @@
+//! What the scheduler knows of one backend server: one life of one worker.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
+
+use jobs::{Need, OccurrenceId, RunNumber, TaskId};
+use model::{Duration, Moment};
+
+use crate::{health::Health, policy::ServiceId};
+
+/// A backend server's account of itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServerInfo {
+    /// The service that it runs.
+    pub service: ServiceId,
+    /// Its rack; one of its labels.
+    pub rack: Arc<str>,
+    /// What it can be chosen by.
+    pub labels: Vec<Arc<str>>,
+    /// Its whole room.
+    pub capacity: Need,
+    /// It is leaving and takes no new work.
+    pub draining: bool,
+    /// How long it stays at least, if it is leaving and says so.
+    pub remaining: Option<Duration>,
+}
+
+/// An end that must be stored before it may be acknowledged.
+#[derive(Debug)]
+pub(crate) struct PendingEnd {
+    pub(crate) serial: u64,
+    /// The progress, and its version, that holds the end; `None` if nothing is to be stored.
+    pub(crate) held_by: Option<(OccurrenceId, u64)>,
+}
+
+/// A run that is listed but belongs to nothing that is wanted.
+#[derive(Debug)]
+pub(crate) struct Stray {
+    pub(crate) run: RunNumber,
+    pub(crate) need: Need,
+    pub(crate) stop_sent: Moment,
+}
+
+/// A backend server.
+#[derive(Debug)]
+pub(crate) struct Server {
+    /// `None` while only an earlier scheduler's placements tell of it.
+    pub(crate) info: Option<ServerInfo>,
+    /// The platform's list holds it.
+    pub(crate) listed: bool,
+    /// Taken by members that are placed here.
+    pub(crate) used: Need,
+    /// Runs that are placed here.
+    pub(crate) members: BTreeMap<TaskId, RunNumber>,
+    pub(crate) strays: BTreeMap<TaskId, Stray>,
+    /// It has shown what it runs since this scheduler was elected.
+    pub(crate) stocked: bool,
+    /// The latest call that it answered was sent at this time.
+    pub(crate) last_contact: Option<Moment>,
+    /// Calls that it left without answer since then.
+    pub(crate) unanswered: u32,
+    /// Every lease that it was given is over by then.
+    pub(crate) lease_over: Moment,
+    pub(crate) pending_ends: VecDeque<PendingEnd>,
+    /// Highest end that was looked at.
+    pub(crate) seen_end: u64,
+    /// Highest end that may be acknowledged.
+    pub(crate) acknowledged: u64,
+    pub(crate) not_before: Moment,
+    pub(crate) health: Health,
+}
+
+impl Server {
+    pub(crate) fn new(info: Option<ServerInfo>, lease_over: Moment) -> Server {
+        Server {
+            listed: info.is_some(),
+            info,
+            used: Need::default(),
+            members: BTreeMap::new(),
+            strays: BTreeMap::new(),
+            stocked: false,
+            last_contact: None,
+            unanswered: 0,
+            lease_over,
+            pending_ends: VecDeque::new(),
+            seen_end: 0,
+            acknowledged: 0,
+            not_before: Moment::ZERO,
+            health: Health::default(),
+        }
+    }
+
+    /// Room that is free now.
+    pub(crate) fn free(&self) -> Need {
+        let Some(info) = &self.info else { return Need::default() };
+        let mut free = info.capacity;
+        free.remove(&self.used);
+        for stray in self.strays.values() {
+            free.remove(&stray.need);
+        }
+        free
+    }
+
+    /// Whether new work may be placed here.
+    pub(crate) fn open(&self, now: Moment) -> bool {
+        let steady = self.info.as_ref().is_some_and(|info| !info.draining);
+        steady && self.listed && self.stocked && self.unanswered == 0 && now >= self.not_before
+    }
+}
--- a/crates/spread/src/apply.rs
+++ b/crates/spread/src/apply.rs
@@ -1,7 +1,7 @@
 //! Applying a file: a compare-and-swap with the revision that it was edited from.
 
 use model::{ApplyId, OperatorFile, Revision};
-use platform::{StoreReply, StoreRequest, Versioned};
+use outside::{StoreReply, StoreRequest, Versioned};
 
 use crate::{CONFIG_KEY, Document};
 
--- a/crates/standins/src/kv_table.rs
+++ b/crates/standins/src/kv_table.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use model::{Duration, Moment};
-use platform::{StoreReply, StoreRequest, Versioned};
+use outside::{StoreReply, StoreRequest, Versioned};
 
 /// Longest value, in bytes (brief).
 const MAX_VALUE: usize = 1_000_000;
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -14,7 +14,7 @@
     BoxFuture,
     http::{Call, Handler, json_response, serve, text_response},
 };
-use platform::{Clock, ListedBox, StoreReply, StoreRequest, SystemClock};
+use outside::{Clock, ListedBox, StoreReply, StoreRequest, SystemClock};
 use smol::{Task, net::TcpListener};
 
 use crate::{Faults, KvTable, LeaseTable, StoreFault};
@@ -163,7 +163,7 @@
     fn handle(&self, call: Call) -> BoxFuture<'_, Option<Response<Body>>> {
         Box::pin(async move {
             let fault = enter(&self.faults).await?;
-            if call.path == platform::LISTING_PATH {
+            if call.path == outside::LISTING_PATH {
                 let boxes = self.boxes.lock().expect("no holder panics").clone();
                 return leave(&self.faults, fault, &boxes);
             }
--- a/crates/test-utils/src/cluster.rs
+++ b/crates/test-utils/src/cluster.rs
@@ -9,7 +9,7 @@
 use entry::{EntryBox, Identity, Input, Limits, Output};
 use fastrand::Rng;
 use model::{AvailabilityZoneId, BackendServerId, BoxId, Duration, Incarnation, Moment, OperatorFile, Revision};
-use platform::{ListedBox, StoreRequest};
+use outside::{ListedBox, StoreRequest};
 use policy::Planner;
 use spread::{Applied, CONFIG_KEY, Document};
 use standins::{Checkpoints, KvTable, LeaseTable, Oracle, Violation};
--- a/crates/test-utils/src/events.rs
+++ b/crates/test-utils/src/events.rs
@@ -5,7 +5,7 @@
 use backend::{BackendReply, BackendRequest};
 use entry::{BackendOp, CallerReply, CallerRequest, OpId, Output, PeerReply, PeerRequest, ReplyTo};
 use model::{BackendServerId, BoxId, Incarnation, Moment};
-use platform::{StoreReply, StoreRequest};
+use outside::{StoreReply, StoreRequest};
 
 use crate::CallerId;
 
--- a/crates/test-utils/src/outside.rs
+++ b/crates/test-utils/src/outside.rs
@@ -2,7 +2,7 @@
 
 use backend::{BackendReply, BackendRequest, TaskState};
 use model::{BackendServerId, Duration, Moment};
-use platform::{StoreReply, StoreRequest};
+use outside::{StoreReply, StoreRequest};
 use standins::Violation;
 
 use crate::{
--- a/xtask/src/codegen.rs
+++ b/xtask/src/codegen.rs
@@ -2,11 +2,27 @@
 
 use std::{fs, path::PathBuf};
 
-const PROTO: &str = "crates/wire/proto/peer.proto";
 const INCLUDE: &str = "crates/wire/proto";
-const GENERATED: &str = "crates/wire/src/generated.rs";
-const PACKAGE_FILE: &str = "martenscale.peer.v1.rs";
-const HEADER: &str = "// Made by `cargo xtask codegen` from proto/peer.proto; do not edit.\n";
+
+/// One definition and what is made of it.
+struct Definition {
+    proto: &'static str,
+    package_file: &'static str,
+    generated: &'static str,
+}
+
+const DEFINITIONS: [Definition; 2] = [
+    Definition {
+        proto: "crates/wire/proto/peer.proto",
+        package_file: "martenscale.peer.v1.rs",
+        generated: "crates/wire/src/generated.rs",
+    },
+    Definition {
+        proto: "crates/wire/proto/relay.proto",
+        package_file: "martenscale.relay.v1.rs",
+        generated: "crates/wire/src/relay_generated.rs",
+    },
+];
 
 /// The root of the workspace.
 pub(crate) fn root() -> PathBuf {
@@ -17,31 +33,39 @@
 
 /// Writes the generated code.
 pub(crate) fn write() -> Result<String, String> {
-    let code = generate()?;
-    fs::write(root().join(GENERATED), code).map_err(|e| format!("{GENERATED}: {e}"))?;
-    Ok(format!("{GENERATED} written"))
+    for definition in &DEFINITIONS {
+        let code = generate(definition)?;
+        let path = definition.generated;
+        fs::write(root().join(path), code).map_err(|e| format!("{path}: {e}"))?;
+    }
+    Ok("the generated code is written".to_owned())
 }
 
 /// Compares the committed code with what would be generated.
 pub(crate) fn check() -> Result<String, String> {
-    let committed = fs::read_to_string(root().join(GENERATED)).map_err(|e| format!("{GENERATED}: {e}"))?;
-    if committed != generate()? {
-        return Err(format!("{GENERATED} is not what {PROTO} gives: run `cargo xtask codegen`"));
+    for definition in &DEFINITIONS {
+        let path = definition.generated;
+        let committed = fs::read_to_string(root().join(path)).map_err(|e| format!("{path}: {e}"))?;
+        if committed != generate(definition)? {
+            return Err(format!("{path} is not what {} gives: run `cargo xtask codegen`", definition.proto));
+        }
     }
-    Ok(format!("{GENERATED} is fresh"))
+    Ok("the generated code is fresh".to_owned())
 }
 
-fn generate() -> Result<String, String> {
+fn generate(definition: &Definition) -> Result<String, String> {
     let root = root();
-    let descriptors = protox::compile([root.join(PROTO)], [root.join(INCLUDE)]).map_err(|e| format!("{PROTO}: {e}"))?;
+    let proto = definition.proto;
+    let descriptors = protox::compile([root.join(proto)], [root.join(INCLUDE)]).map_err(|e| format!("{proto}: {e}"))?;
     let dir = root.join("target/codegen");
     fs::create_dir_all(&dir).map_err(|e| format!("{}: {e}", dir.display()))?;
     tonic_prost_build::configure()
         .build_transport(false)
         .out_dir(&dir)
         .compile_fds(descriptors)
-        .map_err(|e| format!("{PROTO}: {e}"))?;
-    let made = dir.join(PACKAGE_FILE);
+        .map_err(|e| format!("{proto}: {e}"))?;
+    let made = dir.join(definition.package_file);
     let code = fs::read_to_string(&made).map_err(|e| format!("{}: {e}", made.display()))?;
-    Ok(format!("{HEADER}{code}"))
+    let file = proto.rsplit('/').next().unwrap_or(proto);
+    Ok(format!("// Made by `cargo xtask codegen` from proto/{file}; do not edit.\n{code}"))
 }
--- a/xtask/src/slopes.rs
+++ b/xtask/src/slopes.rs
@@ -156,10 +156,10 @@
     let mut entry = EntryBox::new(identity, Limits::default(), Vec::new(), planner, now);
     let file = file(workers, 110);
     let document = Document::following(None, "a".parse().expect("a valid id"), file.clone()).to_text();
-    let found = platform::Versioned { key: "configuration".to_owned(), value: document, version: 1 };
+    let found = outside::Versioned { key: "configuration".to_owned(), value: document, version: 1 };
     for output in entry.handle(Input::Tick, now) {
         if let entry::Output::CallStore { op, .. } = output {
-            let reply = Some(platform::StoreReply::Found { value: Some(found.clone()) });
+            let reply = Some(outside::StoreReply::Found { value: Some(found.clone()) });
             entry.handle(Input::StoreReply { op, reply }, now);
         }
     }
