Count an attempt once per run, whichever end is listed first

A gang's failure counted only if it was the first end seen of its run; with members on two backend servers the 'broken' end of one is listed before the 'failed' end of the other, and the attempt was forgotten. Ruled out: a doubled start (runs rise by one, each placed after the end). Runs that failed are now remembered by number in the stored progress, so that ends of runs that were given up count too and none counts twice. Also: once a backend server obeys this scheduler, earlier ones' leases end one lease later.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -11,6 +11,6 @@
 pub use crate::{
     id::{Fence, JobId, OccurrenceId, ParseNameError, QueueId, RunNumber, TaskId},
     job::{Duration, Job, JobError, Need, RawJob, RawStep, Schedule, Step},
-    progress::{Failures, GroupProgress, Placed, Progress, Saved},
+    progress::{GroupProgress, Placed, Progress, Saved},
     state::JobState,
 };
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -21,11 +21,6 @@
     pub server: BackendServerId,
 }
 
-/// Ends that count against a group's budget of attempts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct Failures(pub u32);
-
 /// The progress of a group: tasks that start and end together. A gang is one group; any other task is
 /// a group of its own.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -36,9 +31,9 @@
     /// A member has begun at some time.
     #[serde(rename = "b", default, skip_serializing_if = "is_false")]
     pub begun: bool,
-    /// Ends that count against the budget.
-    #[serde(rename = "f", default, skip_serializing_if = "no_failures")]
-    pub failures: Failures,
+    /// Runs that have failed: each counts against the budget, whichever of its members failed first.
+    #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
+    pub failed_runs: Vec<RunNumber>,
     /// The number of the latest run; 0 if there was none.
     #[serde(rename = "r", default, skip_serializing_if = "no_run")]
     pub run: RunNumber,
@@ -103,10 +98,6 @@
     !*b
 }
 
-fn no_failures(failures: &Failures) -> bool {
-    failures.0 == 0
-}
-
 fn no_run(run: &RunNumber) -> bool {
     run.0 == 0
 }
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -20,7 +20,11 @@
         if server.unanswered > 0 {
             log::info!("server={id} event=reachable_again after_calls={}", server.unanswered);
         }
-        server.stocked = true;
+        if !server.stocked {
+            // From here on it obeys no earlier scheduler, which can have renewed its lease up to now.
+            server.stocked = true;
+            server.lease_over = self.timing.lease_over(now);
+        }
         server.unanswered = 0;
         server.last_contact = Some(sent);
         for end in &listing.ended {
@@ -56,6 +60,10 @@
     }
 
     fn apply_end(&mut self, name: GroupId, id: &BackendServerId, end: &End, now: Moment) {
+        if end.kind == EndKind::Failed {
+            // It counts even if the run was given up before: what failed has used up an attempt.
+            self.apply_failure(name, id, end.run, now);
+        }
         let current = self.progress_of(name).run == end.run;
         if !current || self.member_mut(name, end.task.index, id).is_none() {
             return;
@@ -68,24 +76,13 @@
             end.kind,
             end.serial
         );
-        let first_of_run = self.group(name).members.len() == self.group_size(name);
         self.remove_member(name, end.task.index, end.saved.clone(), now);
         match end.kind {
             EndKind::Done => self.apply_done(name, id, now),
-            EndKind::Failed => {
-                if first_of_run {
-                    self.apply_failure(name, id, now);
-                }
-                self.stop_group(name, StopReason::GangBroken, now);
-            }
             _ => self.stop_group(name, StopReason::GangBroken, now),
         }
     }
 
-    fn group_size(&self, name: GroupId) -> usize {
-        name.indices(self.step(name)).len()
-    }
-
     fn apply_done(&mut self, name: GroupId, id: &BackendServerId, now: Moment) {
         if let Some(server) = self.servers.get_mut(id) {
             server.health.done();
@@ -100,7 +97,7 @@
         self.note_end(name.occurrence.job, now);
     }
 
-    fn apply_failure(&mut self, name: GroupId, id: &BackendServerId, now: Moment) {
+    fn apply_failure(&mut self, name: GroupId, id: &BackendServerId, run: RunNumber, now: Moment) {
         let job = name.occurrence.job;
         if let Some(server) = self.servers.get_mut(id)
             && server.health.failed(job, now)
@@ -108,13 +105,14 @@
             log::warn!("server={id} event=set_aside why=failures_of_several_jobs");
         }
         self.group_mut(name).avoid.push(id.clone());
-        if self.step(name).long_running {
+        if self.step(name).long_running || self.progress_of(name).failed_runs.contains(&run) {
             return;
         }
-        self.change(name, |progress| progress.failures.0 += 1);
+        self.change(name, |progress| progress.failed_runs.push(run));
         let queue = &self.jobs[&job].job.queue;
         let attempts = self.policy.queues.get(queue).map_or(u32::MAX, |queue| queue.attempts);
-        if self.progress_of(name).failures.0 >= attempts {
+        let spent = self.progress_of(name).failed_runs.len();
+        if spent >= attempts as usize && !self.progress_of(name).done && !self.jobs[&job].cancelled {
             self.fail_occurrence(name, now);
         }
     }
--- /dev/null
+++ b/crates/scheduler/tests/attempts.rs
@@ -0,0 +1,53 @@
+//! What counts as an attempt, and when a job has failed.
+
+mod common;
+
+use common::{Fixture, gang, job, run_of};
+use jobs::JobState;
+use scheduler::EndKind;
+
+#[test]
+fn a_failure_counts_when_another_member_was_seen_to_end_first() {
+    let mut fixture = Fixture::new(2);
+    fixture.attempts(1);
+    fixture.submit(job(1, vec![gang(2, 8)]));
+    let placed = fixture.start_all();
+    let (first, second) = (&placed[0], &placed[1]);
+    // The other member's end is listed before the failure that caused it.
+    fixture.end(second, EndKind::Broken);
+    fixture.end(first, EndKind::Failed);
+    fixture.store_all();
+    assert_eq!(fixture.state(1), Some(JobState::Failed));
+    assert!(fixture.start_all().is_empty(), "no attempt is left");
+}
+
+#[test]
+fn a_failure_of_a_run_that_was_given_up_counts() {
+    let mut fixture = Fixture::new(2);
+    fixture.attempts(1);
+    fixture.submit(job(1, vec![gang(1, 8)]));
+    let placed = fixture.start_all();
+    let gone = &placed[0];
+    fixture.cut_past_lease(&gone.server);
+    assert_eq!(fixture.start_all().len(), 1, "it is placed again once the lease is over");
+    // The first run had failed before its lease was over; its backend server is back and says so.
+    fixture.reconnect(&gone.server);
+    fixture.end(gone, EndKind::Failed);
+    fixture.store_all();
+    assert_eq!(fixture.state(1), Some(JobState::Failed));
+}
+
+#[test]
+fn two_members_that_fail_in_one_run_are_one_attempt() {
+    let mut fixture = Fixture::new(4);
+    fixture.attempts(2);
+    fixture.submit(job(1, vec![gang(2, 8)]));
+    for placed in fixture.start_all() {
+        fixture.end(&placed, EndKind::Failed);
+    }
+    fixture.store_all();
+    assert_eq!(fixture.state(1), Some(JobState::Running));
+    let again = fixture.start_all();
+    assert_eq!(again.len(), 2);
+    assert_eq!(run_of(&again[0]), 2);
+}
--- /dev/null
+++ b/crates/scheduler/tests/common/mod.rs
@@ -0,0 +1,216 @@
+//! A scheduler with backend servers and a store that do as they are told.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use jobs::{Fence, Job, JobId, JobState, Need, RunNumber, Step, TaskId};
+use model::{BackendServerId, CustomerId, Duration, Moment, Revision};
+use scheduler::{
+    CustomerPolicy, End, EndKind, Listing, Order, Policy, QueuePolicy, RunningTask, Scheduler, ServerInfo, ServiceId,
+    StartReply, Timing,
+};
+
+pub const SERVICE: &str = "desk";
+
+/// A start that a backend server was ordered to make.
+#[derive(Debug, Clone)]
+pub struct Started {
+    pub server: BackendServerId,
+    pub task: TaskId,
+    pub run: RunNumber,
+    pub saved: Option<jobs::Saved>,
+}
+
+pub fn run_of(started: &Started) -> u64 {
+    started.run.0
+}
+
+pub fn step(count: u32, accelerators: u64) -> Step {
+    Step {
+        count,
+        need: Need { cpu_milli: 1000, memory_mb: 100, accelerators },
+        estimate: Duration::from_secs(2),
+        ..Step::default()
+    }
+}
+
+pub fn gang(count: u32, accelerators: u64) -> Step {
+    Step { gang: true, ..step(count, accelerators) }
+}
+
+pub fn job(id: u64, steps: Vec<Step>) -> Job {
+    job_in("batch", id, steps)
+}
+
+pub fn job_in(queue: &str, id: u64, steps: Vec<Step>) -> Job {
+    Job {
+        id: JobId(id),
+        queue: queue.into(),
+        customer: Some("court".parse::<CustomerId>().unwrap()),
+        text: Arc::from("text"),
+        steps,
+        schedule: None,
+        accepted_ms: 0,
+    }
+}
+
+pub fn server_id(i: usize) -> BackendServerId {
+    format!("s{i:02}").parse().unwrap()
+}
+
+pub fn info(i: usize) -> ServerInfo {
+    let rack: Arc<str> = Arc::from(format!("r1-{}", i / 4));
+    ServerInfo {
+        service: ServiceId::from(SERVICE),
+        labels: vec![Arc::clone(&rack), Arc::from("a")],
+        rack,
+        capacity: Need { cpu_milli: 32_000, memory_mb: 64_000, accelerators: 8 },
+        draining: false,
+        remaining: None,
+    }
+}
+
+pub fn policy() -> Policy {
+    let queue = |priority| QueuePolicy {
+        priority,
+        attempts: 4,
+        stretch: 3.0,
+        objective: Duration::from_secs(1),
+        service: ServiceId::from(SERVICE),
+    };
+    Policy {
+        version: 1,
+        queues: [("urgent", 0), ("batch", 1), ("archive", 2)].map(|(name, p)| (name.into(), queue(p))).into(),
+        customers: BTreeMap::from([("court".parse().unwrap(), CustomerPolicy { guaranteed_accelerators: 16 })]),
+    }
+}
+
+pub struct Fixture {
+    pub scheduler: Scheduler,
+    pub now: Moment,
+    serials: BTreeMap<BackendServerId, u64>,
+    running: BTreeMap<BackendServerId, Vec<Started>>,
+    cut: Vec<BackendServerId>,
+    revision: u64,
+    policy: Policy,
+    pub stops: Vec<Order>,
+}
+
+impl Fixture {
+    pub fn new(servers: usize) -> Fixture {
+        let mut fixture = Fixture {
+            scheduler: Scheduler::new(Fence(10), Moment::from_millis(1000), Timing::default(), policy()),
+            now: Moment::from_millis(1000),
+            serials: BTreeMap::new(),
+            running: BTreeMap::new(),
+            cut: Vec::new(),
+            revision: 100,
+            policy: policy(),
+            stops: Vec::new(),
+        };
+        for i in 0..servers {
+            fixture.add_server(i);
+        }
+        fixture
+    }
+
+    pub fn add_server(&mut self, i: usize) {
+        self.scheduler.server_listed(server_id(i), info(i), self.now);
+        self.running.insert(server_id(i), Vec::new());
+        self.list(&server_id(i));
+    }
+
+    pub fn attempts(&mut self, attempts: u32) {
+        for queue in self.policy.queues.values_mut() {
+            queue.attempts = attempts;
+        }
+        self.scheduler.set_policy(self.policy.clone());
+    }
+
+    pub fn submit(&mut self, job: Job) {
+        self.scheduler.add_job(job);
+    }
+
+    pub fn state(&self, id: u64) -> Option<JobState> {
+        self.scheduler.job(JobId(id)).map(|(state, _, _)| state)
+    }
+
+    pub fn advance(&mut self, ms: u64) {
+        self.now = self.now + Duration::from_millis(ms);
+        let ids: Vec<BackendServerId> = self.running.keys().cloned().collect();
+        for id in ids {
+            if self.cut.contains(&id) {
+                self.scheduler.unanswered(&id);
+            } else {
+                self.list(&id);
+            }
+        }
+        self.scheduler.tick(self.now);
+    }
+
+    pub fn store_all(&mut self) {
+        while let Some(batch) = self.scheduler.next_batch(8) {
+            self.revision += 1;
+            self.scheduler.stored(batch, Revision(self.revision));
+        }
+    }
+
+    /// Plans, stores, and carries out the orders; returns the starts.
+    pub fn start_all(&mut self) -> Vec<Started> {
+        self.scheduler.plan(self.now, self.now.millis());
+        self.store_all();
+        let mut started = Vec::new();
+        for order in self.scheduler.take_orders() {
+            match order {
+                Order::Start { server, task, run, saved, .. } => {
+                    let start = Started { server: server.clone(), task, run, saved };
+                    self.running.get_mut(&server).unwrap().push(start.clone());
+                    self.scheduler.lease_sent(&server, self.now);
+                    self.scheduler.start_replied(&server, task, run, StartReply::Started, self.now);
+                    started.push(start);
+                }
+                stop @ Order::Stop { .. } => self.stops.push(stop),
+            }
+        }
+        started
+    }
+
+    /// A run ends, and its backend server lists that.
+    pub fn end(&mut self, started: &Started, kind: EndKind) {
+        self.end_with(started, kind, None);
+    }
+
+    pub fn end_with(&mut self, started: &Started, kind: EndKind, saved: Option<&str>) {
+        let id = &started.server;
+        self.running.get_mut(id).unwrap().retain(|other| other.task != started.task || other.run != started.run);
+        let serial = self.serials.entry(id.clone()).or_insert(0);
+        *serial += 1;
+        let end = End { serial: *serial, task: started.task, run: started.run, kind, saved: saved.map(Arc::from) };
+        let listing = Listing { running: self.listed(id), ended: vec![end], more_ends: false };
+        self.now = self.now + Duration::from_millis(1);
+        self.scheduler.listing(id, &listing, self.now, self.now);
+    }
+
+    fn listed(&self, id: &BackendServerId) -> Vec<RunningTask> {
+        let running = |s: &Started| RunningTask { task: s.task, run: s.run, saved: None, percent: 1 };
+        self.running[id].iter().map(running).collect()
+    }
+
+    fn list(&mut self, id: &BackendServerId) {
+        self.scheduler.lease_sent(id, self.now);
+        let listing = Listing { running: self.listed(id), ..Listing::default() };
+        self.scheduler.listing(id, &listing, self.now, self.now);
+    }
+
+    pub fn cut_past_lease(&mut self, id: &BackendServerId) {
+        self.cut.push(id.clone());
+        self.running.get_mut(id).unwrap().clear();
+        for _ in 0..80 {
+            self.advance(100);
+        }
+    }
+
+    pub fn reconnect(&mut self, id: &BackendServerId) {
+        self.cut.retain(|other| other != id);
+    }
+}
