Weigh what a stopped run loses by its checkpoints

Cause: most runs were stopped for urgent ones as if a run with checkpoints lost a quarter of its age; it loses what it did since its last checkpoint.

--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -11,6 +11,11 @@
     plan::{Candidate, Room, Rooms},
 };
 
+/// Work that a run with checkpoints loses at most, in seconds: what it does between two (users: 0.5 s and 1 s).
+const UNSAVED_S: f64 = 0.5;
+/// What starting again costs besides, in seconds: stopping, waiting for room and reading the checkpoint.
+const RESTART_S: f64 = 0.5;
+
 /// What making room for some tasks on one backend server takes.
 #[derive(Debug, Clone, Default)]
 struct Offer {
@@ -119,9 +124,9 @@
             return None;
         }
         let step = self.step(name);
-        let unsaved = if step.checkpoints { 0.25 } else { 1.0 };
         let ran = now.since(group.placed_at).secs_f64();
-        let waste = weight(&step.need) * (group.members.len() as f64) * (ran * unsaved + 0.5);
+        let lost = if step.checkpoints { ran.min(UNSAVED_S) } else { ran };
+        let waste = weight(&step.need) * (group.members.len() as f64) * (lost + RESTART_S);
         Some((waste, name, step.counted_need()))
     }
 
