--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -245,7 +245,7 @@
             .filter(|(id, room)| (far_is_worth_it || near(room)) && self.spread_left(name, id) > 0)
             .min_by_key(|(_, room)| {
                 let left = part(room);
-                (!near(room), room.doubtful, left.accelerators, left.cpu_milli)
+                (!near(room), room.doubtful, &room.rack, left.accelerators, left.cpu_milli)
             })?;
         Some(vec![(name.group as u32, best.0.clone())])
     }
@@ -276,7 +276,10 @@
         };
         let count = u64::from(step.count);
         let slots = slots_by(&part);
-        let fits = slots.iter().filter(|(_, n)| **n >= count).min_by_key(|(_, n)| **n);
+        // Work that can wait fills the racks from the first, so that whole racks stay free for what cannot.
+        let urgent = self.priority(name) == 0;
+        let rank = |rack: &Arc<str>, n: u64| if urgent { (n, None) } else { (0, Some(Arc::clone(rack))) };
+        let fits = slots.iter().filter(|(_, n)| **n >= count).min_by_key(|(rack, n)| rank(rack, **n));
         if let Some((rack, _)) = fits {
             let rack = Arc::clone(rack);
             return self.fill(name, step, rooms, part, |room| if room.rack == rack { 0 } else { u64::MAX });
@@ -289,6 +292,11 @@
         self.fill(name, step, rooms, part, |room| slots[&room.rack])
     }
 
+    fn priority(&self, name: GroupId) -> u32 {
+        let queue = &self.jobs[&name.occurrence.job].job.queue;
+        self.policy.queues.get(queue).map_or(u32::MAX, |queue| queue.priority)
+    }
+
     /// Fills backend servers in the order of `rank`, then the fullest first; `u64::MAX` leaves one out.
     pub(crate) fn fill(
         &self,
