Leave a share of the accelerators free for urgent jobs

Ruled out: planning delay (first starts at 30 ms when there is room). Work that can wait has three times its run time and can leave room.

--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -14,6 +14,9 @@
 /// A job that is later than this many objectives counts for nothing any more and goes behind the others.
 const HOPELESSLY_LATE: f64 = 3.0;
 
+/// Below this share in use, nothing that fits is held back (users' rules: half of a service's capacity).
+const LITTLE_USED: f64 = 0.55;
+
 /// A group that could start.
 #[derive(Debug)]
 pub(crate) struct Candidate {
@@ -59,6 +62,9 @@
 
     fn plan_one(&mut self, candidate: &Candidate, rooms: &mut Rooms, now: Moment) {
         let name = candidate.name;
+        if candidate.priority > 0 && !self.leaves_headroom(name, rooms) {
+            return;
+        }
         if let Some(places) = self.choose(name, rooms, |room| room.free, now) {
             self.claim(name, &places, rooms);
             self.place(name, &places, now);
@@ -75,6 +81,34 @@
         self.preempt_for(candidate, rooms, now);
     }
 
+    /// Whether enough accelerators stay free for urgent jobs if the group starts. While the service is used
+    /// little, work is never held back for that.
+    fn leaves_headroom(&self, name: GroupId, rooms: &Rooms) -> bool {
+        let step = self.step(name);
+        let need = step.need.accelerators * name.indices(step).len() as u64;
+        let free: u64 =
+            rooms.values().filter(|room| self.serves(name, &room.service)).map(|room| room.free.accelerators).sum();
+        let (used, all) = self.accelerators_used(name);
+        let wanted = need as f64 + all as f64 * self.timing.headroom;
+        free as f64 >= wanted || (used as f64) < all as f64 * LITTLE_USED
+    }
+
+    /// Accelerators of the group's service that are used, and all of them.
+    fn accelerators_used(&self, name: GroupId) -> (u64, u64) {
+        let (mut used, mut all) = (0, 0);
+        for server in self.servers.values() {
+            let Some(info) = server.info.as_ref().filter(|info| self.serves(name, &info.service)) else { continue };
+            used += server.used.accelerators;
+            all += info.capacity.accelerators;
+        }
+        (used, all)
+    }
+
+    fn serves(&self, name: GroupId, service: &ServiceId) -> bool {
+        let queue = &self.jobs[&name.occurrence.job].job.queue;
+        self.policy.queues.get(queue).is_some_and(|queue| queue.service == *service)
+    }
+
     pub(crate) fn claim(&self, name: GroupId, places: &Places, rooms: &mut Rooms) {
         let need = self.step(name).counted_need();
         for (_, server) in places {
@@ -199,8 +233,7 @@
     /// Whether a task of the step may run there at all.
     pub(crate) fn allowed(&self, name: GroupId, id: &BackendServerId, room: &Room) -> bool {
         let step = self.step(name);
-        let queue = &self.jobs[&name.occurrence.job].job.queue;
-        let serves = self.policy.queues.get(queue).is_some_and(|queue| queue.service == room.service);
+        let serves = self.serves(name, &room.service);
         let labelled = step.label.as_ref().is_none_or(|label| room.labels.contains(label));
         serves && labelled && room.capacity.contains(&step.counted_need()) && !self.group(name).avoid.contains(id)
     }
