Keep what could start up to date, and stand for election by size

Change: ready groups are looked at again only when their occurrence changed, one pass per step, totals once a plan, a plan only when something may start and at most a quarter of the time; larger boxes stand earlier.

--- a/crates/martend/src/deployment/settings.rs
+++ b/crates/martend/src/deployment/settings.rs
@@ -41,6 +41,8 @@
     /// Boxes known from the start; they may be gone.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Share of a core that the box has.
+    pub cpu_share: f64,
     /// The shortest lease of the store, in milliseconds.
     pub shortest_ttl_ms: u64,
     /// The longest lease that a backend server grants, in milliseconds.
@@ -82,6 +84,9 @@
         if !(raw.far_factor >= 1.0) {
             return Err(CheckError::new(&path.field("far_factor"), raw.far_factor, "allowed is 1 or more"));
         }
+        if !(raw.cpu_share > 0.0) {
+            return Err(CheckError::new(&path.field("cpu_share"), raw.cpu_share, "allowed is more than 0"));
+        }
         let election_ttl = ELECTION_TTL.max(Duration::from_millis(raw.shortest_ttl_ms));
         let timing =
             Timing { lease: Duration::from_millis(raw.lease_ms), far_factor: raw.far_factor, ..Timing::default() };
@@ -91,6 +96,7 @@
                 availability_zone: raw.availability_zone,
                 peers_address: raw.peers_address,
                 seeds: raw.seeds,
+                cpu_share: raw.cpu_share,
                 election_ttl,
                 watch_wait: WATCH_WAIT,
                 store_silence: STORE_SILENCE,
--- a/crates/runtime/src/election.rs
+++ b/crates/runtime/src/election.rs
@@ -16,7 +16,10 @@
 };
 
 /// Candidates wait a random time up to this before they stand, so that few writes collide.
-const STAND_WITHIN: Duration = Duration::from_millis(40);
+const STAND_WITHIN: Duration = Duration::from_millis(20);
+/// A candidate waits besides this long over its share of a core, so that a larger box is elected if there is
+/// one: 20 ms at half a core, 83 ms at 0.12 (the smallest and largest boxes of the users' grown sites).
+const STAND_LATER: Duration = Duration::from_millis(10);
 /// How long a write of the key may take.
 const WRITE_LIMIT: Duration = Duration::from_millis(1000);
 /// A box without a scheduler looks this often whether it may stand.
@@ -71,7 +74,8 @@
 pub(crate) async fn run(settings: Settings, parts: Parts, active: ActiveSlot) {
     loop {
         if may_stand(&parts.view) {
-            smol::Timer::after(STAND_WITHIN.scaled(fastrand::f64()).into()).await;
+            let patience = STAND_WITHIN.scaled(fastrand::f64()) + STAND_LATER.scaled(1.0 / settings.cpu_share);
+            smol::Timer::after(patience.into()).await;
             if may_stand(&parts.view)
                 && let Some(won) = stand(&settings, &parts).await
             {
--- a/crates/runtime/src/leader.rs
+++ b/crates/runtime/src/leader.rs
@@ -27,6 +27,9 @@
 /// Events that come within this time are planned together.
 const PLAN_AFTER: Duration = Duration::from_millis(4);
 
+/// After a plan, at least so many times as long goes to other things: on a small box a plan may take long.
+const PLAN_REST: u32 = 3;
+
 /// What a scheduling box works with.
 #[derive(Clone)]
 pub(crate) struct Parts {
@@ -64,17 +67,22 @@
 
     /// Changes the scheduler, then sends what it wants sent and has the changes stored and planned.
     pub(crate) fn update<T>(&self, change: impl FnOnce(&mut Scheduler) -> T) -> T {
-        let (result, orders, deposed) = {
+        let (result, orders, deposed, plan, write) = {
             let mut scheduler = self.lock();
             let result = change(&mut scheduler);
-            (result, scheduler.take_orders(), scheduler.deposed())
+            let orders = scheduler.take_orders();
+            (result, orders, scheduler.deposed(), scheduler.take_plan_wanted(), scheduler.has_unstored())
         };
         for order in orders {
             self.links.send(order);
         }
         // A full channel holds the news already.
-        let _ = self.plan.0.try_send(());
-        let _ = self.write.0.try_send(());
+        if plan {
+            let _ = self.plan.0.try_send(());
+        }
+        if write {
+            let _ = self.write.0.try_send(());
+        }
         if deposed {
             self.depose();
         }
@@ -236,8 +244,9 @@
     }
 }
 
-/// Plans whenever something has happened, and now and then.
+/// Plans whenever something has happened, and now and then; at most a quarter of the time goes into it.
 async fn plan(parts: Parts, active: Arc<Active>, mut version: u64) {
+    let clock = parts.view.clock();
     loop {
         let happened = async {
             let _ = active.plan.1.recv().await;
@@ -248,7 +257,7 @@
         };
         futures_lite::FutureExt::or(happened, tick).await;
         let newer = parts.view.configuration().filter(|newest| newest.version > version);
-        let clock = parts.view.clock();
+        let begun = std::time::Instant::now();
         let (now, wall_ms) = (clock.now(), clock.wall_ms());
         let _ = active.plan.1.try_recv();
         active.update(|scheduler| {
@@ -258,8 +267,11 @@
             }
             scheduler.tick(now);
             scheduler.plan(now, wall_ms);
+            // Planning's own changes are no reason to plan again.
+            scheduler.take_plan_wanted();
         });
-        // Planning's own update is no reason to plan again.
-        let _ = active.plan.1.try_recv();
+        let took = begun.elapsed();
+        metrics::histogram!("martenscale_plan_seconds").record(took.as_secs_f64());
+        smol::Timer::after(took * PLAN_REST).await;
     }
 }
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -16,6 +16,8 @@
     pub peers_address: SocketAddr,
     /// Boxes known from the start; they may be gone.
     pub seeds: Vec<SocketAddr>,
+    /// Share of a core that the box has: larger boxes stand for election earlier.
+    pub cpu_share: f64,
     /// Lease of the scheduler's key: how long after its death another is elected.
     pub election_ttl: Duration,
     /// Longest wait of a watch that also tells whether the store is reached.
--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -28,6 +28,11 @@
 }
 
 impl Scheduler {
+    /// Whether something is to be stored.
+    pub fn has_unstored(&self) -> bool {
+        !self.dirty.is_empty()
+    }
+
     /// What should be stored next, at most `most` entries; `None` if everything is stored.
     ///
     /// Only one batch may be under way at a time. The same changes are given again until
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod batch;
 mod ends;
+mod guarantee;
 mod health;
 mod listing;
 mod live;
@@ -18,7 +19,9 @@
 mod plan;
 mod policy;
 mod preempt;
-mod room;
+mod ready;
+mod rooms;
+mod runs;
 mod scheduler;
 mod server;
 mod timing;
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -19,14 +19,17 @@
         let Some(server) = self.servers.get_mut(id) else { return };
         if server.unanswered > 0 {
             log::info!("server={id} event=reachable_again after_calls={}", server.unanswered);
+            self.plan_wanted = true;
         }
         if !server.stocked {
+            self.plan_wanted = true;
             // From here on it obeys no earlier scheduler, which can have renewed its lease up to now.
             server.stocked = true;
             server.lease_over = self.timing.lease_over(now);
         }
         server.unanswered = 0;
         server.last_contact = Some(sent);
+        self.plan_wanted |= !listing.ended.is_empty();
         for end in &listing.ended {
             self.take_end(id, end, now);
         }
@@ -37,7 +40,9 @@
         if !listing.more_ends {
             self.find_lost(id, listing, sent, now);
         }
-        self.acknowledge_stored();
+        if !listing.ended.is_empty() {
+            self.acknowledge_stored();
+        }
     }
 
     fn take_end(&mut self, id: &BackendServerId, end: &End, now: Moment) {
@@ -57,6 +62,7 @@
             .map(|state| (occurrence, state.version));
         let server = self.servers.get_mut(id).expect("ends remove no backend server");
         server.pending_ends.push_back(PendingEnd { serial: end.serial, held_by: version });
+        self.with_ends.insert(id.clone());
     }
 
     fn apply_end(&mut self, name: GroupId, id: &BackendServerId, end: &End, now: Moment) {
@@ -210,10 +216,12 @@
 
     /// Lets ends be acknowledged whose progress the store holds.
     pub(crate) fn acknowledge_stored(&mut self) {
-        for server in self.servers.values_mut() {
+        let Scheduler { servers, jobs, with_ends, .. } = self;
+        with_ends.retain(|id| {
+            let Some(server) = servers.get_mut(id) else { return false };
             while let Some(end) = server.pending_ends.front() {
                 let stored = end.held_by.is_none_or(|(occurrence, version)| {
-                    let entry = self.jobs.get(&occurrence.job);
+                    let entry = jobs.get(&occurrence.job);
                     let state = entry.and_then(|entry| entry.occurrences.get(occurrence.number as usize));
                     state.is_none_or(|state| state.stored_version >= version)
                 });
@@ -223,6 +231,7 @@
                 server.acknowledged = end.serial;
                 server.pending_ends.pop_front();
             }
-        }
+            !server.pending_ends.is_empty()
+        });
     }
 }
--- a/crates/scheduler/src/live.rs
+++ b/crates/scheduler/src/live.rs
@@ -50,8 +50,6 @@
     Preempted,
     /// Its backend server is leaving.
     Evacuated,
-    /// It does not get on.
-    Stalled,
 }
 
 /// Tasks that start and end together.
@@ -61,7 +59,6 @@
     /// The version of the progress that holds where the members are placed.
     pub(crate) placed_version: u64,
     pub(crate) stopping: Option<StopReason>,
-    pub(crate) not_before: Moment,
     /// Since when it could have started; `None` while it cannot.
     pub(crate) ready_since: Option<Moment>,
     /// When its latest run was placed.
@@ -76,7 +73,6 @@
             members: Vec::new(),
             placed_version: 0,
             stopping: None,
-            not_before: Moment::ZERO,
             ready_since: None,
             placed_at: Moment::ZERO,
             avoid: Vec::new(),
@@ -110,18 +106,14 @@
             groups,
         }
     }
-
-    /// Whether nothing of it runs or will run.
-    pub(crate) fn over(&self) -> bool {
-        let finished = self.progress.failed || self.progress.done();
-        finished && self.groups.iter().flatten().all(|group| group.members.is_empty())
-    }
 }
 
 /// A job with its occurrences.
 #[derive(Debug)]
 pub(crate) struct JobEntry {
     pub(crate) job: Arc<Job>,
+    /// Run time of the longest chain of its steps, as declared.
+    pub(crate) chain: Duration,
     pub(crate) cancelled: bool,
     pub(crate) occurrences: Vec<Occurrence>,
     /// When its last task ended or it was cancelled, as far as known.
@@ -131,7 +123,7 @@
 impl JobEntry {
     pub(crate) fn new(job: Job) -> JobEntry {
         let occurrences = (0..job.occurrences()).map(|_| Occurrence::new(&job)).collect();
-        JobEntry { job: Arc::new(job), cancelled: false, occurrences, ended: None }
+        JobEntry { chain: longest_chain(&job), job: Arc::new(job), cancelled: false, occurrences, ended: None }
     }
 
     /// What callers may be told: only what the store holds.
@@ -139,17 +131,24 @@
         Progress::job_state(self.occurrences.iter().map(|o| &o.stored_progress), self.cancelled)
     }
 
-    /// Run time of the longest chain of its steps, as declared.
-    pub(crate) fn chain(&self) -> Duration {
-        let mut until: Vec<Duration> = Vec::with_capacity(self.job.steps.len());
-        for step in &self.job.steps {
-            let from = step.after.iter().map(|&i| until[i]).max().unwrap_or(Duration::ZERO);
-            until.push(from + step.estimate);
-        }
-        until.into_iter().max().unwrap_or(Duration::ZERO)
+    /// Whether nothing of it runs or will run.
+    pub(crate) fn over(&self) -> bool {
+        let idle = |o: &Occurrence| o.groups.iter().flatten().all(|group| group.members.is_empty());
+        let ended = |o: &Occurrence| self.cancelled || o.progress.failed || o.progress.done();
+        self.occurrences.iter().all(|occurrence| ended(occurrence) && idle(occurrence))
     }
 }
 
+/// Run time of the longest chain of a job's steps, as declared.
+fn longest_chain(job: &Job) -> Duration {
+    let mut until: Vec<Duration> = Vec::with_capacity(job.steps.len());
+    for step in &job.steps {
+        let from = step.after.iter().map(|&i| until[i]).max().unwrap_or(Duration::ZERO);
+        until.push(from + step.estimate);
+    }
+    until.into_iter().max().unwrap_or(Duration::ZERO)
+}
+
 /// Names a group: a gang, or one task of another step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct GroupId {
@@ -169,11 +168,6 @@
     pub(crate) fn task(&self, index: u32) -> TaskId {
         TaskId { occurrence: self.occurrence, step: self.step as u32, index }
     }
-
-    /// Indices of its tasks in the step.
-    pub(crate) fn indices(&self, step: &Step) -> std::ops::Range<u32> {
-        if step.gang { 0..step.count } else { self.group as u32..self.group as u32 + 1 }
-    }
 }
 
 /// A core counts one, an accelerator as much as this many cores, when work is weighed (users' rules page).
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -2,25 +2,28 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use jobs::{Duration, JobId, Need, Step};
-use model::{BackendServerId, CustomerId, Moment};
+use jobs::{Duration, Need, OccurrenceId, Step};
+use model::{BackendServerId, Moment};
 
 use crate::{
     Scheduler,
-    live::{GroupId, JobEntry},
+    guarantee::Guarantees,
+    live::{GroupId, JobEntry, StopReason},
     policy::ServiceId,
+    rooms::{Room, Rooms},
 };
 
 /// A job that is later than this many objectives counts for nothing any more and goes behind the others.
 const HOPELESSLY_LATE: f64 = 3.0;
-
 /// Below this share in use, nothing that fits is held back (users' rules: half of a service's capacity).
 const LITTLE_USED: f64 = 0.55;
 
-/// A group that could start.
+/// Groups of one step that could start.
 #[derive(Debug)]
 pub(crate) struct Candidate {
-    pub(crate) name: GroupId,
+    pub(crate) occurrence: OccurrenceId,
+    pub(crate) step: usize,
+    pub(crate) groups: Vec<usize>,
     pub(crate) priority: u32,
     /// Its customer holds a guarantee that covers it.
     pub(crate) guaranteed: bool,
@@ -29,330 +32,261 @@
     deadline_ms: u64,
 }
 
-/// Room of one backend server while a plan is made.
-#[derive(Debug, Clone)]
-pub(crate) struct Room {
-    pub(crate) service: ServiceId,
-    pub(crate) rack: Arc<str>,
-    pub(crate) labels: Vec<Arc<str>>,
-    pub(crate) capacity: Need,
-    /// Free now.
-    pub(crate) free: Need,
-    /// Free once everything that is being stopped has ended.
-    pub(crate) soon: Need,
-    pub(crate) doubtful: bool,
+impl Candidate {
+    pub(crate) fn group(&self, group: usize) -> GroupId {
+        GroupId { occurrence: self.occurrence, step: self.step, group }
+    }
+}
+
+/// What a step's tasks ask of the place that they run at.
+pub(crate) struct Wanted<'a> {
+    pub(crate) step: &'a Step,
+    pub(crate) need: Need,
+    pub(crate) service: &'a ServiceId,
+    pub(crate) urgent: bool,
+    /// Tasks of the step that each backend server runs already, if their number there is limited.
+    here: BTreeMap<&'a BackendServerId, u64>,
+}
+
+impl Wanted<'_> {
+    /// Whether a task of the step may run there at all.
+    pub(crate) fn allows(&self, room: &Room) -> bool {
+        let labelled = self.step.label.as_ref().is_none_or(|label| room.labels.contains(label));
+        *self.service == room.service && labelled && room.capacity.contains(&self.need)
+    }
+
+    /// How many more tasks of the step may go there by its spread limit.
+    pub(crate) fn spread_left(&self, id: &BackendServerId) -> u64 {
+        let Some(most) = self.step.max_per_server else { return u64::MAX };
+        u64::from(most).saturating_sub(self.here.get(id).copied().unwrap_or(0))
+    }
+
+    /// How many more tasks of the step fit into `room`.
+    pub(crate) fn fitting(&self, id: &BackendServerId, room: &Need) -> u64 {
+        room.count_of(&self.need).min(self.spread_left(id))
+    }
 }
 
-pub(crate) type Rooms = BTreeMap<BackendServerId, Room>;
 /// Where each task of a group goes.
 pub(crate) type Places = Vec<(u32, BackendServerId)>;
 
 impl Scheduler {
     /// Places what can start now, and stops what has to make room. `wall_ms` is the time of day.
     pub fn plan(&mut self, now: Moment, wall_ms: u64) {
-        let candidates = self.candidates(now, wall_ms);
+        self.refresh_ready(now);
+        let mut guarantees = Guarantees::new(self);
+        let candidates = self.candidates(wall_ms, &mut guarantees);
         if candidates.is_empty() {
             return;
         }
         let mut rooms = self.rooms(now);
         for candidate in &candidates {
-            self.plan_one(candidate, &mut rooms, now);
+            if self.step_of(candidate).gang {
+                self.plan_gang(candidate, &mut rooms, &guarantees, now);
+            } else {
+                self.plan_tasks(candidate, &mut rooms, &guarantees, now);
+            }
         }
     }
 
-    fn plan_one(&mut self, candidate: &Candidate, rooms: &mut Rooms, now: Moment) {
-        let name = candidate.name;
-        if candidate.priority > 0 && !self.leaves_headroom(name, rooms) {
+    fn step_of(&self, candidate: &Candidate) -> &Step {
+        self.step(candidate.group(0))
+    }
+
+    fn plan_gang(&mut self, candidate: &Candidate, rooms: &mut Rooms, guarantees: &Guarantees, now: Moment) {
+        let name = candidate.group(0);
+        let Some(wanted) = self.wanted(candidate) else { return };
+        let count = u64::from(wanted.step.count);
+        if !wanted.urgent && !self.leaves_headroom(&wanted, count, rooms) {
             return;
         }
-        if let Some(places) = self.choose(name, rooms, |room| room.free, now) {
-            self.claim(name, &places, rooms);
+        let free = self.choose_gang(name, &wanted, rooms, |room| room.free);
+        let soon = if wanted.urgent && free.is_none() {
+            // Room that is being made counts as taken, so that nothing slips in and no more is stopped for it.
+            self.choose_gang(name, &wanted, rooms, |room| room.soon)
+        } else {
+            None
+        };
+        let (need, urgent) = (wanted.need, wanted.urgent);
+        if let Some(places) = free {
+            rooms.claim(&need, &places);
             self.place(name, &places, now);
-            return;
-        }
-        if candidate.priority > 0 {
-            return;
-        }
-        // Room that is being made counts as taken, so that nothing slips in and nothing more is stopped for it.
-        if let Some(places) = self.choose(name, rooms, |room| room.soon, now) {
-            self.claim(name, &places, rooms);
-            return;
+        } else if let Some(places) = soon {
+            rooms.claim(&need, &places);
+        } else if urgent {
+            self.preempt_for(candidate, count, rooms, guarantees, now);
+            let Some(wanted) = self.wanted(candidate) else { return };
+            if let Some(places) = self.choose_gang(name, &wanted, rooms, |room| room.soon) {
+                rooms.claim(&need, &places);
+            }
         }
-        self.preempt_for(candidate, rooms, now);
-    }
-
-    /// Whether enough accelerators stay free for urgent jobs if the group starts. While the service is used
-    /// little, work is never held back for that.
-    fn leaves_headroom(&self, name: GroupId, rooms: &Rooms) -> bool {
-        let step = self.step(name);
-        let need = step.need.accelerators * name.indices(step).len() as u64;
-        let free: u64 =
-            rooms.values().filter(|room| self.serves(name, &room.service)).map(|room| room.free.accelerators).sum();
-        let (used, all) = self.accelerators_used(name);
-        let wanted = need as f64 + all as f64 * self.timing.headroom;
-        free as f64 >= wanted || (used as f64) < all as f64 * LITTLE_USED
     }
 
-    /// Accelerators of the group's service that are used, and all of them.
-    fn accelerators_used(&self, name: GroupId) -> (u64, u64) {
-        let (mut used, mut all) = (0, 0);
-        for server in self.servers.values() {
-            let Some(info) = server.info.as_ref().filter(|info| self.serves(name, &info.service)) else { continue };
-            used += server.used.accelerators;
-            all += info.capacity.accelerators;
+    fn plan_tasks(&mut self, candidate: &Candidate, rooms: &mut Rooms, guarantees: &Guarantees, now: Moment) {
+        let Some(wanted) = self.wanted(candidate) else { return };
+        let (need, urgent) = (wanted.need, wanted.urgent);
+        let mut left = candidate.groups.clone();
+        let placed = self.choose_tasks(candidate, &wanted, rooms, |room| room.free, &mut left, now);
+        let waiting = if urgent && !left.is_empty() {
+            self.choose_tasks(candidate, &wanted, rooms, |room| room.soon, &mut left, now)
+        } else {
+            Places::new()
+        };
+        rooms.claim(&need, &placed);
+        rooms.claim(&need, &waiting);
+        for (group, server) in placed {
+            self.place(candidate.group(group as usize), &[(group, server)], now);
         }
-        (used, all)
-    }
-
-    fn serves(&self, name: GroupId, service: &ServiceId) -> bool {
-        let queue = &self.jobs[&name.occurrence.job].job.queue;
-        self.policy.queues.get(queue).is_some_and(|queue| queue.service == *service)
-    }
-
-    pub(crate) fn claim(&self, name: GroupId, places: &Places, rooms: &mut Rooms) {
-        let need = self.step(name).counted_need();
-        for (_, server) in places {
-            let room = rooms.get_mut(server).expect("places are chosen among the rooms");
-            room.free.remove(&need);
-            room.soon.remove(&need);
+        if urgent && !left.is_empty() {
+            self.preempt_for(candidate, left.len() as u64, rooms, guarantees, now);
+            let Some(wanted) = self.wanted(candidate) else { return };
+            let coming = self.choose_tasks(candidate, &wanted, rooms, |room| room.soon, &mut left, now);
+            rooms.claim(&need, &coming);
         }
     }
 
-    fn candidates(&mut self, now: Moment, wall_ms: u64) -> Vec<Candidate> {
-        let mut found = Vec::new();
-        let ids: Vec<JobId> = self.jobs.keys().copied().collect();
-        let mut guarantees = self.guarantees_left();
-        for id in ids {
-            self.job_candidates(id, now, wall_ms, &mut found);
-        }
-        found.sort_by_key(|c| (c.priority, c.hopeless, c.deadline_ms, c.name));
-        for candidate in &mut found {
-            candidate.guaranteed = candidate.priority == 0 && self.take_guarantee(candidate.name, &mut guarantees);
-        }
-        found.sort_by_key(|c| (c.priority, !c.guaranteed));
-        found
+    /// Whether enough accelerators stay free for urgent jobs if `count` tasks start. While the service is
+    /// used little, work is never held back for that.
+    fn leaves_headroom(&self, wanted: &Wanted<'_>, count: u64, rooms: &Rooms) -> bool {
+        let totals = rooms.totals(wanted.service);
+        let asked = (wanted.need.accelerators * count) as f64 + totals.all as f64 * self.timing.headroom;
+        totals.free as f64 >= asked || (totals.used as f64) < totals.all as f64 * LITTLE_USED
     }
 
-    fn job_candidates(&mut self, id: JobId, now: Moment, wall_ms: u64, found: &mut Vec<Candidate>) {
-        let entry = &self.jobs[&id];
-        if entry.cancelled {
-            return;
-        }
-        let Some(queue) = self.policy.queues.get(&entry.job.queue) else { return };
-        let (priority, objective) = (queue.priority, objective(entry, queue.stretch, queue.objective));
-        let mut ready = Vec::new();
-        for (number, occurrence) in entry.occurrences.iter().enumerate() {
-            let due = entry.job.due_ms(number as u32);
-            if occurrence.progress.failed || (due > 0 && wall_ms < due + self.timing.due_margin.millis()) {
-                continue;
-            }
-            let from = due.max(entry.job.accepted_ms);
-            for (s, step) in entry.job.steps.iter().enumerate() {
-                if !step.after.iter().all(|&earlier| occurrence.progress.step_done(earlier)) {
-                    continue;
-                }
-                for (g, progress) in occurrence.progress.groups[s].iter().enumerate() {
-                    let live = &occurrence.groups[s][g];
-                    if progress.done || !live.members.is_empty() || now < live.not_before {
-                        continue;
-                    }
-                    let occurrence = jobs::OccurrenceId { job: id, number: number as u32 };
-                    ready.push((GroupId { occurrence, step: s, group: g }, from));
-                }
+    /// `None` if no configuration has named the job's queue.
+    pub(crate) fn wanted(&self, candidate: &Candidate) -> Option<Wanted<'_>> {
+        let entry = &self.jobs[&candidate.occurrence.job];
+        let queue = self.policy.queues.get(&entry.job.queue)?;
+        let step = &entry.job.steps[candidate.step];
+        let mut here = BTreeMap::new();
+        if step.max_per_server.is_some() {
+            let groups = &entry.occurrences[candidate.occurrence.number as usize].groups[candidate.step];
+            for member in groups.iter().flat_map(|group| &group.members) {
+                *here.entry(&member.server).or_insert(0) += 1;
             }
         }
-        for (name, from) in ready {
-            self.group_mut(name).ready_since.get_or_insert(now);
-            found.push(Candidate {
-                name,
-                priority,
-                guaranteed: false,
-                hopeless: wall_ms > from + objective.scaled(HOPELESSLY_LATE).millis(),
-                deadline_ms: from + objective.millis(),
-            });
-        }
-    }
-
-    /// Accelerators that each customer's guarantee still covers beside its running jobs of priority 0.
-    pub(crate) fn guarantees_left(&self) -> BTreeMap<CustomerId, u64> {
-        let mut left: BTreeMap<CustomerId, u64> =
-            self.policy.customers.iter().map(|(id, policy)| (id.clone(), policy.guaranteed_accelerators)).collect();
-        for entry in self.jobs.values() {
-            let urgent = self.policy.queues.get(&entry.job.queue).is_some_and(|queue| queue.priority == 0);
-            let Some(customer) = entry.job.customer.as_ref().filter(|_| urgent) else { continue };
-            let Some(left) = left.get_mut(customer) else { continue };
-            *left = left.saturating_sub(accelerators_running(entry));
-        }
-        left
-    }
-
-    fn take_guarantee(&self, name: GroupId, left: &mut BTreeMap<CustomerId, u64>) -> bool {
-        let step = self.step(name);
-        let need = step.need.accelerators * name.indices(step).len() as u64;
-        let customer = self.jobs[&name.occurrence.job].job.customer.as_ref();
-        let Some(left) = customer.and_then(|customer| left.get_mut(customer)) else { return false };
-        if *left < need {
-            return false;
-        }
-        *left -= need;
-        true
+        let need = step.counted_need();
+        Some(Wanted { step, need, service: &queue.service, urgent: queue.priority == 0, here })
     }
 
-    fn rooms(&self, now: Moment) -> Rooms {
-        let mut rooms = Rooms::new();
-        for (id, server) in &self.servers {
-            let Some(info) = server.info.as_ref().filter(|_| server.open(now)) else { continue };
-            if server.health.set_aside(now) {
+    /// What could start now, in the order in which it should.
+    fn candidates(&mut self, wall_ms: u64, guarantees: &mut Guarantees) -> Vec<Candidate> {
+        let mut found = Vec::new();
+        for (&occurrence, steps) in &self.ready {
+            let entry = &self.jobs[&occurrence.job];
+            let Some(queue) = self.policy.queues.get(&entry.job.queue) else { continue };
+            let due = entry.job.due_ms(occurrence.number);
+            if due > 0 && wall_ms < due + self.timing.due_margin.millis() {
                 continue;
             }
-            let free = server.free();
-            let mut soon = free;
-            for task in server.members.keys() {
-                let Some(name) = self.group_of(*task) else { continue };
-                if self.group(name).stopping.is_some() {
-                    soon.add(&self.step(name).counted_need());
-                }
-            }
-            for stray in server.strays.values() {
-                soon.add(&stray.need);
+            let objective = objective(entry, queue.stretch, queue.objective);
+            let from = due.max(entry.job.accepted_ms);
+            for (step, groups) in steps {
+                found.push(Candidate {
+                    occurrence,
+                    step: *step,
+                    groups: groups.clone(),
+                    priority: queue.priority,
+                    guaranteed: false,
+                    hopeless: wall_ms > from + objective.scaled(HOPELESSLY_LATE).millis(),
+                    deadline_ms: from + objective.millis(),
+                });
             }
-            let room = Room {
-                service: info.service.clone(),
-                rack: Arc::clone(&info.rack),
-                labels: info.labels.clone(),
-                capacity: info.capacity,
-                free,
-                soon,
-                doubtful: server.health.doubtful(),
-            };
-            rooms.insert(id.clone(), room);
         }
-        rooms
-    }
-
-    /// Whether a task of the step may run there at all.
-    pub(crate) fn allowed(&self, name: GroupId, id: &BackendServerId, room: &Room) -> bool {
-        let step = self.step(name);
-        let serves = self.serves(name, &room.service);
-        let labelled = step.label.as_ref().is_none_or(|label| room.labels.contains(label));
-        serves && labelled && room.capacity.contains(&step.counted_need()) && !self.group(name).avoid.contains(id)
-    }
-
-    /// How many more tasks of the step may go there by its spread limit.
-    pub(crate) fn spread_left(&self, name: GroupId, id: &BackendServerId) -> u64 {
-        let Some(most) = self.step(name).max_per_server else { return u64::MAX };
-        let occurrence = &self.jobs[&name.occurrence.job].occurrences[name.occurrence.number as usize];
-        let here = occurrence.groups[name.step].iter().flat_map(|group| &group.members);
-        u64::from(most).saturating_sub(here.filter(|member| member.server == *id).count() as u64)
-    }
-
-    /// Chooses places for a group among the rooms, by the part of their room that `part` gives.
-    pub(crate) fn choose(
-        &self,
-        name: GroupId,
-        rooms: &Rooms,
-        part: impl Fn(&Room) -> Need + Copy,
-        now: Moment,
-    ) -> Option<Places> {
-        let step = self.step(name);
-        if !step.gang {
-            return self.choose_one(name, step, rooms, part, now);
+        found.sort_by_key(|c| (c.priority, c.hopeless, c.deadline_ms, c.occurrence, c.step));
+        for candidate in found.iter_mut().filter(|candidate| candidate.priority == 0) {
+            let entry = &self.jobs[&candidate.occurrence.job];
+            let step = &entry.job.steps[candidate.step];
+            let tasks = if step.gang { u64::from(step.count) } else { candidate.groups.len() as u64 };
+            candidate.guaranteed = guarantees.take(entry.job.customer.as_ref(), step.need.accelerators * tasks);
         }
-        self.choose_gang(name, step, rooms, part)
+        found.sort_by_key(|c| (c.priority, !c.guaranteed));
+        found
     }
 
-    fn choose_one(
+    /// Places tasks that each run by themselves, taking them out of `left`.
+    fn choose_tasks(
         &self,
-        name: GroupId,
-        step: &Step,
+        candidate: &Candidate,
+        wanted: &Wanted<'_>,
         rooms: &Rooms,
         part: impl Fn(&Room) -> Need,
+        left: &mut Vec<usize>,
         now: Moment,
-    ) -> Option<Places> {
-        let need = step.counted_need();
-        let far_is_worth_it = self.far_is_worth_it(name, step, now);
-        let near = |room: &Room| step.data_rack.as_ref().is_none_or(|rack| *rack == room.rack);
-        let best = rooms
+    ) -> Places {
+        let near = |room: &Room| wanted.step.data_rack.as_ref().is_none_or(|rack| *rack == room.rack);
+        let far_is_worth_it = self.far_is_worth_it(candidate, wanted.step, now);
+        let mut order: Vec<(&BackendServerId, &Room)> = rooms
             .iter()
-            .filter(|(id, room)| part(room).contains(&need) && self.allowed(name, id, room))
-            .filter(|(id, room)| (far_is_worth_it || near(room)) && self.spread_left(name, id) > 0)
-            .min_by_key(|(_, room)| {
-                let left = part(room);
-                (!near(room), room.doubtful, &room.rack, left.accelerators, left.cpu_milli)
-            })?;
-        Some(vec![(name.group as u32, best.0.clone())])
+            .filter(|(_, room)| part(room).contains(&wanted.need) && wanted.allows(room))
+            .filter(|(_, room)| far_is_worth_it || near(room))
+            .collect();
+        order.sort_by_key(|(_, room)| {
+            let free = part(room);
+            (!near(room), room.doubtful, &room.rack, free.accelerators, free.cpu_milli)
+        });
+        let mut places = Places::new();
+        for (id, room) in order {
+            let mut fitting = wanted.fitting(id, &part(room));
+            let mut skipped = Vec::new();
+            while fitting > 0 && !left.is_empty() {
+                let taken = places.len() as u64;
+                if !wanted.urgent && !self.leaves_headroom(wanted, taken + 1, rooms) {
+                    break;
+                }
+                let group = left.remove(0);
+                if self.group(candidate.group(group)).avoid.contains(id) {
+                    skipped.push(group);
+                    continue;
+                }
+                places.push((group as u32, id.clone()));
+                fitting -= 1;
+            }
+            left.splice(0..0, skipped);
+        }
+        places
     }
 
     /// A task runs longer away from its data: it waits as long as that would cost before it goes there.
-    fn far_is_worth_it(&self, name: GroupId, step: &Step, now: Moment) -> bool {
+    fn far_is_worth_it(&self, candidate: &Candidate, step: &Step, now: Moment) -> bool {
         let Some(rack) = &step.data_rack else { return true };
         let exists = self.servers.values().filter_map(|server| server.info.as_ref()).any(|info| info.rack == *rack);
-        let waited = self.group(name).ready_since.map_or(Duration::ZERO, |since| now.since(since));
+        let since = candidate.groups.iter().filter_map(|&group| self.group(candidate.group(group)).ready_since).min();
+        let waited = since.map_or(Duration::ZERO, |since| now.since(since));
         !exists || waited > step.estimate.scaled(self.timing.far_factor - 1.0)
     }
 
     fn choose_gang(
         &self,
         name: GroupId,
-        step: &Step,
+        wanted: &Wanted<'_>,
         rooms: &Rooms,
         part: impl Fn(&Room) -> Need + Copy,
     ) -> Option<Places> {
-        let need = step.counted_need();
-        let slots_by = |part: &dyn Fn(&Room) -> Need| -> BTreeMap<Arc<str>, u64> {
+        let avoid = &self.group(name).avoid;
+        let allowed: Vec<(&BackendServerId, &Room)> =
+            rooms.iter().filter(|(id, room)| wanted.allows(room) && !avoid.contains(id)).collect();
+        let slots_by = |part: &dyn Fn(&Room) -> Need| -> BTreeMap<&Arc<str>, u64> {
             let mut slots = BTreeMap::new();
-            for (id, room) in rooms.iter().filter(|(id, room)| self.allowed(name, id, room)) {
-                let n = part(room).count_of(&need).min(self.spread_left(name, id));
-                *slots.entry(Arc::clone(&room.rack)).or_insert(0) += n;
+            for (id, room) in &allowed {
+                *slots.entry(&room.rack).or_insert(0) += wanted.fitting(id, &part(room));
             }
             slots
         };
-        let count = u64::from(step.count);
+        let count = u64::from(wanted.step.count);
         let slots = slots_by(&part);
         // Work that can wait fills the racks from the first, so that whole racks stay free for what cannot.
-        let urgent = self.priority(name) == 0;
-        let rank = |rack: &Arc<str>, n: u64| if urgent { (n, None) } else { (0, Some(Arc::clone(rack))) };
+        let rank = |rack: &Arc<str>, n: u64| if wanted.urgent { (n, None) } else { (0, Some(Arc::clone(rack))) };
         let fits = slots.iter().filter(|(_, n)| **n >= count).min_by_key(|(rack, n)| rank(rack, **n));
         if let Some((rack, _)) = fits {
-            let rack = Arc::clone(rack);
-            return self.fill(name, step, rooms, part, |room| if room.rack == rack { 0 } else { u64::MAX });
+            return fill(wanted, &allowed, part, |room| (room.rack == **rack).then_some(0));
         }
         let one_rack_could = slots_by(&|room: &Room| room.capacity).values().any(|&n| n >= count);
-        if step.same_rack && one_rack_could || slots.values().sum::<u64>() < count {
+        if wanted.step.same_rack && one_rack_could || slots.values().sum::<u64>() < count {
             return None;
         }
         // Over several racks: the fullest first, so that whole racks stay free.
-        self.fill(name, step, rooms, part, |room| slots[&room.rack])
-    }
-
-    fn priority(&self, name: GroupId) -> u32 {
-        let queue = &self.jobs[&name.occurrence.job].job.queue;
-        self.policy.queues.get(queue).map_or(u32::MAX, |queue| queue.priority)
-    }
-
-    /// Fills backend servers in the order of `rank`, then the fullest first; `u64::MAX` leaves one out.
-    pub(crate) fn fill(
-        &self,
-        name: GroupId,
-        step: &Step,
-        rooms: &Rooms,
-        part: impl Fn(&Room) -> Need,
-        rank: impl Fn(&Room) -> u64,
-    ) -> Option<Places> {
-        let need = step.counted_need();
-        let mut order: Vec<(&BackendServerId, &Room)> =
-            rooms.iter().filter(|(id, room)| rank(room) < u64::MAX && self.allowed(name, id, room)).collect();
-        order.sort_by_key(|(id, room)| {
-            let left = part(room);
-            (rank(room), room.doubtful, left.accelerators, left.cpu_milli, (*id).clone())
-        });
-        let mut places = Places::new();
-        let mut indices = name.indices(step);
-        for (id, room) in order {
-            let n = part(room).count_of(&need).min(self.spread_left(name, id));
-            places.extend(indices.by_ref().take(n as usize).map(|index| (index, id.clone())));
-        }
-        (places.len() == step.count as usize).then_some(places)
+        fill(wanted, &allowed, part, |room| Some(slots[&room.rack]))
     }
 
     /// How long a group's run has left, by what was declared and how far it has come.
@@ -366,20 +300,42 @@
         }
         ran.scaled(f64::from(100 - percent.min(100)) / f64::from(percent))
     }
-}
 
-fn objective(entry: &JobEntry, stretch: f64, added: Duration) -> Duration {
-    entry.chain().scaled(stretch) + added
+    /// Moves what cannot end before its backend server leaves.
+    pub(crate) fn evacuate(&mut self, id: &BackendServerId, now: Moment) {
+        let Some(server) = self.servers.get(id) else { return };
+        let Some(remaining) = server.info.as_ref().and_then(|info| info.remaining) else { return };
+        let tasks: Vec<jobs::TaskId> = server.members.keys().copied().collect();
+        for task in tasks {
+            let Some(name) = self.group_of(task) else { continue };
+            if self.time_left(name, now) > remaining {
+                self.stop_group(name, StopReason::Evacuated, now);
+            }
+        }
+    }
 }
 
-/// Accelerators that a job's members hold, the ones that are being stopped included.
-pub(crate) fn accelerators_running(entry: &JobEntry) -> u64 {
-    let mut sum = 0;
-    for occurrence in &entry.occurrences {
-        for (step, groups) in entry.job.steps.iter().zip(&occurrence.groups) {
-            let members: usize = groups.iter().map(|group| group.members.len()).sum();
-            sum += step.need.accelerators * members as u64;
-        }
+/// Fills backend servers in the order of `rank`, then the fullest first; `None` leaves one out.
+fn fill(
+    wanted: &Wanted<'_>,
+    allowed: &[(&BackendServerId, &Room)],
+    part: impl Fn(&Room) -> Need,
+    rank: impl Fn(&Room) -> Option<u64>,
+) -> Option<Places> {
+    let mut order: Vec<_> = allowed.iter().filter_map(|(id, room)| rank(room).map(|rank| (rank, *id, *room))).collect();
+    order.sort_by_key(|(rank, id, room)| {
+        let free = part(room);
+        (*rank, room.doubtful, free.accelerators, free.cpu_milli, *id)
+    });
+    let mut places = Places::new();
+    let mut indices = 0..wanted.step.count;
+    for (_, id, room) in order {
+        let n = wanted.fitting(id, &part(room));
+        places.extend(indices.by_ref().take(n as usize).map(|index| (index, id.clone())));
     }
-    sum
+    (places.len() == wanted.step.count as usize).then_some(places)
+}
+
+fn objective(entry: &JobEntry, stretch: f64, added: Duration) -> Duration {
+    entry.chain.scaled(stretch) + added
 }
--- /dev/null
+++ b/crates/scheduler/src/ready.rs
@@ -0,0 +1,51 @@
+//! Which groups could start, kept up to date by what has changed.
+
+use jobs::OccurrenceId;
+use model::Moment;
+
+use crate::{Scheduler, live::JobEntry};
+
+/// Groups that could start, by step.
+pub(crate) type ReadySteps = Vec<(usize, Vec<usize>)>;
+
+impl Scheduler {
+    /// Looks again at the occurrences that have changed.
+    pub(crate) fn refresh_ready(&mut self, now: Moment) {
+        for id in std::mem::take(&mut self.changed) {
+            let Some(entry) = self.jobs.get_mut(&id.job) else { continue };
+            let steps = ready_steps(entry, id, now);
+            if steps.is_empty() {
+                self.ready.remove(&id);
+            } else {
+                self.ready.insert(id, steps);
+            }
+            if entry.over() {
+                self.open.remove(&id.job);
+            }
+        }
+    }
+}
+
+fn ready_steps(entry: &mut JobEntry, id: OccurrenceId, now: Moment) -> ReadySteps {
+    let occurrence = &mut entry.occurrences[id.number as usize];
+    if entry.cancelled || occurrence.progress.failed {
+        return Vec::new();
+    }
+    let mut steps = Vec::new();
+    for (s, step) in entry.job.steps.iter().enumerate() {
+        if !step.after.iter().all(|&earlier| occurrence.progress.step_done(earlier)) {
+            continue;
+        }
+        let mut groups = Vec::new();
+        for (g, live) in occurrence.groups[s].iter_mut().enumerate() {
+            if !occurrence.progress.groups[s][g].done && live.members.is_empty() {
+                live.ready_since.get_or_insert(now);
+                groups.push(g);
+            }
+        }
+        if !groups.is_empty() {
+            steps.push((s, groups));
+        }
+    }
+    steps
+}
--- /dev/null
+++ b/crates/scheduler/src/rooms.rs
@@ -0,0 +1,105 @@
+//! Room of the backend servers that take work, while a plan is made.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use jobs::Need;
+use model::{BackendServerId, Moment};
+
+use crate::{Scheduler, plan::Places, policy::ServiceId};
+
+/// Room of one backend server.
+#[derive(Debug, Clone)]
+pub(crate) struct Room {
+    pub(crate) service: ServiceId,
+    pub(crate) rack: Arc<str>,
+    pub(crate) labels: Vec<Arc<str>>,
+    pub(crate) capacity: Need,
+    /// Free now.
+    pub(crate) free: Need,
+    /// Free once everything that is being stopped has ended.
+    pub(crate) soon: Need,
+    /// A task failed there and none has been done since.
+    pub(crate) doubtful: bool,
+}
+
+/// Accelerators of a service.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Totals {
+    /// Free on backend servers that take work.
+    pub(crate) free: u64,
+    /// Taken, on any backend server.
+    pub(crate) used: u64,
+    /// All that are known.
+    pub(crate) all: u64,
+}
+
+/// Room by backend server.
+#[derive(Debug, Default)]
+pub(crate) struct Rooms {
+    by_server: BTreeMap<BackendServerId, Room>,
+    totals: BTreeMap<ServiceId, Totals>,
+}
+
+impl Rooms {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&BackendServerId, &Room)> {
+        self.by_server.iter()
+    }
+
+    pub(crate) fn get_mut(&mut self, id: &BackendServerId) -> Option<&mut Room> {
+        self.by_server.get_mut(id)
+    }
+
+    pub(crate) fn totals(&self, service: &ServiceId) -> Totals {
+        self.totals.get(service).copied().unwrap_or_default()
+    }
+
+    /// Takes room for a task of `need` at each place.
+    pub(crate) fn claim(&mut self, need: &Need, places: &Places) {
+        for (_, server) in places {
+            let room = self.by_server.get_mut(server).expect("places are chosen among the rooms");
+            let totals = self.totals.entry(room.service.clone()).or_default();
+            totals.free -= room.free.accelerators.min(need.accelerators);
+            totals.used += need.accelerators;
+            room.free.remove(need);
+            room.soon.remove(need);
+        }
+    }
+}
+
+impl Scheduler {
+    pub(crate) fn rooms(&self, now: Moment) -> Rooms {
+        let mut rooms = Rooms::default();
+        for (id, server) in &self.servers {
+            let Some(info) = &server.info else { continue };
+            let totals = rooms.totals.entry(info.service.clone()).or_default();
+            totals.used += server.used.accelerators;
+            totals.all += info.capacity.accelerators;
+            if !server.open(now) || server.health.set_aside(now) {
+                continue;
+            }
+            let free = server.free();
+            totals.free += free.accelerators;
+            let mut soon = free;
+            for task in server.members.keys() {
+                let Some(name) = self.group_of(*task) else { continue };
+                if self.group(name).stopping.is_some() {
+                    soon.add(&self.step(name).counted_need());
+                }
+            }
+            for stray in server.strays.values() {
+                soon.add(&stray.need);
+            }
+            let room = Room {
+                service: info.service.clone(),
+                rack: Arc::clone(&info.rack),
+                labels: info.labels.clone(),
+                capacity: info.capacity,
+                free,
+                soon,
+                doubtful: server.health.doubtful(),
+            };
+            rooms.by_server.insert(id.clone(), room);
+        }
+        rooms
+    }
+}
--- a/crates/scheduler/src/room.rs
+++ b/crates/scheduler/src/runs.rs
@@ -1,4 +1,4 @@
-//! Access to groups and members, and the room that they take.
+//! Runs of groups: placed, stopped, over.
 
 use jobs::{GroupProgress, JobId, Placed, Saved, Step, TaskId};
 use model::{BackendServerId, Moment};
@@ -35,6 +35,7 @@
         change(&mut occurrence.progress.groups[name.step][name.group]);
         occurrence.version += 1;
         self.dirty.insert(name.occurrence);
+        self.changed.insert(name.occurrence);
     }
 
     /// The group that a task belongs to; `None` if no such job or task is known.
@@ -107,6 +108,7 @@
             group.stopping = None;
             group.ready_since = Some(now);
         }
+        self.plan_wanted = true;
         if let Some(server) = self.servers.get_mut(&member.server) {
             server.used.remove(&need);
             server.members.remove(&name.task(index));
@@ -176,18 +178,4 @@
             self.stop_group(name, StopReason::GangBroken, now);
         }
     }
-
-    /// Moves what cannot end before its backend server leaves.
-    pub(crate) fn evacuate(&mut self, id: &BackendServerId, now: Moment) {
-        let Some(server) = self.servers.get(id) else { return };
-        let Some(remaining) = server.info.as_ref().and_then(|info| info.remaining) else { return };
-        let tasks: Vec<TaskId> = server.members.keys().copied().collect();
-        for task in tasks {
-            let Some(name) = self.group_of(task) else { continue };
-            let left = self.time_left(name, now);
-            if left > remaining {
-                self.stop_group(name, StopReason::Evacuated, now);
-            }
-        }
-    }
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -6,16 +6,20 @@
 };
 
 use jobs::{Fence, Job, JobId, JobState, OccurrenceId, Progress, QueueId, TaskId};
-use model::{BackendServerId, CustomerId, Moment, Revision};
+use model::{BackendServerId, CustomerId, Duration, Moment, Revision};
 
 use crate::{
     live::{GroupId, JobEntry, Member, Phase, StopReason},
     orders::{Order, StartReply},
     policy::Policy,
+    ready::ReadySteps,
     server::{Server, ServerInfo},
     timing::Timing,
 };
 
+/// Leases and stops are looked at this often at most: well below their own times.
+const LOOK_EVERY: Duration = Duration::from_millis(90);
+
 /// Sizes, for metrics.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -38,6 +42,18 @@
     pub(crate) policy: Policy,
     pub(crate) jobs: BTreeMap<JobId, JobEntry>,
     pub(crate) servers: BTreeMap<BackendServerId, Server>,
+    /// Jobs of which something runs or may run.
+    pub(crate) open: BTreeSet<JobId>,
+    /// Occurrences that were touched since the last plan.
+    pub(crate) changed: BTreeSet<OccurrenceId>,
+    /// What could start.
+    pub(crate) ready: BTreeMap<OccurrenceId, ReadySteps>,
+    /// Backend servers with ends that wait to be stored.
+    pub(crate) with_ends: BTreeSet<BackendServerId>,
+    /// Something has happened that may let a group start.
+    pub(crate) plan_wanted: bool,
+    /// When leases and stops were last looked at.
+    last_look: Moment,
     /// Occurrences whose progress the store does not hold as it is.
     pub(crate) dirty: BTreeSet<OccurrenceId>,
     /// Occurrences that may have starts to send since the store took their progress.
@@ -55,6 +71,12 @@
             timing,
             policy,
             jobs: BTreeMap::new(),
+            open: BTreeSet::new(),
+            changed: BTreeSet::new(),
+            ready: BTreeMap::new(),
+            with_ends: BTreeSet::new(),
+            plan_wanted: false,
+            last_look: elected,
             servers: BTreeMap::new(),
             dirty: BTreeSet::new(),
             unsent: BTreeSet::new(),
@@ -80,11 +102,26 @@
             policy.queues.entry(queue).or_insert(old);
         }
         self.policy = policy;
+        self.plan_wanted = true;
+    }
+
+    /// Whether something has happened, since this was last asked, that may let a group start.
+    pub fn take_plan_wanted(&mut self) -> bool {
+        std::mem::take(&mut self.plan_wanted)
     }
 
     /// A job that the store holds. Told again, it changes nothing.
     pub fn add_job(&mut self, job: Job) {
-        self.jobs.entry(job.id).or_insert_with(|| JobEntry::new(job));
+        let id = job.id;
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let entry = JobEntry::new(job);
+        let occurrences = (0..entry.occurrences.len() as u32).map(|number| OccurrenceId { job: id, number });
+        self.changed.extend(occurrences);
+        self.jobs.insert(id, entry);
+        self.open.insert(id);
+        self.plan_wanted = true;
     }
 
     /// Progress that the store holds, read by a new scheduler after its jobs.
@@ -138,6 +175,9 @@
             return;
         }
         entry.ended = Some(now);
+        let occurrences = (0..entry.occurrences.len() as u32).map(|number| OccurrenceId { job: id, number });
+        self.changed.extend(occurrences);
+        self.plan_wanted = true;
         log::info!("job={id} event=cancelled fence={}", self.fence);
         for name in self.group_names(id) {
             self.stop_group(name, StopReason::Cancelled, now);
@@ -153,7 +193,7 @@
     /// How many accepted jobs of a queue have not begun.
     pub fn waiting(&self, queue: &QueueId) -> usize {
         let waits = |entry: &&JobEntry| entry.job.queue == *queue && entry.state() == JobState::Queued;
-        self.jobs.values().filter(waits).count()
+        self.open.iter().map(|id| &self.jobs[id]).filter(waits).count()
     }
 
     /// The platform lists a backend server, or its account of itself has changed.
@@ -164,6 +204,7 @@
         let was_draining = server.info.as_ref().is_some_and(|old| old.draining);
         server.info = Some(info);
         server.listed = true;
+        self.plan_wanted = true;
         if draining && !was_draining {
             log::info!("server={id} event=draining fence={}", self.fence);
             self.evacuate(&id, now);
@@ -225,7 +266,7 @@
     /// Sizes, for metrics.
     pub fn counts(&self) -> Counts {
         Counts {
-            open_jobs: self.jobs.values().filter(|entry| !entry.state().is_final()).count(),
+            open_jobs: self.open.len(),
             servers: self.servers.len(),
             unheard_servers: self.servers.values().filter(|server| !server.stocked).count(),
             unstored: self.dirty.len(),
@@ -239,6 +280,10 @@
 
     /// Time has passed: lapses what no lease can keep, and repeats stops.
     pub fn tick(&mut self, now: Moment) {
+        if now.since(self.last_look) < LOOK_EVERY {
+            return;
+        }
+        self.last_look = now;
         let over: Vec<BackendServerId> = self
             .servers
             .iter()
