Fuzz the scheduler in virtual time; take work that was done before its lease was over

Several schedulers now live beside one another over backend servers and a store with late orders, late writes, cuts, crashes, slow clocks and an oracle. It found that work which had been done on a backend server that was cut off past its lease was done again although its end came later; that end is taken now. Four other failures were the stand-in's own (gangs that went on without a member, calls that were neither answered nor lost).

--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -71,6 +71,13 @@
             self.apply_failure(name, id, end.run, now);
         }
         let current = self.progress_of(name).run == end.run;
+        if !current && end.kind == EndKind::Done && !self.progress_of(name).done {
+            // An earlier run, taken for lost with its lease, had done the work: no one has to do it again.
+            log::info!("job={} event=done_late task={} run={}", end.task.occurrence.job, end.task, end.run);
+            self.apply_done(name, id, now);
+            self.stop_group(name, StopReason::AlreadyDone, now);
+            return;
+        }
         if !current || self.member_mut(name, end.task.index, id).is_none() {
             return;
         }
--- a/crates/scheduler/src/live.rs
+++ b/crates/scheduler/src/live.rs
@@ -48,6 +48,8 @@
     Hopeless,
     /// A job that goes before it needs the room.
     Preempted,
+    /// An earlier run of it was done after all.
+    AlreadyDone,
     /// Its backend server is leaving.
     Evacuated,
 }
--- a/crates/scheduler/tests/attempts.rs
+++ b/crates/scheduler/tests/attempts.rs
@@ -51,3 +51,19 @@
     assert_eq!(again.len(), 2);
     assert_eq!(run_of(&again[0]), 2);
 }
+
+#[test]
+fn work_that_was_done_before_its_lease_was_over_is_not_done_again() {
+    let mut fixture = Fixture::new(2);
+    fixture.submit(job(1, vec![gang(1, 8)]));
+    let placed = fixture.start_all();
+    fixture.cut_past_lease(&placed[0].server);
+    let again = fixture.start_all();
+    assert_eq!(again.len(), 1);
+    fixture.reconnect(&placed[0].server);
+    fixture.end(&placed[0], EndKind::Done);
+    fixture.store_all();
+    assert_eq!(fixture.state(1), Some(JobState::Succeeded));
+    fixture.start_all();
+    assert!(!fixture.stops.is_empty(), "the second run is stopped");
+}
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -1,6 +1,9 @@
 //! A scheduler with backend servers and a store that do as they are told.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod server;
+pub mod world;
+
 use std::{collections::BTreeMap, sync::Arc};
 
 use jobs::{Fence, Job, JobId, JobState, Need, RunNumber, Step, TaskId};
--- /dev/null
+++ b/crates/scheduler/tests/common/server.rs
@@ -0,0 +1,142 @@
+//! A backend server that keeps the promises of the users' protocol page, and the failures it allows.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use jobs::{Fence, RunNumber, Saved, TaskId};
+use model::BackendServerId;
+use scheduler::{End, EndKind, Listing, RunningTask, ServerInfo, StartReply};
+
+/// A run as the backend server has it.
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub run: RunNumber,
+    /// Milliseconds of work left, on the backend server's clock; `None` while it waits for its gang.
+    pub left: Option<u64>,
+    pub waited: u64,
+    pub fails: bool,
+    pub saved: Option<Saved>,
+}
+
+#[derive(Debug)]
+pub struct FakeServer {
+    pub id: BackendServerId,
+    pub info: ServerInfo,
+    /// Its own steady clock, in milliseconds; it may run slow.
+    pub clock: f64,
+    pub rate: f64,
+    pub fence: Fence,
+    pub lease_until: u64,
+    pub running: BTreeMap<TaskId, Run>,
+    pub ended: Vec<End>,
+    pub serial: u64,
+    /// The highest run of a task that was stopped or has ended here.
+    pub over: BTreeMap<TaskId, RunNumber>,
+    /// Ends up to this one were followed by the end of the lease: they do not count as noted any more.
+    pub lapsed_after: u64,
+    /// Out of reach until then.
+    pub cut_until: u64,
+}
+
+impl FakeServer {
+    pub fn new(id: BackendServerId, info: ServerInfo, rate: f64) -> FakeServer {
+        FakeServer {
+            id,
+            info,
+            clock: 1000.0,
+            rate,
+            fence: Fence(0),
+            lease_until: 0,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            serial: 0,
+            over: BTreeMap::new(),
+            lapsed_after: 0,
+            cut_until: 0,
+        }
+    }
+
+    pub fn clock_ms(&self) -> u64 {
+        self.clock as u64
+    }
+
+    fn obeys(&mut self, fence: Fence) -> bool {
+        if fence < self.fence {
+            return false;
+        }
+        self.fence = fence;
+        true
+    }
+
+    pub fn start(
+        &mut self,
+        task: TaskId,
+        run: Run,
+        until: u64,
+        fence: Fence,
+        need: &jobs::Need,
+        used: jobs::Need,
+    ) -> StartReply {
+        if !self.obeys(fence) {
+            return StartReply::Fenced;
+        }
+        if until <= self.clock_ms() {
+            return StartReply::Late;
+        }
+        self.lease_until = self.lease_until.max(until);
+        if self.running.get(&task).is_some_and(|known| known.run == run.run) {
+            return StartReply::Started;
+        }
+        if self.over.get(&task).is_some_and(|over| run.run <= *over) || self.running.contains_key(&task) {
+            return StartReply::Refused;
+        }
+        let mut free = self.info.capacity;
+        free.remove(&used);
+        if !free.contains(need) {
+            return StartReply::NoRoom;
+        }
+        self.running.insert(task, run);
+        StartReply::Started
+    }
+
+    /// The caller ends the run, if it is there, together with its gang.
+    pub fn stop(&mut self, task: TaskId, run: RunNumber, fence: Fence) -> bool {
+        if !self.obeys(fence) {
+            return false;
+        }
+        let over = self.over.entry(task).or_default();
+        *over = (*over).max(run);
+        true
+    }
+
+    /// `None`: it obeys a later scheduler.
+    pub fn hold(&mut self, fence: Fence, acknowledged: u64, until: Option<u64>) -> Option<Listing> {
+        if !self.obeys(fence) {
+            return None;
+        }
+        if let Some(until) = until {
+            self.lease_until = self.lease_until.max(until);
+        }
+        self.ended.retain(|end| end.serial > acknowledged);
+        let running = |(task, run): (&TaskId, &Run)| RunningTask {
+            task: *task,
+            run: run.run,
+            saved: run.saved.clone(),
+            percent: 1,
+        };
+        Some(Listing {
+            running: self.running.iter().map(running).collect(),
+            ended: self.ended.clone(),
+            more_ends: false,
+        })
+    }
+
+    pub fn end(&mut self, task: TaskId, kind: EndKind) -> Option<Run> {
+        let run = self.running.remove(&task)?;
+        self.serial += 1;
+        let over = self.over.entry(task).or_default();
+        *over = (*over).max(run.run);
+        let saved = Some(Arc::from(format!("{task}@{}", run.run)));
+        self.ended.push(End { serial: self.serial, task, run: run.run, kind, saved });
+        Some(run)
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/fuzz.rs
@@ -0,0 +1,135 @@
+//! Whole scheduling in virtual time under failures, against an oracle that sees what ran.
+//!
+//! `PROPTEST_CASES` sets how many cases run; the seed is fixed, so that each run gives the same verdict.
+
+mod common;
+
+use common::{gang, job_in, step, world::World};
+use jobs::{JobId, JobState, Step};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+
+const DEFAULT_CASES: u32 = 120;
+const SERVERS: usize = 8;
+/// Longest time in which everything must end once nothing fails any more: leases of earlier schedulers
+/// (4 s + 6 s), and the work itself, a few times over.
+const SETTLE_MS: u64 = 90_000;
+
+#[derive(Debug, Clone)]
+enum Action {
+    Submit(u8),
+    Cancel(u8),
+    Crash(u8),
+    Cut(u8, u16),
+    LoseOrders(u16),
+    LoseWrites(u16),
+    StoreDown(u16),
+    FailTasks(u16),
+    Elect,
+    KillAndElect,
+    KillAll,
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    prop_oneof![
+        6 => any::<u8>().prop_map(Action::Submit),
+        1 => any::<u8>().prop_map(Action::Cancel),
+        1 => any::<u8>().prop_map(Action::Crash),
+        2 => (any::<u8>(), 100u16..12_000).prop_map(|(i, ms)| Action::Cut(i, ms)),
+        1 => (100u16..4000).prop_map(Action::LoseOrders),
+        1 => (100u16..4000).prop_map(Action::LoseWrites),
+        1 => (100u16..8000).prop_map(Action::StoreDown),
+        1 => (100u16..2000).prop_map(Action::FailTasks),
+        1 => Just(Action::Elect),
+        1 => Just(Action::KillAndElect),
+        1 => Just(Action::KillAll),
+    ]
+}
+
+fn steps(shape: u8) -> Vec<Step> {
+    let second = |mut step: Step| {
+        step.after = vec![0];
+        step
+    };
+    match shape % 6 {
+        0 => vec![step(1, 1)],
+        1 => vec![step(5, 2)],
+        2 => vec![gang(3, 8)],
+        3 => vec![step(2, 1), second(step(3, 1))],
+        4 => vec![Step { checkpoints: true, ..step(4, 4) }],
+        _ => vec![Step { same_rack: true, checkpoints: true, ..gang(4, 4) }, second(gang(2, 8))],
+    }
+}
+
+fn apply(world: &mut World, action: &Action) {
+    let now = world.now;
+    match *action {
+        Action::Submit(shape) => {
+            let queue = ["urgent", "batch", "archive"][usize::from(shape) / 6 % 3];
+            let id = world.jobs.len() as u64 + 1;
+            world.submit(job_in(queue, id, steps(shape)));
+        }
+        Action::Cancel(i) => {
+            let ids: Vec<JobId> = world.jobs.keys().copied().collect();
+            if !ids.is_empty() {
+                world.cancel(ids[usize::from(i) % ids.len()]);
+            }
+        }
+        Action::Crash(i) => world.crash(i.into()),
+        Action::Cut(i, ms) => world.cut(i.into(), ms.into()),
+        Action::LoseOrders(ms) => world.lose_orders_until = now + u64::from(ms),
+        Action::LoseWrites(ms) => world.lose_writes_until = now + u64::from(ms),
+        Action::StoreDown(ms) => world.store_down_until = now + u64::from(ms),
+        Action::FailTasks(ms) => world.fail_tasks_until = now + u64::from(ms),
+        Action::Elect => world.elect(),
+        Action::KillAndElect => {
+            world.kill_leaders();
+            world.elect();
+        }
+        Action::KillAll => world.kill_leaders(),
+    }
+}
+
+fn play(seed: u64, actions: &[(u16, Action)]) {
+    let mut world = World::new(SERVERS, seed);
+    for (gap, action) in actions {
+        apply(&mut world, action);
+        world.advance(u64::from(*gap));
+    }
+    world.heal();
+    let until = world.now + SETTLE_MS;
+    let open = |world: &World| world.jobs.keys().any(|id| !world.state(*id).is_some_and(JobState::is_final));
+    while world.now < until && (open(&world) || world.unacknowledged() > 0) {
+        world.advance(500);
+    }
+    for id in world.jobs.keys() {
+        let state = world.state(*id);
+        assert!(state.is_some_and(JobState::is_final), "{id} is {state:?} after {SETTLE_MS} ms without a failure");
+        if state == Some(JobState::Succeeded) {
+            world.check_succeeded(*id);
+        }
+    }
+    assert_eq!(world.unacknowledged(), 0, "ends were never acknowledged");
+}
+
+fn cases() -> u32 {
+    std::env::var("PROPTEST_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_CASES)
+}
+
+#[test]
+fn promises_hold_under_failures() {
+    let seed: u8 = std::env::var("FUZZ_SEED").ok().and_then(|text| text.parse().ok()).unwrap_or(1);
+    let config = Config { cases: cases(), failure_persistence: None, max_shrink_iters: 400, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let actions = prop::collection::vec((20u16..1500, action()), 1..40);
+    let result = runner.run(&(any::<u64>(), actions), |(seed, actions)| {
+        play(seed, &actions);
+        Ok(())
+    });
+    if let Err(e) = result {
+        panic!("{e}");
+    }
+}
