Tell a job's life: metrics by customer and queue, placements in the log, marten explain

Cause: on-call engineers had a few lines and no metrics of the new path. Each placement is logged with what it rests on; histograms of start delay and completion by customer and queue, counters of requests, store calls and calls to backend servers; /v1/status gives each belief with its age; marten explain orders a job's lines.

--- a/crates/marten/src/commands.rs
+++ b/crates/marten/src/commands.rs
@@ -11,6 +11,7 @@
     client::{Boxes, refused},
     diff::differences,
     exit::Failure,
+    explain,
     options::{Command, Options},
     output, submit,
 };
@@ -26,6 +27,7 @@
         Command::Wait { customer, request } => submit::wait(opts, customer, request).await,
         Command::Cancel { customer, request } => submit::cancel(opts, customer, request).await,
         Command::Drain { file, server } => drain(file, server),
+        Command::Explain { job, logs } => explain::explain(job, logs),
     }
 }
 
--- a/crates/marten/src/main.rs
+++ b/crates/marten/src/main.rs
@@ -12,6 +12,7 @@
 mod commands;
 mod diff;
 mod exit;
+mod explain;
 mod options;
 mod output;
 mod submit;
--- a/crates/marten/src/options.rs
+++ b/crates/marten/src/options.rs
@@ -18,6 +18,7 @@
   submit FILE             hand in the job that FILE describes, and wait for its end
   wait CUSTOMER REQUEST   wait for the end of a job
   cancel CUSTOMER REQUEST take a job back
+  explain JOB [LOG...]    tell a job's life from boxes' logs, or from standard input
   drain FILE SERVER       write into FILE that the backend server SERVER takes no new work
 
 exit codes: 0 done; 2 wrong command line; 3 refused, nothing changed; 4 another change came first;
@@ -41,6 +42,7 @@
     Wait { customer: String, request: String },
     Cancel { customer: String, request: String },
     Drain { file: String, server: String },
+    Explain { job: String, logs: Vec<String> },
 }
 
 /// The command line, read.
@@ -119,6 +121,9 @@
         ["wait", customer, request] => Ok(Command::Wait { customer: own(customer), request: own(request) }),
         ["cancel", customer, request] => Ok(Command::Cancel { customer: own(customer), request: own(request) }),
         ["drain", file, server] => Ok(Command::Drain { file: own(file), server: own(server) }),
+        ["explain", job, logs @ ..] => {
+            Ok(Command::Explain { job: own(job), logs: logs.iter().map(|path| own(path)).collect() })
+        }
         [] => Err(usage_error("no command is given")),
         [first, ..] => Err(usage_error(&format!("{first}: no such command, or not with these arguments"))),
     }
--- /dev/null
+++ b/crates/marten/tests/explain.rs
@@ -0,0 +1,49 @@
+//! `marten explain` on logs as boxes write them.
+
+use std::{
+    io::Write,
+    process::{Command, Stdio},
+};
+
+const LOGS: &str = "\
+   3.1 box-2 1000.900 INFO event=elected box=box-2 fence=11
+   0.2 box-1 1000.200 INFO event=elected box=box-1 fence=7
+   0.1 box-1 1000.100 INFO job=00000000000000aa event=accepted revision=9 queue=q config=2
+   9.1 box-2 1001.500 INFO job=00000000000000aa event=over state=succeeded after_ms=1400 queue=q
+   0.4 box-1 1000.400 INFO job=00000000000000ab event=accepted revision=10 queue=q config=2
+   1.0 box-1 1000.050 INFO event=elected box=box-1 fence=5
+  20.0 box-1 1020.000 INFO event=elected box=box-1 fence=99
+";
+
+fn explain(job: &str) -> (String, Option<i32>) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_marten"))
+        .args(["explain", job])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the command starts");
+    child.stdin.take().expect("piped").write_all(LOGS.as_bytes()).expect("it reads its input");
+    let output = child.wait_with_output().expect("it ends");
+    (String::from_utf8(output.stdout).expect("UTF-8"), output.status.code())
+}
+
+#[test]
+fn a_jobs_life_is_told_in_the_order_of_time_with_the_elections_between() {
+    let (text, code) = explain("00000000000000aa");
+    let events: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.split_whitespace().find(|f| f.starts_with("event=") || f.starts_with("fence=")))
+        .collect();
+    assert_eq!(events, ["event=elected", "event=accepted", "event=elected", "event=elected", "event=over"]);
+    assert!(!text.contains("fence=99"), "elections after the job's end are left out");
+    assert!(!text.contains("00000000000000ab"), "other jobs are left out");
+    assert_eq!(code, Some(0));
+}
+
+#[test]
+fn a_job_of_which_no_line_tells_is_refused() {
+    let (text, code) = explain("00000000000000ff");
+    assert!(text.is_empty());
+    assert_eq!(code, Some(3));
+}
--- a/crates/martend/src/deployment/mod.rs
+++ b/crates/martend/src/deployment/mod.rs
@@ -9,7 +9,7 @@
 use hyper::StatusCode;
 use net::{
     BoxFuture,
-    http::{Call, Client, Handler, ServerLimits, serve, serve_until, text_response},
+    http::{Call, Client, Handler, ServerLimits, json_response, serve, serve_until, text_response},
 };
 use outside::{Clock, SystemClock};
 use runtime::Node;
@@ -42,21 +42,21 @@
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
     log::info!("event=started box={} zone={}", settings.runtime.box_id, settings.runtime.availability_zone);
-    let node = Node::start(
+    let node = Arc::new(Node::start(
         settings.runtime.clone(),
         peers,
-        Arc::new(Store::new(Client::default(), settings.store_address)),
+        Store::new(Client::default(), settings.store_address),
         Arc::new(Servers::default()),
         Arc::new(UsersDecoder),
         Arc::clone(&clock),
-    );
+    ));
     let front = Front { requests: Arc::clone(&node.requests), view: Arc::clone(&node.view), clock };
     let (taking, stop) = smol::channel::bounded::<()>(1);
     let limits = ServerLimits { connections: MOST_CONNECTIONS, ..ServerLimits::default() };
     let serving = smol::spawn(serve_until(callers, Arc::new(front), limits, stop));
     let _beside = [
         smol::spawn(serve(readiness, Arc::new(Readiness { view: Arc::clone(&node.view) }))),
-        smol::spawn(serve(metrics, Arc::new(MetricsPage))),
+        smol::spawn(serve(metrics, Arc::new(OperatorsPages { node: Arc::clone(&node) }))),
     ];
     while let Some(signal) = signals.next().await {
         match signal {
@@ -94,16 +94,22 @@
     }
 }
 
-/// Serves metrics in Prometheus's text format.
-struct MetricsPage;
+/// Serves what operators ask of a box: its metrics in Prometheus's text format, and what it believes.
+struct OperatorsPages {
+    node: Arc<Node>,
+}
 
-impl Handler for MetricsPage {
+impl Handler for OperatorsPages {
     fn handle(&self, call: Call) -> BoxFuture<'_, Option<hyper::Response<http_body_util::Full<bytes::Bytes>>>> {
         Box::pin(async move {
-            if call.path != "/metrics" {
-                return Some(text_response(StatusCode::NOT_FOUND, "there is only /metrics\n".to_owned()));
-            }
-            Some(text_response(StatusCode::OK, telemetry::render()))
+            Some(match call.path.as_str() {
+                "/metrics" => {
+                    self.node.set_gauges();
+                    text_response(StatusCode::OK, telemetry::render())
+                }
+                "/v1/status" => json_response(StatusCode::OK, &self.node.status()),
+                _ => text_response(StatusCode::NOT_FOUND, "there are /metrics and /v1/status\n".to_owned()),
+            })
         })
     }
 }
--- a/crates/runtime/src/election.rs
+++ b/crates/runtime/src/election.rs
@@ -122,6 +122,7 @@
         Err(StoreError::Lost { .. }) => found(parts, &record).await?,
     };
     log::info!("event=elected box={} fence={fence}", settings.box_id);
+    metrics::counter!("martenscale_elections_total").increment(1);
     parts.view.set_leader(Some(Leader { box_id: record.box_id, addr: record.addr, fence }));
     Some(Won { fence, lease, confirmed: asked + settings.election_ttl })
 }
--- a/crates/runtime/src/leader.rs
+++ b/crates/runtime/src/leader.rs
@@ -5,7 +5,7 @@
 use jobs::{Fence, Job, JobId, Progress, QueueId};
 use model::{CustomerId, Duration, Moment, Revision};
 use outside::{Change, CoordinationStore, Item, Snapshot, StoreError};
-use scheduler::Scheduler;
+use scheduler::{Counts, Scheduler};
 use smol::channel::{Receiver, Sender};
 
 use crate::{
@@ -14,6 +14,7 @@
     follow::{Backoff, Seen, follow},
     keys::{self, Intake},
     links::Links,
+    measure,
     requests::StateOutcome,
     settings::Settings,
     view::View,
@@ -67,15 +68,16 @@
 
     /// Changes the scheduler, then sends what it wants sent and has the changes stored and planned.
     pub(crate) fn update<T>(&self, change: impl FnOnce(&mut Scheduler) -> T) -> T {
-        let (result, orders, deposed, plan, write) = {
-            let mut scheduler = self.lock();
-            let result = change(&mut scheduler);
-            let orders = scheduler.take_orders();
-            (result, orders, scheduler.deposed(), scheduler.take_plan_wanted(), scheduler.has_unstored())
-        };
+        let mut scheduler = self.lock();
+        let result = change(&mut scheduler);
+        let (orders, observations) = (scheduler.take_orders(), scheduler.take_observations());
+        let (plan, write) = (scheduler.take_plan_wanted(), scheduler.has_unstored());
+        let deposed = scheduler.deposed();
+        drop(scheduler);
         for order in orders {
             self.links.send(order);
         }
+        measure::observe(observations);
         // A full channel holds the news already.
         if plan {
             let _ = self.plan.0.try_send(());
@@ -141,6 +143,13 @@
         }
     }
 
+    /// The fence and the sizes of the scheduler, if this box has one.
+    pub(crate) fn counts(&self) -> Option<(Fence, Counts)> {
+        let active = self.get()?;
+        let counts = active.lock().counts();
+        Some((active.fence, counts))
+    }
+
     pub(crate) fn waiting(&self, queue: &QueueId) -> Option<u64> {
         Some(self.get()?.lock().waiting(queue) as u64)
     }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -13,6 +13,7 @@
 mod keys;
 mod leader;
 mod links;
+mod measure;
 mod node;
 mod relay;
 mod requests;
@@ -22,7 +23,7 @@
 
 pub use crate::{
     configuration::{Access, CallLimits, Configuration, Denied, Route},
-    node::Node,
+    node::{Node, Status},
     requests::{CancelOutcome, Requests, StateOutcome, SubmitOutcome},
     settings::Settings,
     view::View,
--- a/crates/runtime/src/links.rs
+++ b/crates/runtime/src/links.rs
@@ -13,6 +13,7 @@
     border::{Hold, HoldReply, Start, StopReply, Target},
     follow::Backoff,
     leader::{Active, Parts},
+    measure,
 };
 
 /// How long a renewal waits for an end while something runs: also how old a lease gets before it is renewed.
@@ -154,6 +155,7 @@
         let sent = worker.now();
         match worker.parts.servers.hold(worker.target.clone(), next.hold).await {
             Ok(HoldReply::Listing(listing)) => {
+                measure::server_call("hold", "answered");
                 answered = true;
                 backoff.reset();
                 let now = worker.now();
@@ -161,16 +163,19 @@
                 wait_for_store(&active, &id, &stored).await;
             }
             Ok(HoldReply::Fenced) => {
+                measure::server_call("hold", "fenced");
                 log::info!("event=deposed fence={} why=fenced_by server={id}", active.fence);
                 active.depose();
                 return;
             }
             Ok(HoldReply::Gone) => {
+                measure::server_call("hold", "gone");
                 let now = worker.now();
                 active.update(|scheduler| scheduler.server_gone(&id, now));
                 break;
             }
             Err(e) => {
+                measure::server_call("hold", "lost");
                 log::debug!("server={id} event=hold_failed renews={} why={e}", next.renews);
                 answered = false;
                 active.update(|scheduler| scheduler.unanswered(&id));
@@ -211,6 +216,7 @@
                     worker.target.id,
                     active.fence
                 );
+                measure::server_call("start", start_outcome(reply));
                 let now = worker.now();
                 active.update(|s| s.start_replied(&worker.target.id, task, run, reply, now));
                 if reply == StartReply::Gone {
@@ -225,6 +231,7 @@
                     worker.target.id,
                     active.fence
                 );
+                measure::server_call("stop", if reply.is_ok() { "answered" } else { "lost" });
                 let now = worker.now();
                 match reply {
                     Ok(StopReply::Stopped) => active.update(|s| s.stop_replied(&worker.target.id, task, run, now)),
@@ -237,3 +244,15 @@
         }
     }
 }
+
+fn start_outcome(reply: StartReply) -> &'static str {
+    match reply {
+        StartReply::Started => "started",
+        StartReply::NoRoom => "no_room",
+        StartReply::Refused => "refused",
+        StartReply::Late => "late",
+        StartReply::Fenced => "fenced",
+        StartReply::Gone => "gone",
+        StartReply::Unknown => "lost",
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/measure.rs
@@ -0,0 +1,93 @@
+//! Metrics of a box: what jobs wait and take, and how calls to the outside go.
+
+use std::time::Instant;
+
+use jobs::QueueId;
+use model::{CustomerId, Duration, Revision};
+use net::BoxFuture;
+use outside::{Committed, CoordinationStore, Item, LeaseId, Snapshot, StoreError, Transaction, Watched};
+use scheduler::Observation;
+
+/// Counts what the scheduler has seen.
+pub(crate) fn observe(observations: Vec<Observation>) {
+    for observation in observations {
+        match observation {
+            Observation::Started { customer, queue, after } => {
+                metrics::histogram!("martenscale_start_delay_seconds", &labels(customer, &queue))
+                    .record(after.secs_f64());
+            }
+            Observation::Ended { customer, queue, state, after } => {
+                metrics::histogram!("martenscale_completion_seconds", &labels(customer, &queue))
+                    .record(after.secs_f64());
+                metrics::counter!("martenscale_jobs_ended_total", "state" => state.to_string()).increment(1);
+            }
+            Observation::Stopped { why } => {
+                metrics::counter!("martenscale_runs_stopped_total", "why" => why).increment(1);
+            }
+        }
+    }
+}
+
+fn labels(customer: Option<CustomerId>, queue: &QueueId) -> [(&'static str, String); 2] {
+    let customer = customer.map_or_else(|| "none".to_owned(), |customer| customer.to_string());
+    [("customer", customer), ("queue", queue.to_string())]
+}
+
+/// Counts the outcome of a caller's request.
+pub(crate) fn request(kind: &'static str, outcome: &impl std::fmt::Debug) {
+    let outcome = format!("{outcome:?}");
+    metrics::counter!("martenscale_requests_total", "kind" => kind, "outcome" => outcome).increment(1);
+}
+
+/// Counts the outcome of a call to a backend server.
+pub(crate) fn server_call(kind: &'static str, outcome: &'static str) {
+    metrics::counter!("martenscale_server_calls_total", "kind" => kind, "outcome" => outcome).increment(1);
+}
+
+/// The platform's store, with each call counted and timed.
+pub(crate) struct MeasuredStore<S>(pub(crate) S);
+
+async fn measured<T>(kind: &'static str, call: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
+    let begun = Instant::now();
+    let result = call.await;
+    let outcome = match &result {
+        Ok(_) => "answered",
+        Err(StoreError::Refused { .. }) => "refused",
+        Err(StoreError::Lost { .. }) => "lost",
+    };
+    metrics::counter!("martenscale_store_calls_total", "kind" => kind, "outcome" => outcome).increment(1);
+    if kind != "watch" {
+        metrics::histogram!("martenscale_store_call_seconds", "kind" => kind).record(begun.elapsed().as_secs_f64());
+    }
+    result
+}
+
+impl<S: CoordinationStore> CoordinationStore for MeasuredStore<S> {
+    fn get(&self, key: String) -> BoxFuture<'_, Result<Option<Item>, StoreError>> {
+        Box::pin(measured("get", self.0.get(key)))
+    }
+
+    fn range(&self, prefix: String) -> BoxFuture<'_, Result<Snapshot, StoreError>> {
+        Box::pin(measured("range", self.0.range(prefix)))
+    }
+
+    fn watch(&self, prefix: String, since: Revision, wait: Duration) -> BoxFuture<'_, Result<Watched, StoreError>> {
+        Box::pin(measured("watch", self.0.watch(prefix, since, wait)))
+    }
+
+    fn commit(&self, transaction: Transaction, limit: Duration) -> BoxFuture<'_, Result<Committed, StoreError>> {
+        Box::pin(measured("commit", self.0.commit(transaction, limit)))
+    }
+
+    fn grant(&self, ttl: Duration) -> BoxFuture<'_, Result<LeaseId, StoreError>> {
+        Box::pin(measured("grant", self.0.grant(ttl)))
+    }
+
+    fn keep(&self, lease: LeaseId) -> BoxFuture<'_, Result<bool, StoreError>> {
+        Box::pin(measured("keep", self.0.keep(lease)))
+    }
+
+    fn end(&self, lease: LeaseId) -> BoxFuture<'_, Result<(), StoreError>> {
+        Box::pin(measured("end", self.0.end(lease)))
+    }
+}
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/node.rs
@@ -4,6 +4,7 @@
 
 use model::{BoxId, Duration};
 use outside::{Change, Clock, CoordinationStore, Item, Put, Transaction};
+use serde::Serialize;
 use smol::net::TcpListener;
 use wire::relay::relay_server::RelayServer;
 
@@ -13,6 +14,7 @@
     follow::{Backoff, Seen, follow},
     keys,
     leader::{ActiveSlot, Parts},
+    measure::MeasuredStore,
     relay::{Peers, RelayService},
     requests::Requests,
     settings::Settings,
@@ -28,12 +30,44 @@
 /// Limit of a write that only tells where a box is.
 const WRITE_LIMIT: Duration = Duration::from_secs(1);
 
+/// What a box believes; fields of a scheduler are there on the box that schedules.
+#[derive(Debug, Clone, Serialize)]
+pub struct Status {
+    /// The box.
+    #[serde(rename = "box")]
+    pub box_id: BoxId,
+    /// New callers should come.
+    pub ready: bool,
+    /// It is leaving.
+    pub draining: bool,
+    /// The configuration in force here.
+    pub configuration_version: Option<u64>,
+    /// Since the store last answered.
+    pub store_silent_ms: Option<u64>,
+    /// The box that schedules, as far as this one knows.
+    pub scheduler: Option<BoxId>,
+    /// Its fence.
+    pub scheduler_fence: Option<u64>,
+    /// This box schedules, with this fence.
+    pub schedules_with_fence: Option<u64>,
+    /// Jobs of which something runs or may run.
+    pub open_jobs: Option<usize>,
+    /// Backend servers known.
+    pub servers: Option<usize>,
+    /// Backend servers not heard under this fence.
+    pub unheard_servers: Option<usize>,
+    /// Occurrences whose progress the store does not hold yet.
+    pub unstored: Option<usize>,
+}
+
 /// A box at work; dropping it ends all that it does.
 pub struct Node {
     /// Takes callers' requests.
     pub requests: Arc<Requests>,
     /// What the box believes.
     pub view: Arc<View>,
+    active: ActiveSlot,
+    box_id: BoxId,
     _tasks: Vec<smol::Task<()>>,
 }
 
@@ -42,11 +76,12 @@
     pub fn start(
         settings: Settings,
         listener: TcpListener,
-        store: Arc<dyn CoordinationStore>,
+        store: impl CoordinationStore,
         servers: Arc<dyn BackendServers>,
         decoder: Arc<dyn Decoder>,
         clock: Arc<dyn Clock>,
     ) -> Node {
+        let store: Arc<dyn CoordinationStore> = Arc::new(MeasuredStore(store));
         let view = Arc::new(View::new(clock, settings.store_silence));
         let peers = Arc::new(Peers::default());
         let active = ActiveSlot::default();
@@ -69,9 +104,49 @@
             smol::spawn(election::follow_leader(Arc::clone(&store), Arc::clone(&view))),
             smol::spawn(keep_boxes(settings.clone(), parts.clone())),
             smol::spawn(ask_for_configuration(relay, peers)),
-            smol::spawn(election::run(settings, parts, active)),
+            smol::spawn(election::run(settings.clone(), parts, active.clone())),
         ];
-        Node { requests, view, _tasks: tasks }
+        Node { requests, view, active, box_id: settings.box_id, _tasks: tasks }
+    }
+
+    /// What the box believes, with the age or version of each belief.
+    pub fn status(&self) -> Status {
+        let leader = self.view.leader();
+        let (fence, counts) = self.active.counts().unzip();
+        Status {
+            box_id: self.box_id.clone(),
+            ready: self.view.ready(),
+            draining: self.view.draining(),
+            configuration_version: self.view.configuration().map(|known| known.version),
+            store_silent_ms: self.view.store_age().map(Duration::millis),
+            scheduler: leader.as_ref().map(|leader| leader.box_id.clone()),
+            scheduler_fence: leader.map(|leader| leader.fence.0),
+            schedules_with_fence: fence.map(|fence| fence.0),
+            open_jobs: counts.map(|counts| counts.open_jobs),
+            servers: counts.map(|counts| counts.servers),
+            unheard_servers: counts.map(|counts| counts.unheard_servers),
+            unstored: counts.map(|counts| counts.unstored),
+        }
+    }
+
+    /// Sets the gauges that are read off the box when it is asked.
+    pub fn set_gauges(&self) {
+        let status = self.status();
+        let set = |name: &'static str, value: Option<f64>| {
+            if let Some(value) = value {
+                metrics::gauge!(name).set(value);
+            }
+        };
+        let number = |n: Option<usize>| n.map(|n| n as f64);
+        set("martenscale_ready", Some(f64::from(u8::from(status.ready))));
+        set("martenscale_configuration_version", status.configuration_version.map(|n| n as f64));
+        set("martenscale_store_silence_seconds", status.store_silent_ms.map(|ms| ms as f64 / 1000.0));
+        set("martenscale_scheduler_fence", status.scheduler_fence.map(|n| n as f64));
+        set("martenscale_schedules", Some(f64::from(u8::from(status.schedules_with_fence.is_some()))));
+        set("martenscale_open_jobs", Some(number(status.open_jobs).unwrap_or(0.0)));
+        set("martenscale_servers", Some(number(status.servers).unwrap_or(0.0)));
+        set("martenscale_unheard_servers", Some(number(status.unheard_servers).unwrap_or(0.0)));
+        set("martenscale_unstored_occurrences", Some(number(status.unstored).unwrap_or(0.0)));
     }
 }
 
--- a/crates/runtime/src/requests.rs
+++ b/crates/runtime/src/requests.rs
@@ -10,7 +10,7 @@
 use model::{CustomerId, Duration, Moment, Revision};
 use outside::{Committed, CoordinationStore, Item, Put, StoreError, Transaction};
 
-use crate::{follow::Backoff, keys, leader::ActiveSlot, relay::Peers, view::View};
+use crate::{follow::Backoff, keys, leader::ActiveSlot, measure, relay::Peers, view::View};
 
 /// One try of a write: above what a slow store takes (60 times its 4 ms), well below a caller's patience of 3 s.
 const WRITE_LIMIT: Duration = Duration::from_millis(700);
@@ -119,6 +119,12 @@
 
     /// Takes a job, within `limit`.
     pub async fn submit(&self, job: &Job, limit: Duration) -> SubmitOutcome {
+        let outcome = self.submit_anywhere(job, limit).await;
+        measure::request("submit", &outcome);
+        outcome
+    }
+
+    async fn submit_anywhere(&self, job: &Job, limit: Duration) -> SubmitOutcome {
         let until = self.now() + limit;
         let mut doubt = false;
         if self.view.reaches_store() {
@@ -146,7 +152,12 @@
             }
         }
         let outcome = if doubt { SubmitOutcome::Unknown } else { SubmitOutcome::Refused };
-        log::info!("job={} event=not_accepted outcome={outcome:?} store={}", job.id, self.view.reaches_store());
+        log::info!(
+            "job={} event=not_accepted outcome={outcome:?} store_reached={} store_silent_ms={}",
+            job.id,
+            self.view.reaches_store(),
+            self.view.store_age().map_or(-1, |age| age.millis() as i64)
+        );
         outcome
     }
 
@@ -163,7 +174,8 @@
         let transaction = Transaction { expect, put: vec![put], remove: Vec::new() };
         match self.commit(transaction, limit).await {
             Ok(Committed::Done(revision)) => {
-                log::info!("job={} event=accepted revision={revision} queue={}", job.id, job.queue);
+                let config = self.view.configuration().map_or(0, |known| known.version);
+                log::info!("job={} event=accepted revision={revision} queue={} config={config}", job.id, job.queue);
                 self.active.add_job(job);
                 SubmitOutcome::Accepted
             }
@@ -219,6 +231,7 @@
             }
         }
         log::info!("job={id} event=cancel_requested outcome={outcome:?}");
+        measure::request("cancel", &outcome);
         outcome
     }
 
@@ -261,6 +274,15 @@
 
     /// Tells how a job stands, within `limit`.
     pub async fn state(&self, id: JobId, customer: Option<&CustomerId>, limit: Duration) -> StateOutcome {
+        let outcome = self.state_anywhere(id, customer, limit).await;
+        measure::request("state", &outcome);
+        if outcome == StateOutcome::Unavailable {
+            log::info!("job={id} event=state_unavailable store={}", self.view.reaches_store());
+        }
+        outcome
+    }
+
+    async fn state_anywhere(&self, id: JobId, customer: Option<&CustomerId>, limit: Duration) -> StateOutcome {
         let until = self.now() + limit;
         let here = self.state_in_memory(id, customer);
         if settled(here) {
--- a/crates/runtime/src/view.rs
+++ b/crates/runtime/src/view.rs
@@ -112,6 +112,12 @@
         self.lock().store_seen.is_some_and(|seen| now.since(seen) <= self.store_silence)
     }
 
+    /// How long ago the store answered; `None` if it never has.
+    pub(crate) fn store_age(&self) -> Option<Duration> {
+        let now = self.clock.now();
+        self.lock().store_seen.map(|seen| now.since(seen))
+    }
+
     pub(crate) fn peer_answered(&self) {
         let now = self.clock.now();
         self.lock().peer_seen = Some(now);
--- a/crates/scheduler/src/health.rs
+++ b/crates/scheduler/src/health.rs
@@ -7,12 +7,15 @@
 const FAILED_JOBS: usize = 2;
 /// How long it is set aside before one task is tried on it.
 const SET_ASIDE: Duration = Duration::from_secs(8);
+/// How long a failure makes a backend server doubtful, unless something is done there before.
+const DOUBT: Duration = Duration::from_secs(6);
 
 /// What the ends of one backend server tell.
 #[derive(Debug, Default)]
 pub(crate) struct Health {
     /// Jobs that failed here since something was last done here.
     failed: Vec<JobId>,
+    last_failure: Option<Moment>,
     set_aside_until: Option<Moment>,
 }
 
@@ -27,6 +30,7 @@
         if !self.failed.contains(&job) {
             self.failed.push(job);
         }
+        self.last_failure = Some(now);
         let aside = self.failed.len() >= FAILED_JOBS;
         if aside {
             self.set_aside_until = Some(now + SET_ASIDE);
@@ -34,9 +38,10 @@
         aside
     }
 
-    /// Whether a task failed here and none has been done since.
-    pub(crate) fn doubtful(&self) -> bool {
-        !self.failed.is_empty()
+    /// Whether a task failed here lately and none has been done since.
+    pub(crate) fn doubtful(&self, now: Moment) -> bool {
+        let lately = self.last_failure.is_some_and(|at| now.since(at) < DOUBT);
+        lately && !self.failed.is_empty()
     }
 
     pub(crate) fn set_aside(&self, now: Moment) -> bool {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -15,6 +15,7 @@
 mod health;
 mod listing;
 mod live;
+mod observe;
 mod orders;
 mod plan;
 mod policy;
@@ -29,6 +30,7 @@
 pub use crate::{
     batch::{Batch, Entry},
     ends::{End, EndKind, Listing, RunningTask},
+    observe::Observation,
     orders::{Order, StartReply},
     policy::{CustomerPolicy, Policy, QueuePolicy, ServiceId},
     scheduler::{Counts, Scheduler},
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -1,6 +1,6 @@
 //! Listings of backend servers: ends are taken in, runs confirmed, strays stopped, losses found.
 
-use jobs::{JobId, RunNumber, TaskId};
+use jobs::{JobId, JobState, RunNumber, TaskId};
 use model::{BackendServerId, Moment};
 
 use crate::{
@@ -145,9 +145,13 @@
     fn note_end(&mut self, job: JobId, now: Moment) {
         let entry = self.jobs.get_mut(&job).expect("its group was just changed");
         let over = |progress: &jobs::Progress| progress.failed || progress.done();
-        if entry.occurrences.iter().all(|occurrence| over(&occurrence.progress)) {
-            entry.ended = Some(now);
+        if entry.ended.is_some() || !entry.occurrences.iter().all(|occurrence| over(&occurrence.progress)) {
+            return;
         }
+        entry.ended = Some(now);
+        let failed = entry.occurrences.iter().any(|occurrence| occurrence.progress.failed);
+        let state = if failed { JobState::Failed } else { JobState::Succeeded };
+        self.observe_end(job, state, now);
     }
 
     fn confirm(&mut self, id: &BackendServerId, running: &RunningTask, now: Moment) {
--- /dev/null
+++ b/crates/scheduler/src/observe.rs
@@ -0,0 +1,68 @@
+//! What the scheduler has seen happen to jobs, for metrics.
+
+use jobs::{JobState, QueueId};
+use model::{CustomerId, Duration, Moment};
+
+use crate::{Scheduler, live::JobEntry};
+
+/// Something that happened to a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Observation {
+    /// Its first task was placed.
+    Started {
+        /// Whose it is.
+        customer: Option<CustomerId>,
+        /// Its queue.
+        queue: QueueId,
+        /// Since it was accepted.
+        after: Duration,
+    },
+    /// Nothing of it runs or will run.
+    Ended {
+        /// Whose it is.
+        customer: Option<CustomerId>,
+        /// Its queue.
+        queue: QueueId,
+        /// How.
+        state: JobState,
+        /// Since it was accepted.
+        after: Duration,
+    },
+    /// A run was stopped.
+    Stopped {
+        /// Why.
+        why: String,
+    },
+}
+
+impl Scheduler {
+    /// What has happened since this was last asked.
+    pub fn take_observations(&mut self) -> Vec<Observation> {
+        std::mem::take(&mut self.observations)
+    }
+
+    /// The time of day, in milliseconds since 1970, by the clock readings of the latest plan.
+    pub(crate) fn wall_ms(&self, now: Moment) -> u64 {
+        let (at, wall_ms) = self.wall;
+        wall_ms + now.since(at).millis()
+    }
+
+    pub(crate) fn age(&self, entry: &JobEntry, now: Moment) -> Duration {
+        Duration::from_millis(self.wall_ms(now).saturating_sub(entry.job.accepted_ms))
+    }
+
+    pub(crate) fn observe_start(&mut self, id: jobs::JobId, now: Moment) {
+        let Some(entry) = self.jobs.get(&id) else { return };
+        let (customer, queue) = (entry.job.customer.clone(), entry.job.queue.clone());
+        let after = self.age(entry, now);
+        self.observations.push(Observation::Started { customer, queue, after });
+    }
+
+    pub(crate) fn observe_end(&mut self, id: jobs::JobId, state: JobState, now: Moment) {
+        let Some(entry) = self.jobs.get(&id) else { return };
+        let (customer, queue) = (entry.job.customer.clone(), entry.job.queue.clone());
+        let after = self.age(entry, now);
+        log::info!("job={id} event=over state={state} after_ms={} queue={queue}", after.millis());
+        self.observations.push(Observation::Ended { customer, queue, state, after });
+    }
+}
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -44,6 +44,8 @@
     pub(crate) need: Need,
     pub(crate) service: &'a ServiceId,
     pub(crate) urgent: bool,
+    /// One more failure costs much: the step is a gang, or has failed before.
+    careful: bool,
     /// Tasks of the step that each backend server runs already, if their number there is limited.
     here: BTreeMap<&'a BackendServerId, u64>,
 }
@@ -52,7 +54,8 @@
     /// Whether a task of the step may run there at all.
     pub(crate) fn allows(&self, room: &Room) -> bool {
         let labelled = self.step.label.as_ref().is_none_or(|label| room.labels.contains(label));
-        *self.service == room.service && labelled && room.capacity.contains(&self.need)
+        let trusted = !(self.careful && room.doubtful);
+        *self.service == room.service && trusted && labelled && room.capacity.contains(&self.need)
     }
 
     /// How many more tasks of the step may go there by its spread limit.
@@ -73,6 +76,7 @@
 impl Scheduler {
     /// Places what can start now, and stops what has to make room. `wall_ms` is the time of day.
     pub fn plan(&mut self, now: Moment, wall_ms: u64) {
+        self.wall = (now, wall_ms);
         self.refresh_ready(now);
         let mut guarantees = Guarantees::new(self);
         let candidates = self.candidates(wall_ms, &mut guarantees);
@@ -165,8 +169,10 @@
                 *here.entry(&member.server).or_insert(0) += 1;
             }
         }
+        let progress = &entry.occurrences[candidate.occurrence.number as usize].progress.groups[candidate.step];
+        let careful = step.gang || progress.iter().any(|group| !group.failed_runs.is_empty());
         let need = step.counted_need();
-        Some(Wanted { step, need, service: &queue.service, urgent: queue.priority == 0, here })
+        Some(Wanted { step, need, service: &queue.service, urgent: queue.priority == 0, careful, here })
     }
 
     /// What could start now, in the order in which it should.
--- a/crates/scheduler/src/rooms.rs
+++ b/crates/scheduler/src/rooms.rs
@@ -18,7 +18,7 @@
     pub(crate) free: Need,
     /// Free once everything that is being stopped has ended.
     pub(crate) soon: Need,
-    /// A task failed there and none has been done since.
+    /// A task failed there lately and none has been done since.
     pub(crate) doubtful: bool,
 }
 
@@ -96,7 +96,7 @@
                 capacity: info.capacity,
                 free,
                 soon,
-                doubtful: server.health.doubtful(),
+                doubtful: server.health.doubtful(now),
             };
             rooms.by_server.insert(id.clone(), room);
         }
--- a/crates/scheduler/src/runs.rs
+++ b/crates/scheduler/src/runs.rs
@@ -6,6 +6,7 @@
 use crate::{
     Scheduler,
     live::{Group, GroupId, Member, Phase, StopReason},
+    observe::Observation,
     orders::Order,
 };
 
@@ -73,6 +74,7 @@
             server.used.add(&need);
             server.members.insert(name.task(*index), run);
         }
+        self.log_placement(name, servers, now);
         self.change(name, |progress| {
             progress.run = run;
             progress.begun = true;
@@ -97,6 +99,29 @@
         group.members = servers.iter().map(member).collect();
     }
 
+    /// Says where a run goes, and what that rests on.
+    fn log_placement(&mut self, name: GroupId, servers: &[(u32, BackendServerId)], now: Moment) {
+        let job = name.occurrence.job;
+        let waited = self.group(name).ready_since.map_or(0, |since| now.since(since).millis());
+        let progress = self.progress_of(name);
+        log::info!(
+            "job={job} event=placed step={} group={} run={} tasks={} first_server={} waited_ms={waited} failed_runs={} \
+             saved={} config={} fence={}",
+            name.step,
+            name.group,
+            progress.run.next(),
+            servers.len(),
+            servers[0].1,
+            progress.failed_runs.len(),
+            progress.saved.is_some(),
+            self.policy.version,
+            self.fence
+        );
+        if !self.jobs[&job].occurrences.iter().any(|occurrence| occurrence.progress.begun()) {
+            self.observe_start(job, now);
+        }
+    }
+
     /// A member's run is over; its room is free.
     pub(crate) fn remove_member(&mut self, name: GroupId, index: u32, saved: Option<Saved>, now: Moment) {
         let need = self.step(name).counted_need();
@@ -131,6 +156,7 @@
         group.stopping = Some(reason);
         let members = group.members.clone();
         log::info!("job={} event=stopping step={} group={} why={reason}", name.occurrence.job, name.step, name.group);
+        self.observations.push(Observation::Stopped { why: reason.to_string() });
         for member in members {
             if member.phase == Phase::Planned {
                 self.remove_member(name, member.index, None, now);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     live::{GroupId, JobEntry, Member, Phase, StopReason},
+    observe::Observation,
     orders::{Order, StartReply},
     policy::Policy,
     ready::ReadySteps,
@@ -59,6 +60,9 @@
     /// Occurrences that may have starts to send since the store took their progress.
     pub(crate) unsent: BTreeSet<OccurrenceId>,
     pub(crate) orders: Vec<Order>,
+    pub(crate) observations: Vec<Observation>,
+    /// The clocks at the latest plan: this process's own, and the time of day.
+    pub(crate) wall: (Moment, u64),
     pub(crate) deposed: bool,
 }
 
@@ -81,6 +85,8 @@
             dirty: BTreeSet::new(),
             unsent: BTreeSet::new(),
             orders: Vec::new(),
+            observations: Vec::new(),
+            wall: (elected, 0),
             deposed: false,
         }
     }
@@ -174,7 +180,7 @@
         if std::mem::replace(&mut entry.cancelled, true) {
             return;
         }
-        entry.ended = Some(now);
+        let over_before = entry.ended.replace(now).is_some();
         let occurrences = (0..entry.occurrences.len() as u32).map(|number| OccurrenceId { job: id, number });
         self.changed.extend(occurrences);
         self.plan_wanted = true;
@@ -182,6 +188,9 @@
         for name in self.group_names(id) {
             self.stop_group(name, StopReason::Cancelled, now);
         }
+        if !over_before {
+            self.observe_end(id, JobState::Cancelled, now);
+        }
     }
 
     /// What a caller may be told, and whose the job is.
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -397,7 +397,7 @@
         let job = self.jobs[&task.occurrence.job].clone();
         let step = &job.steps[task.step as usize];
         let fails = self.now < self.fail_tasks_until && self.rng.u8(..) < 100;
-        let work = if saved { 300 } else { 600 } + self.rng.u64(..800);
+        let work = if saved { 300 } else { 600 } + self.rng.u64(..800) + self.long_work();
         let new = Run { run, left: (!step.gang).then_some(work), waited: 0, fails, saved: None };
         let mut used = Need::default();
         for other in self.servers[id].running.keys() {
@@ -412,6 +412,11 @@
         reply
     }
 
+    /// One run in four outlasts a lease.
+    fn long_work(&mut self) -> u64 {
+        if self.rng.u8(..) < 64 { 8000 } else { 0 }
+    }
+
     fn run_servers(&mut self) {
         self.begin_gangs();
         let ids: Vec<BackendServerId> = self.servers.keys().cloned().collect();
@@ -454,7 +459,7 @@
         }
         for ((occurrence, step, _), members) in present {
             if members.len() == self.jobs[&occurrence.job].steps[step as usize].count as usize {
-                let work = 600 + self.rng.u64(..800);
+                let work = 600 + self.rng.u64(..800) + self.long_work();
                 for (server, task) in members {
                     self.servers.get_mut(&server).unwrap().running.get_mut(&task).unwrap().left = Some(work);
                 }
