--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -44,7 +44,7 @@
     pub(crate) need: Need,
     pub(crate) service: &'a ServiceId,
     pub(crate) urgent: bool,
-    /// One more failure costs much: the step is a gang, or has failed before.
+    /// It has failed before: one more failure costs much.
     careful: bool,
     /// Tasks of the step that each backend server runs already, if their number there is limited.
     here: BTreeMap<&'a BackendServerId, u64>,
@@ -170,7 +170,7 @@
             }
         }
         let progress = &entry.occurrences[candidate.occurrence.number as usize].progress.groups[candidate.step];
-        let careful = step.gang || progress.iter().any(|group| !group.failed_runs.is_empty());
+        let careful = progress.iter().any(|group| !group.failed_runs.is_empty());
         let need = step.counted_need();
         Some(Wanted { step, need, service: &queue.service, urgent: queue.priority == 0, careful, here })
     }
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -295,7 +295,9 @@
                 let server = self.servers.get_mut(&server).unwrap();
                 let reply = server.hold(fence, acknowledged, until);
                 let (id, clock) = (server.id.clone(), server.clock_ms());
-                self.after(STEP_MS, Event::Held { leader, server: id, reply, clock, sent });
+                // An answer may be overtaken by later ones on other connections.
+                let delay = STEP_MS * (1 + self.rng.u64(..6));
+                self.after(delay, Event::Held { leader, server: id, reply, clock, sent });
             }
             Event::Held { leader, server, reply, clock, sent } => {
                 let reachable = self.reachable(&server);
