Test real boxes on a stand-in for the users' platform; leave no needless doubt

One failed at first: with a store that refuses everything, callers were told 504 (may have run) where 503 (has not) was true. A relayed write got as much time as its asker waited, and tries were made with a few milliseconds left; both left an outcome in doubt that was none.

--- /dev/null
+++ b/crates/martend/tests/deployment.rs
@@ -0,0 +1,233 @@
+//! Real processes of `martend` on a stand-in for the users' platform, killed, stopped and cut from the store.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    time::{Duration, Instant},
+};
+
+use hyper::{Method, StatusCode};
+use jobs::JobId;
+use net::http::Client;
+use users_platform_standin::{Answer, Caller, Platform, Setup, Work};
+
+const KEY: &str = "key-1";
+/// Far above what is needed, so that only a hang reaches it.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A box's process, killed when dropped.
+struct BoxProcess {
+    child: Child,
+    addrs: [SocketAddr; 4],
+}
+
+impl Drop for BoxProcess {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+struct World {
+    platform: Platform,
+    boxes: Vec<BoxProcess>,
+    caller: Caller,
+    client: Client,
+}
+
+/// Four addresses for a box. Each box has a loopback address of its own, so that nothing else can take a port
+/// between here and the box's start.
+fn free_addrs() -> [SocketAddr; 4] {
+    static BOXES: AtomicU32 = AtomicU32::new(0);
+    let n = BOXES.fetch_add(1, Ordering::Relaxed);
+    let pid = std::process::id();
+    let ip = Ipv4Addr::new(127, 1 + (pid % 200) as u8, (pid / 200 % 250) as u8, 1 + n as u8);
+    let listeners = [(); 4].map(|()| TcpListener::bind((ip, 0)).expect("a port is free"));
+    listeners.map(|listener| listener.local_addr().expect("it is bound"))
+}
+
+fn start_box(platform: &Platform, name: &str, addrs: [SocketAddr; 4], seeds: &[SocketAddr]) -> BoxProcess {
+    let path = std::env::temp_dir().join(format!("martend-{}-{}-{name}.json", std::process::id(), addrs[0].port()));
+    std::fs::write(&path, platform.settings(name, &addrs, seeds)).expect("the temporary directory can be written");
+    let child = Command::new(env!("CARGO_BIN_EXE_martend"))
+        .env("MARTENSCALE_CONFIG", &path)
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the box starts");
+    BoxProcess { child, addrs }
+}
+
+impl World {
+    async fn start(boxes: usize, servers: usize) -> World {
+        let platform = Platform::start(&Setup { servers, key: KEY.to_owned() }).await.expect("loopback can be used");
+        let all: Vec<[SocketAddr; 4]> = (0..boxes).map(|_| free_addrs()).collect();
+        let seeds: Vec<SocketAddr> = all.iter().map(|addrs| addrs[2]).collect();
+        let boxes = all.iter().enumerate().map(|(i, addrs)| start_box(&platform, &format!("box-{i}"), *addrs, &seeds));
+        let boxes = boxes.collect();
+        let caller = Caller::new(KEY, platform.oracle.clone());
+        let world = World { platform, boxes, caller, client: Client::default() };
+        for i in 0..world.boxes.len() {
+            world.until_ready(i).await;
+        }
+        world
+    }
+
+    async fn until_ready(&self, i: usize) {
+        let addr = self.boxes[i].addrs[1];
+        until("the box is ready", || async {
+            let reply = self.client.call(addr, Method::GET, "/v1/ready", Default::default(), PATIENCE).await;
+            reply.is_ok_and(|reply| reply.status == StatusCode::OK)
+        })
+        .await;
+    }
+
+    /// The box that schedules.
+    async fn scheduler(&self) -> usize {
+        let begun = Instant::now();
+        while begun.elapsed() < PATIENCE {
+            for (i, a_box) in self.boxes.iter().enumerate() {
+                let status = self.client.call(a_box.addrs[3], Method::GET, "/v1/status", Default::default(), PATIENCE);
+                let Ok(reply) = status.await else { continue };
+                let status: serde_json::Value = reply.json().expect("the status is JSON");
+                if !status["schedules_with_fence"].is_null() {
+                    return i;
+                }
+            }
+            smol::Timer::after(Duration::from_millis(20)).await;
+        }
+        panic!("no box schedules");
+    }
+
+    /// Hands a job in at one box after another until it is accepted.
+    async fn submit(&self, id: JobId, work: Work) {
+        let begun = Instant::now();
+        for i in (0..self.boxes.len()).cycle() {
+            let answer = self.caller.submit(self.boxes[i].addrs[0], id, work).await;
+            if answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
+                return;
+            }
+            assert!(begun.elapsed() < PATIENCE, "{id} is not accepted");
+            smol::Timer::after(Duration::from_millis(50)).await;
+        }
+    }
+
+    async fn state(&self, i: usize, id: JobId) -> Option<Answer> {
+        self.caller.state(self.boxes[i].addrs[0], id).await.ok()
+    }
+
+    async fn until_succeeded(&self, i: usize, ids: impl Iterator<Item = u64>, tasks: usize) {
+        for id in ids.map(JobId) {
+            until("the job has succeeded", || async {
+                self.state(i, id).await.is_some_and(|answer| answer.state == "succeeded")
+            })
+            .await;
+            assert_eq!(self.platform.oracle.done_tasks(id), tasks, "{id} is shown as succeeded");
+        }
+    }
+}
+
+async fn until<F: Future<Output = bool>>(what: &str, check: impl Fn() -> F) {
+    let begun = Instant::now();
+    while !check().await {
+        assert!(begun.elapsed() < PATIENCE, "waited for: {what}");
+        smol::Timer::after(Duration::from_millis(20)).await;
+    }
+}
+
+const WORK: Work = Work { tasks: 3, accelerators: 2, work_ms: 300 };
+
+#[test]
+fn jobs_outlive_the_scheduler_and_run_once() {
+    smol::block_on(async {
+        let mut world = World::start(3, 4).await;
+        for id in 1..=10 {
+            world.submit(JobId(id), WORK).await;
+        }
+        let scheduler = world.scheduler().await;
+        world.boxes[scheduler].child.kill().expect("it runs");
+        for id in 11..=20 {
+            world.submit(JobId(id), WORK).await;
+        }
+        let other = (scheduler + 1) % 3;
+        world.until_succeeded(other, 1..=20, 3).await;
+        assert_eq!(world.platform.oracle.broken(), Vec::<String>::new());
+        assert_eq!(world.platform.oracle.begun(), 60, "nothing was run for nothing");
+    });
+}
+
+#[test]
+fn accepted_jobs_outlive_all_boxes() {
+    smol::block_on(async {
+        let mut world = World::start(2, 3).await;
+        for id in 1..=6 {
+            world.submit(JobId(id), WORK).await;
+        }
+        for a_box in &mut world.boxes {
+            a_box.child.kill().expect("it runs");
+        }
+        let addrs = free_addrs();
+        world.boxes.push(start_box(&world.platform, "box-new", addrs, &[]));
+        world.until_ready(2).await;
+        world.until_succeeded(2, 1..=6, 3).await;
+        assert_eq!(world.platform.oracle.broken(), Vec::<String>::new());
+    });
+}
+
+#[test]
+fn a_store_that_is_down_brings_true_refusals_and_loses_nothing() {
+    smol::block_on(async {
+        let world = World::start(2, 2).await;
+        world.submit(JobId(1), Work { work_ms: 1500, ..WORK }).await;
+        until("the job runs", || async { world.platform.oracle.begun() == 3 }).await;
+        world.platform.set_store_down(true);
+        let refused = world.caller.submit(world.boxes[0].addrs[0], JobId(2), WORK).await.expect("it is answered");
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        smol::Timer::after(Duration::from_millis(2500)).await;
+        world.platform.set_store_down(false);
+        world.until_succeeded(1, 1..=1, 3).await;
+        assert_eq!(world.platform.oracle.begun(), 3, "the refused job does not run");
+        assert_eq!(world.platform.oracle.broken(), Vec::<String>::new());
+    });
+}
+
+#[test]
+fn a_cancelled_job_stops_and_unknown_keys_are_refused() {
+    smol::block_on(async {
+        let world = World::start(1, 1).await;
+        let addr = world.boxes[0].addrs[0];
+        world.submit(JobId(1), Work { work_ms: 30_000, ..WORK }).await;
+        until("the job runs", || async { world.platform.oracle.begun() == 3 }).await;
+        let stranger = Caller::new("no-such-key", world.platform.oracle.clone());
+        let denied = stranger.state(addr, JobId(1)).await.expect("it is answered");
+        assert_eq!(denied.status, StatusCode::UNAUTHORIZED);
+        let cancelled = world.caller.cancel(addr, JobId(1)).await.expect("it is answered");
+        assert_eq!(cancelled.status, StatusCode::OK);
+        world.submit(JobId(2), Work { tasks: 4, accelerators: 2, work_ms: 50 }).await;
+        world.until_succeeded(0, 2..=2, 4).await;
+        assert_eq!(world.state(0, JobId(1)).await.map(|answer| answer.state), Some("cancelled".to_owned()));
+        let unknown = world.caller.state(addr, JobId(99)).await.expect("it is answered");
+        assert_eq!(unknown.status, StatusCode::GONE);
+    });
+}
+
+#[test]
+fn a_box_that_is_told_to_end_answers_what_it_has_and_hands_over() {
+    smol::block_on(async {
+        let mut world = World::start(2, 2).await;
+        let scheduler = world.scheduler().await;
+        world.submit(JobId(1), Work { work_ms: 800, ..WORK }).await;
+        let pid = world.boxes[scheduler].child.id().to_string();
+        let told = Command::new("kill").args(["-TERM", &pid]).status().expect("kill can be run");
+        assert!(told.success());
+        // It still answers on new connections until the balancer has taken it out.
+        let answer = world.state(scheduler, JobId(1)).await.expect("it is answered");
+        assert_ne!(answer.status, StatusCode::GONE);
+        world.until_succeeded(1 - scheduler, 1..=1, 3).await;
+        let ended = world.boxes[scheduler].child.wait().expect("it ends");
+        assert!(ended.success(), "{ended}");
+        assert_eq!(world.platform.oracle.begun(), 3);
+        assert_eq!(world.platform.oracle.broken(), Vec::<String>::new());
+    });
+}
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -86,11 +86,22 @@
     ///
     /// A connection whose reply did not come in time is closed: nothing more is to be expected of it.
     pub async fn send(&self, addr: SocketAddr, req: Request<Bytes>, limit: Duration) -> Result<Reply, NetError> {
+        self.send_as(addr, &addr.to_string(), req, limit).await
+    }
+
+    /// Sends one request that names `host`, as [`Client::send`] does.
+    pub async fn send_as(
+        &self,
+        addr: SocketAddr,
+        host: &str,
+        req: Request<Bytes>,
+        limit: Duration,
+    ) -> Result<Reply, NetError> {
         let begun = std::time::Instant::now();
         let connecting = within(limit, self.sender(addr)).await;
         let mut sender = connecting.map_err(|e| NetError::Unsent { why: e.to_string() })?;
         let (mut parts, body) = req.into_parts();
-        let host = HeaderValue::from_str(&addr.to_string()).expect("an address is a valid header");
+        let host = HeaderValue::from_str(host).map_err(|e| NetError::Unsent { why: e.to_string() })?;
         parts.headers.insert(HOST, host);
         parts.headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         let req = Request::from_parts(parts, Full::new(body));
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -33,7 +33,12 @@
     }
 
     pub(crate) async fn wait(&mut self) {
-        let pause = self.pause.scaled(0.5 + fastrand::f64() / 2.0);
+        self.wait_at_most(LONGEST_PAUSE).await;
+    }
+
+    /// Waits, but no longer than what is left of the caller's time.
+    pub(crate) async fn wait_at_most(&mut self, left: Duration) {
+        let pause = self.pause.scaled(0.5 + fastrand::f64() / 2.0).min(left);
         self.pause = self.pause.scaled(2.0).min(LONGEST_PAUSE);
         smol::Timer::after(pause.into()).await;
     }
--- a/crates/runtime/src/relay.rs
+++ b/crates/runtime/src/relay.rs
@@ -20,6 +20,9 @@
 
 /// No call to another box takes longer, whatever its own limit.
 const CHANNEL_LIMIT: std::time::Duration = std::time::Duration::from_secs(5);
+/// The other box gets so much less time than its asker waits, so that its answer is not missed: an answer that
+/// is missed leaves the asker in doubt.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 /// Longest message between boxes, in bytes: the store's values reach 1 MB.
 const MAX_MESSAGE: usize = 4 * 1024 * 1024;
 
@@ -41,7 +44,7 @@
     /// Has another box store a job.
     pub(crate) async fn submit(&self, addr: SocketAddr, job: &Job, limit: Duration) -> SubmitOutcome {
         let body = serde_json::to_vec(job).expect("our own types always serialize");
-        let req = relay::SubmitRequest { job: body, limit_ms: limit.millis() };
+        let req = relay::SubmitRequest { job: body, limit_ms: others_limit(limit) };
         let mut client = self.client(addr);
         match within(limit, client.submit(req)).await {
             Ok(reply) => match reply.outcome() {
@@ -64,7 +67,7 @@
         limit: Duration,
     ) -> CancelOutcome {
         let customer = customer.map(ToString::to_string).unwrap_or_default();
-        let req = relay::CancelRequest { job: id.to_string(), customer, limit_ms: limit.millis() };
+        let req = relay::CancelRequest { job: id.to_string(), customer, limit_ms: others_limit(limit) };
         let mut client = self.client(addr);
         match within(limit, client.cancel(req)).await.map(|reply| reply.outcome()) {
             Ok(cancel_reply::Outcome::Cancelled) => CancelOutcome::Cancelled,
@@ -85,7 +88,7 @@
         limit: Duration,
     ) -> StateOutcome {
         let customer = customer.map(ToString::to_string).unwrap_or_default();
-        let req = relay::StateRequest { job: id.to_string(), customer, limit_ms: limit.millis(), scheduler_only };
+        let req = relay::StateRequest { job: id.to_string(), customer, limit_ms: others_limit(limit), scheduler_only };
         let mut client = self.client(addr);
         let Ok(reply) = within(limit, client.state(req)).await else { return StateOutcome::Unavailable };
         match reply.state() {
@@ -115,6 +118,10 @@
     }
 }
 
+fn others_limit(limit: Duration) -> u64 {
+    limit.millis().saturating_sub(ANSWER_MARGIN.millis())
+}
+
 /// Whether a failed call cannot have reached the other box's work.
 fn never_sent(status: &Status) -> bool {
     status.code() == tonic::Code::ResourceExhausted
--- a/crates/runtime/src/requests.rs
+++ b/crates/runtime/src/requests.rs
@@ -14,6 +14,8 @@
 
 /// One try of a write: above what a slow store takes (60 times its 4 ms).
 const WRITE_LIMIT: Duration = Duration::from_millis(450);
+/// A write is not tried with less time than this left: about what a slow store's answer takes.
+const SHORTEST_TRY: Duration = Duration::from_millis(250);
 /// All tries of a write from here. A caller has 3 s in all and may do better at another box: it is told in time.
 const STORE_LIMIT: Duration = Duration::from_millis(900);
 /// One try of a question to another box.
@@ -198,22 +200,24 @@
     async fn commit(&self, transaction: Transaction, limit: Duration) -> Result<Committed, StoreError> {
         let until = self.now() + limit;
         let mut backoff = Backoff::new();
-        let mut lost = None;
+        let mut error = StoreError::Refused { why: "no time is left".to_owned() };
         loop {
-            let left = until.since(self.now()).min(WRITE_LIMIT);
-            match self.store.commit(transaction.clone(), left).await {
+            let left = until.since(self.now());
+            // A try that is cut short would only leave its outcome in doubt.
+            if left < SHORTEST_TRY {
+                return Err(error);
+            }
+            match self.store.commit(transaction.clone(), left.min(WRITE_LIMIT)).await {
                 Ok(committed) => {
                     self.view.store_answered();
                     return Ok(committed);
                 }
-                Err(e @ StoreError::Lost { .. }) => lost = Some(e),
-                Err(e) if self.now() >= until => return Err(lost.unwrap_or(e)),
-                Err(StoreError::Refused { .. }) => {}
-            }
-            if self.now() >= until {
-                return Err(lost.unwrap_or(StoreError::Refused { why: "time is up".to_owned() }));
+                Err(e @ StoreError::Lost { .. }) => error = e,
+                // A refusal of this try says nothing of an earlier one that was lost.
+                Err(e) if matches!(error, StoreError::Refused { .. }) => error = e,
+                Err(_) => {}
             }
-            backoff.wait().await;
+            backoff.wait_at_most(until.since(self.now())).await;
         }
     }
 
@@ -250,7 +254,7 @@
             match self.store.get(keys::job(id)).await {
                 Ok(item) => break item.and_then(|item| serde_json::from_slice::<Job>(&item.value).ok()),
                 Err(_) if self.now() >= until => return CancelOutcome::Refused,
-                Err(_) => backoff.wait().await,
+                Err(_) => backoff.wait_at_most(until.since(self.now())).await,
             }
         };
         if job.as_ref().is_some_and(|job| !may_see(job.customer.as_ref(), customer)) {
