--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod batch;
 mod ends;
+mod forget;
 mod guarantee;
 mod health;
 mod listing;
@@ -30,6 +31,7 @@
 pub use crate::{
     batch::{Batch, Entry},
     ends::{End, EndKind, Listing, RunningTask},
+    forget::Forgettable,
     observe::Observation,
     orders::{Order, StartReply},
     policy::{CustomerPolicy, Policy, QueuePolicy, ServiceId},
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -117,7 +117,10 @@
         {
             log::warn!("server={id} event=set_aside why=failures_of_several_jobs");
         }
-        self.group_mut(name).avoid.push(id.clone());
+        let avoid = &mut self.group_mut(name).avoid;
+        if !avoid.contains(id) {
+            avoid.push(id.clone());
+        }
         if self.step(name).long_running || self.progress_of(name).failed_runs.contains(&run) {
             return;
         }
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -18,6 +18,9 @@
 /// Below this share in use, nothing that fits is held back (users' rules: half of a service's capacity).
 const LITTLE_USED: f64 = 0.55;
 
+/// How long a group waits for another backend server than one where it failed.
+const AVOID: Duration = Duration::from_secs(3);
+
 /// Groups of one step that could start.
 #[derive(Debug)]
 pub(crate) struct Candidate {
@@ -27,6 +30,8 @@
     pub(crate) priority: u32,
     /// Its customer holds a guarantee that covers it.
     pub(crate) guaranteed: bool,
+    /// Its tasks run until the job is cancelled, and must run again soon however full the service is.
+    pub(crate) long_running: bool,
     hopeless: bool,
     /// Wall-clock milliseconds by which its job should end.
     deadline_ms: u64,
@@ -43,6 +48,7 @@
     pub(crate) step: &'a Step,
     pub(crate) need: Need,
     pub(crate) service: &'a ServiceId,
+    /// It may take the place of others.
     pub(crate) urgent: bool,
     /// It has failed before: one more failure costs much.
     careful: bool,
@@ -101,13 +107,13 @@
         let name = candidate.group(0);
         let Some(wanted) = self.wanted(candidate) else { return };
         let count = u64::from(wanted.step.count);
-        if !wanted.urgent && !self.leaves_headroom(&wanted, count, rooms) {
+        if !wanted.urgent && !self.leaves_headroom(&wanted, 0, count, rooms) {
             return;
         }
-        let free = self.choose_gang(name, &wanted, rooms, |room| room.free);
+        let free = self.choose_gang(name, &wanted, rooms, |room| room.free, now);
         let soon = if wanted.urgent && free.is_none() {
             // Room that is being made counts as taken, so that nothing slips in and no more is stopped for it.
-            self.choose_gang(name, &wanted, rooms, |room| room.soon)
+            self.choose_gang(name, &wanted, rooms, |room| room.soon, now)
         } else {
             None
         };
@@ -120,7 +126,7 @@
         } else if urgent {
             self.preempt_for(candidate, count, rooms, guarantees, now);
             let Some(wanted) = self.wanted(candidate) else { return };
-            if let Some(places) = self.choose_gang(name, &wanted, rooms, |room| room.soon) {
+            if let Some(places) = self.choose_gang(name, &wanted, rooms, |room| room.soon, now) {
                 rooms.claim(&need, &places);
             }
         }
@@ -149,12 +155,14 @@
         }
     }
 
-    /// Whether enough accelerators stay free for urgent jobs if `count` tasks start. While the service is
-    /// used little, work is never held back for that.
-    fn leaves_headroom(&self, wanted: &Wanted<'_>, count: u64, rooms: &Rooms) -> bool {
+    /// Whether enough accelerators stay free for urgent jobs if `count` tasks start beside `taken` that are
+    /// about to. While the service is used little, work is never held back for that.
+    fn leaves_headroom(&self, wanted: &Wanted<'_>, taken: u64, count: u64, rooms: &Rooms) -> bool {
         let totals = rooms.totals(wanted.service);
-        let asked = (wanted.need.accelerators * count) as f64 + totals.all as f64 * self.timing.headroom;
-        totals.free as f64 >= asked || (totals.used as f64) < totals.all as f64 * LITTLE_USED
+        let each = wanted.need.accelerators;
+        let asked = (each * (taken + count)) as f64 + totals.all as f64 * self.timing.headroom;
+        let used = totals.used + each * taken;
+        totals.free as f64 >= asked || (used as f64) < totals.all as f64 * LITTLE_USED
     }
 
     /// `None` if no configuration has named the job's queue.
@@ -172,7 +180,8 @@
         let progress = &entry.occurrences[candidate.occurrence.number as usize].progress.groups[candidate.step];
         let careful = progress.iter().any(|group| !group.failed_runs.is_empty());
         let need = step.counted_need();
-        Some(Wanted { step, need, service: &queue.service, urgent: queue.priority == 0, careful, here })
+        let urgent = queue.priority == 0 || step.long_running;
+        Some(Wanted { step, need, service: &queue.service, urgent, careful, here })
     }
 
     /// What could start now, in the order in which it should.
@@ -194,6 +203,7 @@
                     groups: groups.clone(),
                     priority: queue.priority,
                     guaranteed: false,
+                    long_running: entry.job.steps[*step].long_running,
                     hopeless: wall_ms > from + objective.scaled(HOPELESSLY_LATE).millis(),
                     deadline_ms: from + objective.millis(),
                 });
@@ -237,11 +247,11 @@
             let mut skipped = Vec::new();
             while fitting > 0 && !left.is_empty() {
                 let taken = places.len() as u64;
-                if !wanted.urgent && !self.leaves_headroom(wanted, taken + 1, rooms) {
+                if !wanted.urgent && !self.leaves_headroom(wanted, taken, 1, rooms) {
                     break;
                 }
                 let group = left.remove(0);
-                if self.group(candidate.group(group)).avoid.contains(id) {
+                if self.avoids(candidate.group(group), id, now) {
                     skipped.push(group);
                     continue;
                 }
@@ -253,6 +263,13 @@
         places
     }
 
+    /// A group keeps off backend servers where it failed, unless it has waited for another.
+    pub(crate) fn avoids(&self, name: GroupId, id: &BackendServerId, now: Moment) -> bool {
+        let group = self.group(name);
+        let waited = group.ready_since.map_or(Duration::ZERO, |since| now.since(since));
+        group.avoid.contains(id) && waited < AVOID
+    }
+
     /// A task runs longer away from its data: it waits as long as that would cost before it goes there.
     fn far_is_worth_it(&self, candidate: &Candidate, step: &Step, now: Moment) -> bool {
         let Some(rack) = &step.data_rack else { return true };
@@ -268,10 +285,10 @@
         wanted: &Wanted<'_>,
         rooms: &Rooms,
         part: impl Fn(&Room) -> Need + Copy,
+        now: Moment,
     ) -> Option<Places> {
-        let avoid = &self.group(name).avoid;
         let allowed: Vec<(&BackendServerId, &Room)> =
-            rooms.iter().filter(|(id, room)| wanted.allows(room) && !avoid.contains(id)).collect();
+            rooms.iter().filter(|(id, room)| wanted.allows(room) && !self.avoids(name, id, now)).collect();
         let slots_by = |part: &dyn Fn(&Room) -> Need| -> BTreeMap<&Arc<str>, u64> {
             let mut slots = BTreeMap::new();
             for (id, room) in &allowed {
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -72,9 +72,9 @@
         now: Moment,
     ) -> Vec<GroupId> {
         let Some(wanted) = self.wanted(candidate) else { return Vec::new() };
-        let avoid = if wanted.step.gang { &self.group(candidate.group(0)).avoid[..] } else { &[] };
+        let avoids = |id: &BackendServerId| wanted.step.gang && self.avoids(candidate.group(0), id, now);
         let mut by_rack: BTreeMap<Option<&Arc<str>>, Vec<Vec<Offer>>> = BTreeMap::new();
-        for (id, room) in rooms.iter().filter(|(id, room)| wanted.allows(room) && !avoid.contains(id)) {
+        for (id, room) in rooms.iter().filter(|(id, room)| wanted.allows(room) && !avoids(id)) {
             let rack = wanted.step.same_rack.then_some(&room.rack);
             let offers = self.offers(candidate, &wanted, id, room, guarantees, now);
             by_rack.entry(rack).or_default().push(offers);
@@ -131,10 +131,12 @@
         let entry = &self.jobs[&name.occurrence.job];
         let priority = self.policy.queues.get(&entry.job.queue).map_or(u32::MAX, |queue| queue.priority);
         let reclaimed = candidate.guaranteed && guarantees.is_beyond(entry.job.customer.as_ref());
-        if priority <= candidate.priority && !reclaimed {
+        let step = self.step(name);
+        // What lasts must run again soon, so it takes the place of its equals that end by themselves.
+        let outlasted = candidate.long_running && priority == candidate.priority && !step.long_running;
+        if priority <= candidate.priority && !reclaimed && !outlasted || !self.may_be_absent(name) {
             return None;
         }
-        let step = self.step(name);
         let ran = now.since(group.placed_at).secs_f64();
         let lost = if step.checkpoints { ran.min(UNSAVED_S) } else { ran };
         let waste = weight(&step.need) * (group.members.len() as f64) * (lost + RESTART_S);
@@ -142,6 +144,17 @@
     }
 }
 
+impl Scheduler {
+    /// Whether one more task of the step may be away through the system's doing.
+    fn may_be_absent(&self, name: GroupId) -> bool {
+        let Some(most) = self.step(name).max_absent else { return true };
+        let occurrence = &self.jobs[&name.occurrence.job].occurrences[name.occurrence.number as usize];
+        let away = |group: &&crate::live::Group| group.members.is_empty() || group.stopping.is_some();
+        let absent = occurrence.groups[name.step].iter().filter(away).count();
+        absent < most as usize
+    }
+}
+
 /// The cheapest runs whose end makes room for `count` tasks.
 fn cheapest(offers: &[Vec<Offer>], count: u64) -> Option<(f64, Vec<GroupId>)> {
     // By what each further task costs, taking a backend server as a whole at its best rate.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -45,6 +45,8 @@
     pub(crate) servers: BTreeMap<BackendServerId, Server>,
     /// Jobs of which something runs or may run.
     pub(crate) open: BTreeSet<JobId>,
+    /// Jobs that were cancelled before they came; the store holds a mark that keeps them from coming.
+    pub(crate) cancelled_before: BTreeMap<JobId, Moment>,
     /// Occurrences that were touched since the last plan.
     pub(crate) changed: BTreeSet<OccurrenceId>,
     /// What could start.
@@ -76,6 +78,7 @@
             policy,
             jobs: BTreeMap::new(),
             open: BTreeSet::new(),
+            cancelled_before: BTreeMap::new(),
             changed: BTreeSet::new(),
             ready: BTreeMap::new(),
             with_ends: BTreeSet::new(),
@@ -143,6 +146,11 @@
         occurrence.store_revision = revision;
         occurrence.stored_progress = progress.clone();
         occurrence.progress = progress;
+        self.changed.insert(id);
+        let over = |o: &crate::live::Occurrence| o.progress.failed || o.progress.done();
+        if entry.occurrences.iter().all(over) {
+            entry.ended.get_or_insert(self.elected);
+        }
         self.restore_members(id, &job);
     }
 
@@ -176,7 +184,10 @@
 
     /// The caller does not want the job any more; the store holds that.
     pub fn cancel(&mut self, id: JobId, now: Moment) {
-        let Some(entry) = self.jobs.get_mut(&id) else { return };
+        let Some(entry) = self.jobs.get_mut(&id) else {
+            self.cancelled_before.entry(id).or_insert(now);
+            return;
+        };
         if std::mem::replace(&mut entry.cancelled, true) {
             return;
         }
--- /dev/null
+++ b/crates/scheduler/tests/plan.rs
@@ -0,0 +1,171 @@
+//! Where and when work starts, and what makes room for it.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::{Fixture, Started, gang, info, job, job_in, server_id, step};
+use jobs::{JobId, Schedule, Step};
+use scheduler::{EndKind, Order};
+
+fn ids(started: &[Started]) -> Vec<u64> {
+    let mut ids: Vec<u64> = started.iter().map(|started| started.task.occurrence.job.0).collect();
+    ids.dedup();
+    ids
+}
+
+fn stopped(fixture: &Fixture) -> Vec<u64> {
+    let id = |order: &Order| match order {
+        Order::Start { task, .. } | Order::Stop { task, .. } => task.occurrence.job.0,
+    };
+    fixture.stops.iter().map(id).collect()
+}
+
+#[test]
+fn a_step_waits_for_the_steps_before_it() {
+    let mut fixture = Fixture::new(2);
+    fixture.submit(job(1, vec![step(2, 1), Step { after: vec![0], ..step(1, 1) }]));
+    let first = fixture.start_all();
+    assert_eq!(first.len(), 2);
+    fixture.end(&first[0], EndKind::Done);
+    assert!(fixture.start_all().is_empty(), "one task of the first step still runs");
+    fixture.end(&first[1], EndKind::Done);
+    assert_eq!(fixture.start_all().len(), 1);
+}
+
+#[test]
+fn a_gang_starts_whole_or_not_at_all() {
+    let mut fixture = Fixture::new(2);
+    fixture.submit(job(1, vec![gang(3, 8)]));
+    assert!(fixture.start_all().is_empty());
+    fixture.add_server(2);
+    assert_eq!(fixture.start_all().len(), 3);
+}
+
+#[test]
+fn a_same_rack_gang_waits_for_a_rack_that_could_hold_it() {
+    let mut fixture = Fixture::new(8);
+    fixture.submit(job(1, vec![step(4, 8)]));
+    let in_the_way = fixture.start_all();
+    fixture.submit(job_in("urgent", 2, vec![gang(1, 1)]));
+    fixture.start_all();
+    fixture.submit(job(3, vec![Step { same_rack: true, ..gang(4, 8) }]));
+    assert!(fixture.start_all().is_empty(), "neither rack is whole");
+    for started in &in_the_way {
+        fixture.end(started, EndKind::Done);
+    }
+    let placed = fixture.start_all();
+    assert_eq!(ids(&placed), [3]);
+    let racks: std::collections::BTreeSet<usize> =
+        placed.iter().map(|s| (0..8).position(|i| server_id(i) == s.server).expect("known") / 4).collect();
+    assert_eq!(racks.len(), 1);
+}
+
+#[test]
+fn a_timed_job_never_starts_early() {
+    let mut fixture = Fixture::new(1);
+    let due = fixture.now.millis() + 1000;
+    let schedule = Some(Schedule { times: 2, first_ms: due, interval_ms: 500 });
+    fixture.submit(jobs::Job { schedule, ..job(1, vec![step(1, 1)]) });
+    fixture.advance(990);
+    assert!(fixture.start_all().is_empty());
+    fixture.advance(100);
+    assert_eq!(fixture.start_all().len(), 1, "the second time is not due yet");
+    fixture.advance(500);
+    assert_eq!(fixture.start_all().len(), 1);
+}
+
+#[test]
+fn labels_and_spread_limits_hold() {
+    let mut fixture = Fixture::new(4);
+    fixture.submit(job(1, vec![Step { max_per_server: Some(1), ..step(6, 1) }]));
+    assert_eq!(fixture.start_all().len(), 4);
+    fixture.submit(job(2, vec![Step { label: Some(Arc::from("none-has-this")), ..step(1, 1) }]));
+    assert!(fixture.start_all().is_empty());
+}
+
+#[test]
+fn an_urgent_job_takes_the_place_of_the_cheapest_run() {
+    let mut fixture = Fixture::new(2);
+    fixture.submit(job_in("archive", 1, vec![step(1, 8)]));
+    fixture.start_all();
+    fixture.submit(job_in("archive", 2, vec![Step { checkpoints: true, ..step(1, 8) }]));
+    let saved = fixture.start_all();
+    assert_eq!(ids(&saved), [2]);
+    fixture.advance(3000);
+    fixture.submit(job_in("urgent", 3, vec![gang(1, 8)]));
+    assert!(fixture.start_all().is_empty(), "the room is not free yet");
+    assert_eq!(stopped(&fixture), [2], "it goes on from its checkpoint; the other would lose 3 s of work");
+    fixture.end_with(&saved[0], EndKind::Stopped, Some("half"));
+    assert_eq!(ids(&fixture.start_all()), [3]);
+}
+
+#[test]
+fn a_run_that_was_stopped_goes_on_from_its_checkpoint() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(job(1, vec![Step { checkpoints: true, ..step(1, 8) }]));
+    let first = fixture.start_all();
+    fixture.end_with(&first[0], EndKind::Lapsed, Some("half"));
+    let again = fixture.start_all();
+    assert_eq!(again[0].saved.as_deref(), Some("half"));
+}
+
+#[test]
+fn a_draining_server_gets_nothing_and_is_emptied_in_time() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(job(1, vec![step(1, 1)]));
+    fixture.start_all();
+    let mut leaving = info(0);
+    leaving.draining = true;
+    leaving.remaining = Some(model::Duration::from_millis(500));
+    fixture.scheduler.server_listed(server_id(0), leaving, fixture.now);
+    fixture.submit(job(2, vec![step(1, 1)]));
+    assert!(fixture.start_all().is_empty());
+    assert_eq!(stopped(&fixture), [1], "its 2 s of work cannot end in 0.5 s");
+}
+
+#[test]
+fn a_cancelled_job_is_stopped_and_never_starts_again() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(job(1, vec![step(1, 1), Step { after: vec![0], ..step(1, 1) }]));
+    let first = fixture.start_all();
+    fixture.scheduler.cancel(JobId(1), fixture.now);
+    fixture.start_all();
+    assert_eq!(stopped(&fixture), [1]);
+    fixture.end(&first[0], EndKind::Done);
+    assert!(fixture.start_all().is_empty());
+}
+
+#[test]
+fn work_that_can_wait_leaves_room_for_urgent_jobs() {
+    let mut fixture = Fixture::new(4);
+    fixture.submit(job_in("archive", 1, vec![step(32, 1)]));
+    let placed = fixture.start_all().len();
+    assert!((18..32).contains(&placed), "{placed} of 32 accelerators were taken");
+    fixture.submit(job_in("urgent", 2, vec![gang(1, 8)]));
+    assert_eq!(ids(&fixture.start_all()), [2], "there is room at once");
+    assert!(fixture.stops.is_empty());
+}
+
+#[test]
+fn what_lasts_is_started_again_however_it_ended() {
+    let mut fixture = Fixture::new(1);
+    fixture.attempts(1);
+    fixture.submit(job(1, vec![Step { long_running: true, ..step(1, 1) }]));
+    for kind in [EndKind::Failed, EndKind::Done, EndKind::Lapsed] {
+        let started = fixture.start_all();
+        assert_eq!(started.len(), 1, "before it ends {kind}");
+        fixture.end(&started[0], kind);
+        fixture.advance(10_000);
+    }
+}
+
+#[test]
+fn allowed_absences_are_not_exceeded() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(job_in("archive", 1, vec![Step { long_running: true, max_absent: Some(0), ..step(1, 8) }]));
+    assert_eq!(fixture.start_all().len(), 1);
+    fixture.submit(job_in("urgent", 2, vec![gang(1, 8)]));
+    assert!(fixture.start_all().is_empty());
+    assert!(fixture.stops.is_empty());
+}
