Split the fuzzer's world; keep the linter clean over the new crates

The world of the scheduler's fuzzer was one file of 661 lines: calls, the elected box and the oracle now stand in files of their own.

--- a/crates/martend/src/deployment/mod.rs
+++ b/crates/martend/src/deployment/mod.rs
@@ -12,7 +12,7 @@
     http::{Call, Client, Handler, ServerLimits, json_response, serve, serve_until, text_response},
 };
 use outside::{Clock, SystemClock};
-use runtime::Node;
+use runtime::RunningBox;
 use smol::net::TcpListener;
 use users_platform::{
     decode::UsersDecoder,
@@ -42,7 +42,7 @@
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::default());
     log::info!("event=started box={} zone={}", settings.runtime.box_id, settings.runtime.availability_zone);
-    let node = Arc::new(Node::start(
+    let this_box = Arc::new(RunningBox::start(
         settings.runtime.clone(),
         peers,
         Store::new(Client::default(), settings.store_address),
@@ -50,13 +50,13 @@
         Arc::new(UsersDecoder),
         Arc::clone(&clock),
     ));
-    let front = Front { requests: Arc::clone(&node.requests), view: Arc::clone(&node.view), clock };
+    let front = Front { requests: Arc::clone(&this_box.requests), view: Arc::clone(&this_box.view), clock };
     let (taking, stop) = smol::channel::bounded::<()>(1);
     let limits = ServerLimits { connections: MOST_CONNECTIONS, ..ServerLimits::default() };
     let serving = smol::spawn(serve_until(callers, Arc::new(front), limits, stop));
     let _beside = [
-        smol::spawn(serve(readiness, Arc::new(Readiness { view: Arc::clone(&node.view) }))),
-        smol::spawn(serve(metrics, Arc::new(OperatorsPages { node: Arc::clone(&node) }))),
+        smol::spawn(serve(readiness, Arc::new(Readiness { view: Arc::clone(&this_box.view) }))),
+        smol::spawn(serve(metrics, Arc::new(OperatorsPages { this_box: Arc::clone(&this_box) }))),
     ];
     while let Some(signal) = signals.next().await {
         match signal {
@@ -64,15 +64,20 @@
             _ => break,
         }
     }
-    leave(&node, &settings, taking, serving).await;
+    leave(&this_box, &settings, taking, serving).await;
     log::info!("event=ended box={}", settings.runtime.box_id);
     Ok(())
 }
 
 /// Takes no new work, lets what is under way end, and gives up the election at once.
-async fn leave(node: &Node, settings: &DeploymentSettings, taking: smol::channel::Sender<()>, serving: smol::Task<()>) {
+async fn leave(
+    this_box: &RunningBox,
+    settings: &DeploymentSettings,
+    taking: smol::channel::Sender<()>,
+    serving: smol::Task<()>,
+) {
     log::info!("event=leaving box={}", settings.runtime.box_id);
-    node.view.start_draining();
+    this_box.view.start_draining();
     smol::Timer::after(STILL_TAKES).await;
     taking.close();
     let rest = StdDuration::from(settings.grace).saturating_sub(STILL_TAKES + END_MARGIN);
@@ -96,7 +101,7 @@
 
 /// Serves what operators ask of a box: its metrics in Prometheus's text format, and what it believes.
 struct OperatorsPages {
-    node: Arc<Node>,
+    this_box: Arc<RunningBox>,
 }
 
 impl Handler for OperatorsPages {
@@ -104,10 +109,10 @@
         Box::pin(async move {
             Some(match call.path.as_str() {
                 "/metrics" => {
-                    self.node.set_gauges();
+                    self.this_box.set_gauges();
                     text_response(StatusCode::OK, telemetry::render())
                 }
-                "/v1/status" => json_response(StatusCode::OK, &self.node.status()),
+                "/v1/status" => json_response(StatusCode::OK, &self.this_box.status()),
                 _ => text_response(StatusCode::NOT_FOUND, "there are /metrics and /v1/status\n".to_owned()),
             })
         })
--- a/crates/martend/src/deployment/settings.rs
+++ b/crates/martend/src/deployment/settings.rs
@@ -81,10 +81,10 @@
         within(&path, "lease_ms", raw.lease_ms, 1000, 600_000)?;
         within(&path, "shortest_ttl_ms", raw.shortest_ttl_ms, 1, 60_000)?;
         within(&path, "grace_ms", raw.grace_ms, 1000, 600_000)?;
-        if !(raw.far_factor >= 1.0) {
+        if raw.far_factor.is_nan() || raw.far_factor < 1.0 {
             return Err(CheckError::new(&path.field("far_factor"), raw.far_factor, "allowed is 1 or more"));
         }
-        if !(raw.cpu_share > 0.0) {
+        if raw.cpu_share.is_nan() || raw.cpu_share <= 0.0 {
             return Err(CheckError::new(&path.field("cpu_share"), raw.cpu_share, "allowed is more than 0"));
         }
         let election_ttl = ELECTION_TTL.max(Duration::from_millis(raw.shortest_ttl_ms));
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -14,17 +14,17 @@
 mod leader;
 mod links;
 mod measure;
-mod node;
 mod relay;
 mod requests;
+mod running_box;
 mod settings;
 mod view;
 mod writer;
 
 pub use crate::{
     configuration::{Access, CallLimits, Configuration, Denied, Route},
-    node::{Node, Status},
     requests::{CancelOutcome, Requests, StateOutcome, SubmitOutcome},
+    running_box::{RunningBox, Status},
     settings::Settings,
     view::View,
 };
--- a/crates/runtime/src/node.rs
+++ b/crates/runtime/src/running_box.rs
@@ -61,7 +61,7 @@
 }
 
 /// A box at work; dropping it ends all that it does.
-pub struct Node {
+pub struct RunningBox {
     /// Takes callers' requests.
     pub requests: Arc<Requests>,
     /// What the box believes.
@@ -71,7 +71,7 @@
     _tasks: Vec<smol::Task<()>>,
 }
 
-impl Node {
+impl RunningBox {
     /// Starts a box that other boxes reach on `listener`.
     pub fn start(
         settings: Settings,
@@ -80,7 +80,7 @@
         servers: Arc<dyn BackendServers>,
         decoder: Arc<dyn Decoder>,
         clock: Arc<dyn Clock>,
-    ) -> Node {
+    ) -> RunningBox {
         let store: Arc<dyn CoordinationStore> = Arc::new(MeasuredStore(store));
         let view = Arc::new(View::new(clock, settings.store_silence));
         let peers = Arc::new(Peers::default());
@@ -106,7 +106,7 @@
             smol::spawn(ask_for_configuration(relay, peers)),
             smol::spawn(election::run(settings.clone(), parts, active.clone())),
         ];
-        Node { requests, view, active, box_id: settings.box_id, _tasks: tasks }
+        RunningBox { requests, view, active, box_id: settings.box_id, _tasks: tasks }
     }
 
     /// What the box believes, with the age or version of each belief.
--- /dev/null
+++ b/crates/scheduler/tests/common/leading.rs
@@ -0,0 +1,92 @@
+//! What an elected box does around its scheduler: it plans, writes, renews and sends orders.
+
+use std::collections::BTreeMap;
+
+use model::BackendServerId;
+use scheduler::{Order, StartReply};
+
+use super::world::{Event, LEASE_MS, STEP_MS, World};
+
+impl World {
+    pub(crate) fn run_leader(&mut self, i: usize) {
+        let now = self.moment();
+        let wall = self.now;
+        let leader = &mut self.leaders[i];
+        leader.scheduler.tick(now);
+        leader.scheduler.plan(now, wall);
+        self.write_next(i);
+        self.renew(i);
+        for order in self.leaders[i].scheduler.take_orders() {
+            self.send(i, order);
+        }
+    }
+
+    pub(crate) fn write_next(&mut self, i: usize) {
+        if self.leaders[i].writing || self.now < self.store_down_until {
+            return;
+        }
+        let Some(batch) = self.leaders[i].scheduler.next_batch(4) else { return };
+        self.leaders[i].writing = true;
+        if self.now < self.lose_writes_until && self.rng.bool() {
+            let late = if self.rng.bool() { STEP_MS } else { 1000 + self.rng.u64(..5000) };
+            self.after(late, Event::Write { leader: i, batch, answered: false });
+            self.after(300, Event::WriteLost { leader: i });
+        } else {
+            self.after(STEP_MS, Event::Write { leader: i, batch, answered: true });
+        }
+    }
+
+    pub(crate) fn renew(&mut self, i: usize) {
+        let ids: Vec<BackendServerId> = self.servers.keys().cloned().collect();
+        for id in ids {
+            let (now, moment) = (self.now, self.moment());
+            let leader = &mut self.leaders[i];
+            match leader.holding.get(&id) {
+                Some(&since) if now < since + 200 => continue,
+                Some(_) => {
+                    leader.holding.remove(&id);
+                    leader.reached.remove(&id);
+                    leader.scheduler.unanswered(&id);
+                }
+                None => {}
+            }
+            if now >= leader.renews_until {
+                leader.alive = false;
+                return;
+            }
+            let until = leader.reached.contains(&id).then(|| lease_until(&leader.clocks, &id, now)).flatten();
+            if until.is_some() {
+                leader.scheduler.lease_sent(&id, moment);
+            }
+            leader.holding.insert(id.clone(), now);
+            let acknowledged = leader.scheduler.acknowledged(&id);
+            self.after(STEP_MS, Event::Hold { leader: i, server: id, acknowledged, until, sent: moment });
+        }
+    }
+
+    pub(crate) fn send(&mut self, i: usize, order: Order) {
+        let lost = self.now < self.lose_orders_until && self.rng.u8(..) < 80;
+        let late = if lost { 2000 + self.rng.u64(..10_000) } else { STEP_MS };
+        let now = self.moment();
+        match order {
+            Order::Start { server, task, run, saved, .. } => {
+                let Some(until) = lease_until(&self.leaders[i].clocks, &server, self.now) else { return };
+                self.leaders[i].scheduler.lease_sent(&server, now);
+                let answered = !lost && self.reachable(&server);
+                let saved = saved.is_some();
+                self.after(late, Event::Start { leader: i, server: server.clone(), task, run, until, answered, saved });
+                if !answered {
+                    let reply = StartReply::Unknown;
+                    self.after(400, Event::Started { leader: i, server, task, run, reply });
+                }
+            }
+            Order::Stop { server, task, run, .. } => {
+                self.after(late, Event::Stop { leader: i, server, task, run, answered: !lost });
+            }
+        }
+    }
+}
+
+fn lease_until(clocks: &BTreeMap<BackendServerId, (u64, u64)>, id: &BackendServerId, now: u64) -> Option<u64> {
+    clocks.get(id).map(|(clock, at)| clock + (now - at) + LEASE_MS)
+}
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -1,8 +1,11 @@
 //! A scheduler with backend servers and a store that do as they are told.
 #![allow(dead_code, reason = "each test file uses a part")]
 
-pub mod server;
-pub mod world;
+mod events;
+mod leading;
+mod oracle;
+pub(crate) mod server;
+pub(crate) mod world;
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -13,22 +16,22 @@
     StartReply, Timing,
 };
 
-pub const SERVICE: &str = "desk";
+pub(crate) const SERVICE: &str = "desk";
 
 /// A start that a backend server was ordered to make.
 #[derive(Debug, Clone)]
-pub struct Started {
-    pub server: BackendServerId,
-    pub task: TaskId,
-    pub run: RunNumber,
-    pub saved: Option<jobs::Saved>,
+pub(crate) struct Started {
+    pub(crate) server: BackendServerId,
+    pub(crate) task: TaskId,
+    pub(crate) run: RunNumber,
+    pub(crate) saved: Option<jobs::Saved>,
 }
 
-pub fn run_of(started: &Started) -> u64 {
+pub(crate) fn run_of(started: &Started) -> u64 {
     started.run.0
 }
 
-pub fn step(count: u32, accelerators: u64) -> Step {
+pub(crate) fn step(count: u32, accelerators: u64) -> Step {
     Step {
         count,
         need: Need { cpu_milli: 1000, memory_mb: 100, accelerators },
@@ -37,19 +40,19 @@
     }
 }
 
-pub fn gang(count: u32, accelerators: u64) -> Step {
+pub(crate) fn gang(count: u32, accelerators: u64) -> Step {
     Step { gang: true, ..step(count, accelerators) }
 }
 
-pub fn job(id: u64, steps: Vec<Step>) -> Job {
+pub(crate) fn job(id: u64, steps: Vec<Step>) -> Job {
     job_in("batch", id, steps)
 }
 
-pub fn job_in(queue: &str, id: u64, steps: Vec<Step>) -> Job {
+pub(crate) fn job_in(queue: &str, id: u64, steps: Vec<Step>) -> Job {
     Job {
         id: JobId(id),
         queue: queue.into(),
-        customer: Some("court".parse::<CustomerId>().unwrap()),
+        customer: Some("court".parse::<CustomerId>().expect("it is a valid id")),
         text: Arc::from("text"),
         steps,
         schedule: None,
@@ -57,11 +60,11 @@
     }
 }
 
-pub fn server_id(i: usize) -> BackendServerId {
-    format!("s{i:02}").parse().unwrap()
+pub(crate) fn server_id(i: usize) -> BackendServerId {
+    format!("s{i:02}").parse().expect("it is a valid id")
 }
 
-pub fn info(i: usize) -> ServerInfo {
+pub(crate) fn info(i: usize) -> ServerInfo {
     let rack: Arc<str> = Arc::from(format!("r1-{}", i / 4));
     ServerInfo {
         service: ServiceId::from(SERVICE),
@@ -73,7 +76,7 @@
     }
 }
 
-pub fn policy() -> Policy {
+pub(crate) fn policy() -> Policy {
     let queue = |priority| QueuePolicy {
         priority,
         attempts: 4,
@@ -84,23 +87,26 @@
     Policy {
         version: 1,
         queues: [("urgent", 0), ("batch", 1), ("archive", 2)].map(|(name, p)| (name.into(), queue(p))).into(),
-        customers: BTreeMap::from([("court".parse().unwrap(), CustomerPolicy { guaranteed_accelerators: 16 })]),
+        customers: BTreeMap::from([(
+            "court".parse().expect("it is a valid id"),
+            CustomerPolicy { guaranteed_accelerators: 16 },
+        )]),
     }
 }
 
-pub struct Fixture {
-    pub scheduler: Scheduler,
-    pub now: Moment,
+pub(crate) struct Fixture {
+    pub(crate) scheduler: Scheduler,
+    pub(crate) now: Moment,
     serials: BTreeMap<BackendServerId, u64>,
     running: BTreeMap<BackendServerId, Vec<Started>>,
     cut: Vec<BackendServerId>,
     revision: u64,
     policy: Policy,
-    pub stops: Vec<Order>,
+    pub(crate) stops: Vec<Order>,
 }
 
 impl Fixture {
-    pub fn new(servers: usize) -> Fixture {
+    pub(crate) fn new(servers: usize) -> Fixture {
         let mut fixture = Fixture {
             scheduler: Scheduler::new(Fence(10), Moment::from_millis(1000), Timing::default(), policy()),
             now: Moment::from_millis(1000),
@@ -117,28 +123,28 @@
         fixture
     }
 
-    pub fn add_server(&mut self, i: usize) {
+    pub(crate) fn add_server(&mut self, i: usize) {
         self.scheduler.server_listed(server_id(i), info(i), self.now);
         self.running.insert(server_id(i), Vec::new());
         self.list(&server_id(i));
     }
 
-    pub fn attempts(&mut self, attempts: u32) {
+    pub(crate) fn attempts(&mut self, attempts: u32) {
         for queue in self.policy.queues.values_mut() {
             queue.attempts = attempts;
         }
         self.scheduler.set_policy(self.policy.clone());
     }
 
-    pub fn submit(&mut self, job: Job) {
+    pub(crate) fn submit(&mut self, job: Job) {
         self.scheduler.add_job(job);
     }
 
-    pub fn state(&self, id: u64) -> Option<JobState> {
+    pub(crate) fn state(&self, id: u64) -> Option<JobState> {
         self.scheduler.job(JobId(id)).map(|(state, _, _)| state)
     }
 
-    pub fn advance(&mut self, ms: u64) {
+    pub(crate) fn advance(&mut self, ms: u64) {
         self.now = self.now + Duration::from_millis(ms);
         let ids: Vec<BackendServerId> = self.running.keys().cloned().collect();
         for id in ids {
@@ -151,7 +157,7 @@
         self.scheduler.tick(self.now);
     }
 
-    pub fn store_all(&mut self) {
+    pub(crate) fn store_all(&mut self) {
         while let Some(batch) = self.scheduler.next_batch(8) {
             self.revision += 1;
             self.scheduler.stored(batch, Revision(self.revision));
@@ -159,7 +165,7 @@
     }
 
     /// Plans, stores, and carries out the orders; returns the starts.
-    pub fn start_all(&mut self) -> Vec<Started> {
+    pub(crate) fn start_all(&mut self) -> Vec<Started> {
         self.scheduler.plan(self.now, self.now.millis());
         self.store_all();
         let mut started = Vec::new();
@@ -167,7 +173,7 @@
             match order {
                 Order::Start { server, task, run, saved, .. } => {
                     let start = Started { server: server.clone(), task, run, saved };
-                    self.running.get_mut(&server).unwrap().push(start.clone());
+                    self.running.get_mut(&server).expect("it was added").push(start.clone());
                     self.scheduler.lease_sent(&server, self.now);
                     self.scheduler.start_replied(&server, task, run, StartReply::Started, self.now);
                     started.push(start);
@@ -179,13 +185,16 @@
     }
 
     /// A run ends, and its backend server lists that.
-    pub fn end(&mut self, started: &Started, kind: EndKind) {
+    pub(crate) fn end(&mut self, started: &Started, kind: EndKind) {
         self.end_with(started, kind, None);
     }
 
-    pub fn end_with(&mut self, started: &Started, kind: EndKind, saved: Option<&str>) {
+    pub(crate) fn end_with(&mut self, started: &Started, kind: EndKind, saved: Option<&str>) {
         let id = &started.server;
-        self.running.get_mut(id).unwrap().retain(|other| other.task != started.task || other.run != started.run);
+        self.running
+            .get_mut(id)
+            .expect("it was added")
+            .retain(|other| other.task != started.task || other.run != started.run);
         let serial = self.serials.entry(id.clone()).or_insert(0);
         *serial += 1;
         let end = End { serial: *serial, task: started.task, run: started.run, kind, saved: saved.map(Arc::from) };
@@ -205,15 +214,15 @@
         self.scheduler.listing(id, &listing, self.now, self.now);
     }
 
-    pub fn cut_past_lease(&mut self, id: &BackendServerId) {
+    pub(crate) fn cut_past_lease(&mut self, id: &BackendServerId) {
         self.cut.push(id.clone());
-        self.running.get_mut(id).unwrap().clear();
+        self.running.get_mut(id).expect("it was added").clear();
         for _ in 0..80 {
             self.advance(100);
         }
     }
 
-    pub fn reconnect(&mut self, id: &BackendServerId) {
+    pub(crate) fn reconnect(&mut self, id: &BackendServerId) {
         self.cut.retain(|other| other != id);
     }
 }
--- /dev/null
+++ b/crates/scheduler/tests/common/oracle.rs
@@ -0,0 +1,65 @@
+//! What must never happen.
+
+use jobs::{Fence, JobId, OccurrenceId, TaskId};
+use model::BackendServerId;
+use scheduler::EndKind;
+
+use super::world::{ATTEMPTS, World};
+
+impl World {
+    /// A backend server that obeys the fence forgets these ends: they are taken note of.
+    pub(crate) fn note(&mut self, id: &BackendServerId, fence: Fence, acknowledged: u64) {
+        let server = &self.servers[id];
+        if fence < server.fence {
+            return;
+        }
+        let counts = |serial: u64| serial <= acknowledged && serial > server.lapsed_after;
+        for end in server.ended.iter().filter(|end| counts(end.serial)) {
+            let seen = self.seen.entry(end.task).or_default();
+            let stored = &self.stored;
+            match end.kind {
+                EndKind::Done => seen.done_noted = true,
+                EndKind::Failed => seen.failures_noted += 1,
+                _ => {}
+            }
+            assert!(
+                !matches!(end.kind, EndKind::Done | EndKind::Failed) || stored.contains_key(&end.task.occurrence),
+                "an end of {} was acknowledged and nothing is stored",
+                end.task
+            );
+        }
+    }
+
+    pub(crate) fn check_begin(&mut self, id: &BackendServerId, task: TaskId) {
+        self.begun += 1;
+        for other in self.servers.values().filter(|other| other.id != *id) {
+            assert!(!other.running.contains_key(&task), "{task} runs on {id} and on {} at {}", other.id, self.now);
+        }
+        let seen = self.seen.entry(task).or_default();
+        assert!(!seen.done_noted, "{task} began again after it was noted as done");
+        assert!(seen.failures_noted < ATTEMPTS, "{task} began after {ATTEMPTS} failures");
+        if let Some(at) = self.cancelled.get(&task.occurrence.job) {
+            assert!(self.now < at + 13_000, "{task} began long after its job was cancelled");
+        }
+        let job = &self.jobs[&task.occurrence.job];
+        for &earlier in &job.steps[task.step as usize].after {
+            for index in 0..job.steps[earlier].count {
+                let needed = TaskId { step: earlier as u32, index, ..task };
+                let done = self.seen.get(&needed).is_some_and(|seen| seen.done_at.is_some());
+                assert!(done, "{task} began before {needed} was done");
+            }
+        }
+    }
+
+    pub(crate) fn check_succeeded(&self, id: JobId) {
+        let job = &self.jobs[&id];
+        for (s, step) in job.steps.iter().enumerate() {
+            for index in 0..step.count {
+                let occurrence = OccurrenceId { job: id, number: 0 };
+                let task = TaskId { occurrence, step: s as u32, index };
+                let done = self.seen.get(&task).is_some_and(|seen| seen.done_at.is_some());
+                assert!(done, "{id} is shown as succeeded and {task} was never done");
+            }
+        }
+    }
+}
--- a/crates/scheduler/tests/common/server.rs
+++ b/crates/scheduler/tests/common/server.rs
@@ -8,37 +8,37 @@
 
 /// A run as the backend server has it.
 #[derive(Debug, Clone)]
-pub struct Run {
-    pub run: RunNumber,
+pub(crate) struct Run {
+    pub(crate) run: RunNumber,
     /// Milliseconds of work left, on the backend server's clock; `None` while it waits for its gang.
-    pub left: Option<u64>,
-    pub waited: u64,
-    pub fails: bool,
-    pub saved: Option<Saved>,
+    pub(crate) left: Option<u64>,
+    pub(crate) waited: u64,
+    pub(crate) fails: bool,
+    pub(crate) saved: Option<Saved>,
 }
 
 #[derive(Debug)]
-pub struct FakeServer {
-    pub id: BackendServerId,
-    pub info: ServerInfo,
+pub(crate) struct FakeServer {
+    pub(crate) id: BackendServerId,
+    pub(crate) info: ServerInfo,
     /// Its own steady clock, in milliseconds; it may run slow.
-    pub clock: f64,
-    pub rate: f64,
-    pub fence: Fence,
-    pub lease_until: u64,
-    pub running: BTreeMap<TaskId, Run>,
-    pub ended: Vec<End>,
-    pub serial: u64,
+    pub(crate) clock: f64,
+    pub(crate) rate: f64,
+    pub(crate) fence: Fence,
+    pub(crate) lease_until: u64,
+    pub(crate) running: BTreeMap<TaskId, Run>,
+    pub(crate) ended: Vec<End>,
+    pub(crate) serial: u64,
     /// The highest run of a task that was stopped or has ended here.
-    pub over: BTreeMap<TaskId, RunNumber>,
+    pub(crate) over: BTreeMap<TaskId, RunNumber>,
     /// Ends up to this one were followed by the end of the lease: they do not count as noted any more.
-    pub lapsed_after: u64,
+    pub(crate) lapsed_after: u64,
     /// Out of reach until then.
-    pub cut_until: u64,
+    pub(crate) cut_until: u64,
 }
 
 impl FakeServer {
-    pub fn new(id: BackendServerId, info: ServerInfo, rate: f64) -> FakeServer {
+    pub(crate) fn new(id: BackendServerId, info: ServerInfo, rate: f64) -> FakeServer {
         FakeServer {
             id,
             info,
@@ -55,7 +55,7 @@
         }
     }
 
-    pub fn clock_ms(&self) -> u64 {
+    pub(crate) fn clock_ms(&self) -> u64 {
         self.clock as u64
     }
 
@@ -67,7 +67,7 @@
         true
     }
 
-    pub fn start(
+    pub(crate) fn start(
         &mut self,
         task: TaskId,
         run: Run,
@@ -99,7 +99,7 @@
     }
 
     /// The caller ends the run, if it is there, together with its gang.
-    pub fn stop(&mut self, task: TaskId, run: RunNumber, fence: Fence) -> bool {
+    pub(crate) fn stop(&mut self, task: TaskId, run: RunNumber, fence: Fence) -> bool {
         if !self.obeys(fence) {
             return false;
         }
@@ -109,7 +109,7 @@
     }
 
     /// `None`: it obeys a later scheduler.
-    pub fn hold(&mut self, fence: Fence, acknowledged: u64, until: Option<u64>) -> Option<Listing> {
+    pub(crate) fn hold(&mut self, fence: Fence, acknowledged: u64, until: Option<u64>) -> Option<Listing> {
         if !self.obeys(fence) {
             return None;
         }
@@ -130,7 +130,7 @@
         })
     }
 
-    pub fn end(&mut self, task: TaskId, kind: EndKind) -> Option<Run> {
+    pub(crate) fn end(&mut self, task: TaskId, kind: EndKind) -> Option<Run> {
         let run = self.running.remove(&task)?;
         self.serial += 1;
         let over = self.over.entry(task).or_default();
