Split the plan from what could start and where it goes

The plan's file told three things at once. Candidates and what they ask of a place, the choice of backend servers, and leaving a backend server that goes now have a module each; the two longest functions are split.

--- /dev/null
+++ b/crates/scheduler/src/candidate.rs
@@ -0,0 +1,132 @@
+//! What could start, in which order, and what it asks of a place.
+
+use std::collections::BTreeMap;
+
+use jobs::{Need, OccurrenceId, Step};
+use model::BackendServerId;
+
+use crate::{Scheduler, guarantee::Guarantees, live::GroupId, policy::ServiceId, ready::ReadySteps, rooms::Room};
+
+/// A job that is later than this many objectives counts for nothing any more and goes behind the others.
+const HOPELESSLY_LATE: f64 = 3.0;
+
+/// Groups of one step that could start.
+#[derive(Debug)]
+pub(crate) struct Candidate {
+    pub(crate) occurrence: OccurrenceId,
+    pub(crate) step: usize,
+    pub(crate) groups: Vec<usize>,
+    pub(crate) priority: u32,
+    /// Its customer holds a guarantee that covers it.
+    pub(crate) guaranteed: bool,
+    /// Its tasks run until the job is cancelled, and must run again soon however full the service is.
+    pub(crate) long_running: bool,
+    /// So late that it no longer counts: it goes behind the others of its priority.
+    hopeless: bool,
+    /// Wall-clock milliseconds by which its job should end.
+    deadline_ms: u64,
+}
+
+impl Candidate {
+    pub(crate) fn group(&self, group: usize) -> GroupId {
+        GroupId { occurrence: self.occurrence, step: self.step, group }
+    }
+}
+
+/// What a step's tasks ask of the place that they run at.
+pub(crate) struct Wanted<'a> {
+    pub(crate) step: &'a Step,
+    pub(crate) need: Need,
+    pub(crate) service: &'a ServiceId,
+    /// It may take the place of others.
+    pub(crate) urgent: bool,
+    /// It has failed before: one more failure costs much.
+    careful: bool,
+    /// Tasks of the step that each backend server runs already, if their number there is limited.
+    here: BTreeMap<&'a BackendServerId, u64>,
+}
+
+impl Wanted<'_> {
+    /// Whether a task of the step may run there at all.
+    pub(crate) fn allows(&self, room: &Room) -> bool {
+        let labelled = self.step.label.as_ref().is_none_or(|label| room.labels.contains(label));
+        let trusted = !(self.careful && room.doubtful);
+        *self.service == room.service && trusted && labelled && room.capacity.contains(&self.need)
+    }
+
+    /// How many more tasks of the step may go there by its spread limit.
+    fn spread_left(&self, id: &BackendServerId) -> u64 {
+        let Some(most) = self.step.max_per_server else { return u64::MAX };
+        u64::from(most).saturating_sub(self.here.get(id).copied().unwrap_or(0))
+    }
+
+    /// How many more tasks of the step fit into `room`.
+    pub(crate) fn fitting(&self, id: &BackendServerId, room: &Need) -> u64 {
+        room.count_of(&self.need).min(self.spread_left(id))
+    }
+}
+
+impl Scheduler {
+    /// What could start now, in the order in which it should.
+    pub(crate) fn candidates(&self, wall_ms: u64, guarantees: &mut Guarantees) -> Vec<Candidate> {
+        let mut found: Vec<Candidate> =
+            self.ready.iter().flat_map(|(&id, steps)| self.candidates_of(id, steps, wall_ms)).collect();
+        found.sort_by_key(|c| (c.priority, c.hopeless, c.deadline_ms, c.occurrence, c.step));
+        // Guarantees are given out in this order, and what they cover then goes before the rest of its priority.
+        for candidate in found.iter_mut().filter(|candidate| candidate.priority == 0) {
+            candidate.guaranteed = self.take_guarantee(candidate, guarantees);
+        }
+        found.sort_by_key(|c| (c.priority, !c.guaranteed));
+        found
+    }
+
+    /// What could start now of one occurrence: nothing before it is due, or while its queue is not configured.
+    fn candidates_of(&self, occurrence: OccurrenceId, steps: &ReadySteps, wall_ms: u64) -> Vec<Candidate> {
+        let entry = &self.jobs[&occurrence.job];
+        let Some(queue) = self.policy.queues.get(&entry.job.queue) else { return Vec::new() };
+        let due = entry.job.due_ms(occurrence.number);
+        if due > 0 && wall_ms < due + self.timing.due_margin.millis() {
+            return Vec::new();
+        }
+        let objective = entry.chain.scaled(queue.stretch) + queue.objective;
+        let from = due.max(entry.job.accepted_ms);
+        let candidate = |(step, groups): &(usize, Vec<usize>)| Candidate {
+            occurrence,
+            step: *step,
+            groups: groups.clone(),
+            priority: queue.priority,
+            guaranteed: false,
+            long_running: entry.job.steps[*step].long_running,
+            hopeless: wall_ms > from + objective.scaled(HOPELESSLY_LATE).millis(),
+            deadline_ms: from + objective.millis(),
+        };
+        steps.iter().map(candidate).collect()
+    }
+
+    /// Whether its customer's guarantee covers all that could start; if so, it is taken from it.
+    fn take_guarantee(&self, candidate: &Candidate, guarantees: &mut Guarantees) -> bool {
+        let job = &self.jobs[&candidate.occurrence.job].job;
+        let step = &job.steps[candidate.step];
+        let tasks = if step.gang { u64::from(step.count) } else { candidate.groups.len() as u64 };
+        guarantees.take(job.customer.as_ref(), step.need.accelerators * tasks)
+    }
+
+    /// What a candidate asks of a place; `None` if no configuration has named the job's queue.
+    pub(crate) fn wanted(&self, candidate: &Candidate) -> Option<Wanted<'_>> {
+        let entry = &self.jobs[&candidate.occurrence.job];
+        let queue = self.policy.queues.get(&entry.job.queue)?;
+        let step = &entry.job.steps[candidate.step];
+        let mut here = BTreeMap::new();
+        if step.max_per_server.is_some() {
+            let groups = &entry.occurrences[candidate.occurrence.number as usize].groups[candidate.step];
+            for member in groups.iter().flat_map(|group| &group.members) {
+                *here.entry(&member.server).or_insert(0) += 1;
+            }
+        }
+        let progress = &entry.occurrences[candidate.occurrence.number as usize].progress.groups[candidate.step];
+        let careful = progress.iter().any(|group| !group.failed_runs.is_empty());
+        let need = step.counted_need();
+        let urgent = queue.priority == 0 || step.long_running;
+        Some(Wanted { step, need, service: &queue.service, urgent, careful, here })
+    }
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -10,7 +10,10 @@
 //!   ended, absent from a listing that must show it, or past every lease that it can have been given.
 
 mod batch;
+mod candidate;
+mod choose;
 mod ends;
+mod evacuate;
 mod forget;
 mod guarantee;
 mod health;
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -7,9 +7,9 @@
 
 use crate::{
     Scheduler,
+    candidate::{Candidate, Wanted},
     guarantee::Guarantees,
     live::{GroupId, StopReason, weight},
-    plan::{Candidate, Wanted},
     rooms::{Room, Rooms},
 };
 
--- a/crates/scheduler/src/rooms.rs
+++ b/crates/scheduler/src/rooms.rs
@@ -5,7 +5,7 @@
 use jobs::Need;
 use model::{BackendServerId, Moment};
 
-use crate::{Scheduler, plan::Places, policy::ServiceId};
+use crate::{Scheduler, choose::Places, policy::ServiceId};
 
 /// Room of one backend server.
 #[derive(Debug, Clone)]
