Give each part of the scheduler's work its own module

Starts, stops, ends, what a new scheduler takes over, and contact with backend servers stood in two long files. Lookups of occurrences are written once, and two fields that were only ever written (when a member advanced, when a backend server was last heard) are gone. The order of operations is unchanged.

--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -45,7 +45,7 @@
     }
 
     fn entry(&self, id: OccurrenceId) -> Option<Entry> {
-        let occurrence = self.jobs.get(&id.job)?.occurrences.get(id.number as usize)?;
+        let occurrence = self.known_occurrence(id)?;
         Some(Entry {
             occurrence: id,
             version: occurrence.version,
@@ -65,8 +65,7 @@
 
     fn entry_stored(&mut self, entry: Entry, revision: Revision) {
         let id = entry.occurrence;
-        let Some(job) = self.jobs.get_mut(&id.job) else { return };
-        let Some(occurrence) = job.occurrences.get_mut(id.number as usize) else { return };
+        let Some(occurrence) = self.known_occurrence_mut(id) else { return };
         occurrence.store_revision = revision;
         occurrence.stored_version = entry.version;
         occurrence.stored_progress = entry.progress;
@@ -78,9 +77,8 @@
 
     /// The store holds other revisions than the batch expected: an earlier write of ours took effect after all.
     pub fn found_in_store(&mut self, revisions: &BTreeMap<OccurrenceId, Revision>) {
-        for (id, &revision) in revisions {
-            let occurrence = self.jobs.get_mut(&id.job).and_then(|job| job.occurrences.get_mut(id.number as usize));
-            if let Some(occurrence) = occurrence {
+        for (&id, &revision) in revisions {
+            if let Some(occurrence) = self.known_occurrence_mut(id) {
                 occurrence.store_revision = revision;
             }
         }
--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -116,14 +116,15 @@
         let entry = &self.jobs[&candidate.occurrence.job];
         let queue = self.policy.queues.get(&entry.job.queue)?;
         let step = &entry.job.steps[candidate.step];
+        let occurrence = self.occurrence(candidate.occurrence);
         let mut here = BTreeMap::new();
         if step.max_per_server.is_some() {
-            let groups = &entry.occurrences[candidate.occurrence.number as usize].groups[candidate.step];
+            let groups = &occurrence.groups[candidate.step];
             for member in groups.iter().flat_map(|group| &group.members) {
                 *here.entry(&member.server).or_insert(0) += 1;
             }
         }
-        let progress = &entry.occurrences[candidate.occurrence.number as usize].progress.groups[candidate.step];
+        let progress = &occurrence.progress.groups[candidate.step];
         let careful = progress.iter().any(|group| !group.failed_runs.is_empty());
         let need = step.counted_need();
         let urgent = queue.priority == 0 || step.long_running;
--- /dev/null
+++ b/crates/scheduler/src/contact.rs
@@ -0,0 +1,77 @@
+//! Backend servers come and go, are sent leases, and fall silent.
+
+use model::{BackendServerId, Moment};
+
+use crate::{
+    Scheduler,
+    server::{Server, ServerInfo},
+};
+
+impl Scheduler {
+    /// The platform lists a backend server, or its account of itself has changed.
+    pub fn server_listed(&mut self, id: BackendServerId, info: ServerInfo, now: Moment) {
+        let earlier = self.timing.earlier_leases_over(self.elected);
+        let draining = info.draining;
+        let server = self.servers.entry(id.clone()).or_insert_with(|| Server::new(None, earlier));
+        let was_draining = server.info.as_ref().is_some_and(|old| old.draining);
+        server.info = Some(info);
+        server.listed = true;
+        self.plan_wanted = true;
+        if draining && !was_draining {
+            log::info!("server={id} event=draining fence={}", self.fence);
+            self.evacuate(&id, now);
+        }
+    }
+
+    /// The platform no longer lists a backend server. It may run on: its runs are over only when its leases are.
+    pub fn server_unlisted(&mut self, id: &BackendServerId) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.listed = false;
+        }
+    }
+
+    /// A backend server's life is over: another life answers in its place.
+    pub fn server_gone(&mut self, id: &BackendServerId, now: Moment) {
+        let Some(server) = self.servers.get(id) else { return };
+        log::info!("server={id} event=gone runs={}", server.members.len());
+        self.lapse_members(id, "server_gone", now);
+        self.servers.remove(id);
+    }
+
+    /// A renewal is about to be sent; from here on its lease counts, whatever comes of the call.
+    pub fn lease_sent(&mut self, id: &BackendServerId, now: Moment) {
+        let over = self.timing.lease_over(now);
+        if let Some(server) = self.servers.get_mut(id) {
+            server.lease_over = server.lease_over.max(over);
+        }
+    }
+
+    /// A backend server left a call without an answer.
+    pub fn unanswered(&mut self, id: &BackendServerId) {
+        let Some(server) = self.servers.get_mut(id) else { return };
+        server.unanswered += 1;
+        if server.unanswered == 1 {
+            log::warn!("server={id} event=unreachable lease_over_at={}", server.lease_over.millis());
+        }
+    }
+
+    /// Whether a backend server is listed, or may still run something.
+    pub fn knows(&self, id: &BackendServerId) -> bool {
+        self.servers.contains_key(id)
+    }
+
+    /// Highest end that may be acknowledged to a backend server.
+    pub fn acknowledged(&self, id: &BackendServerId) -> u64 {
+        self.servers.get(id).map_or(0, |server| server.acknowledged)
+    }
+
+    /// Whether ends of a backend server wait to be stored.
+    pub fn has_pending_ends(&self, id: &BackendServerId) -> bool {
+        self.servers.get(id).is_some_and(|server| !server.pending_ends.is_empty())
+    }
+
+    /// Whether anything runs, or may run, on a backend server.
+    pub fn is_busy(&self, id: &BackendServerId) -> bool {
+        self.servers.get(id).is_some_and(|server| !server.members.is_empty() || !server.strays.is_empty())
+    }
+}
--- a/crates/scheduler/src/forget.rs
+++ b/crates/scheduler/src/forget.rs
@@ -21,10 +21,7 @@
         let old = |since: &Moment| now.since(*since) > keep;
         let over =
             self.jobs.iter().filter(|(id, entry)| entry.ended.as_ref().is_some_and(old) && !self.open.contains(id));
-        let jobs = over.map(|(id, entry)| Forgettable {
-            job: *id,
-            occurrences: (0..entry.occurrences.len() as u32).map(|number| OccurrenceId { job: *id, number }).collect(),
-        });
+        let jobs = over.map(|(id, entry)| Forgettable { job: *id, occurrences: entry.occurrence_ids().collect() });
         let orphans = self.cancelled_before.iter().filter(|(_, since)| old(since));
         let orphans = orphans.map(|(id, _)| Forgettable { job: *id, occurrences: Vec::new() });
         jobs.chain(orphans).take(most).collect()
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -12,6 +12,7 @@
 mod batch;
 mod candidate;
 mod choose;
+mod contact;
 mod ends;
 mod evacuate;
 mod forget;
@@ -21,14 +22,18 @@
 mod live;
 mod observe;
 mod orders;
+mod outcomes;
 mod plan;
 mod policy;
 mod preempt;
 mod ready;
+mod restore;
 mod rooms;
 mod runs;
 mod scheduler;
 mod server;
+mod starts;
+mod stops;
 mod timing;
 
 pub use crate::{
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -1,14 +1,16 @@
-//! Listings of backend servers: ends are taken in, runs confirmed, strays stopped, losses found.
+//! Listings of backend servers: runs confirmed, strays stopped, losses found.
 
-use jobs::{JobId, JobState, RunNumber, TaskId};
+use std::collections::BTreeMap;
+
+use jobs::{RunNumber, TaskId};
 use model::{BackendServerId, Moment};
 
 use crate::{
     Scheduler,
-    ends::{End, EndKind, Listing, RunningTask},
-    live::{GroupId, Phase, StopReason},
+    ends::{Listing, RunningTask},
+    live::{Member, Phase, StopReason},
     orders::Order,
-    server::{PendingEnd, Stray},
+    server::Stray,
 };
 
 impl Scheduler {
@@ -28,7 +30,6 @@
             server.lease_over = self.timing.lease_over(now);
         }
         server.unanswered = 0;
-        server.last_contact = Some(sent);
         self.plan_wanted |= !listing.ended.is_empty();
         for end in &listing.ended {
             self.take_end(id, end, now);
@@ -45,128 +46,14 @@
         }
     }
 
-    fn take_end(&mut self, id: &BackendServerId, end: &End, now: Moment) {
-        let server = self.servers.get_mut(id).expect("the caller has looked");
-        if end.serial <= server.seen_end {
-            return;
-        }
-        server.seen_end = end.serial;
-        if let Some(name) = self.group_of(end.task) {
-            self.apply_end(name, id, end, now);
-        }
-        let occurrence = end.task.occurrence;
-        let version = self
-            .jobs
-            .get(&occurrence.job)
-            .and_then(|entry| entry.occurrences.get(occurrence.number as usize))
-            .map(|state| (occurrence, state.version));
-        let server = self.servers.get_mut(id).expect("ends remove no backend server");
-        server.pending_ends.push_back(PendingEnd { serial: end.serial, held_by: version });
-        self.with_ends.insert(id.clone());
-    }
-
-    fn apply_end(&mut self, name: GroupId, id: &BackendServerId, end: &End, now: Moment) {
-        if end.kind == EndKind::Failed {
-            // It counts even if the run was given up before: what failed has used up an attempt.
-            self.apply_failure(name, id, end.run, now);
-        }
-        let current = self.progress_of(name).run == end.run;
-        if !current && end.kind == EndKind::Done && !self.progress_of(name).done {
-            // An earlier run, taken for lost with its lease, had done the work: no one has to do it again.
-            log::info!("job={} event=done_late task={} run={}", end.task.occurrence.job, end.task, end.run);
-            self.apply_done(name, id, now);
-            self.stop_group(name, StopReason::AlreadyDone, now);
-            return;
-        }
-        if !current || self.member_mut(name, end.task.index, id).is_none() {
-            return;
-        }
-        log::info!(
-            "job={} event=ended task={} run={} server={id} how={} serial={}",
-            end.task.occurrence.job,
-            end.task,
-            end.run,
-            end.kind,
-            end.serial
-        );
-        self.remove_member(name, end.task.index, end.saved.clone(), now);
-        match end.kind {
-            EndKind::Done => self.apply_done(name, id, now),
-            _ => self.stop_group(name, StopReason::GangBroken, now),
-        }
-    }
-
-    fn apply_done(&mut self, name: GroupId, id: &BackendServerId, now: Moment) {
-        if let Some(server) = self.servers.get_mut(id) {
-            server.health.done();
-        }
-        if self.step(name).long_running {
-            return;
-        }
-        self.change(name, |progress| {
-            progress.done = true;
-            progress.saved = None;
-        });
-        self.note_end(name.occurrence.job, now);
-    }
-
-    fn apply_failure(&mut self, name: GroupId, id: &BackendServerId, run: RunNumber, now: Moment) {
-        let job = name.occurrence.job;
-        if let Some(server) = self.servers.get_mut(id)
-            && server.health.failed(job, now)
-        {
-            log::warn!("server={id} event=set_aside why=failures_of_several_jobs");
-        }
-        let avoid = &mut self.group_mut(name).avoid;
-        if !avoid.contains(id) {
-            avoid.push(id.clone());
-        }
-        if self.step(name).long_running || self.progress_of(name).failed_runs.contains(&run) {
-            return;
-        }
-        self.change(name, |progress| progress.failed_runs.push(run));
-        let queue = &self.jobs[&job].job.queue;
-        let attempts = self.policy.queues.get(queue).map_or(u32::MAX, |queue| queue.attempts);
-        let spent = self.progress_of(name).failed_runs.len();
-        if spent >= attempts as usize && !self.progress_of(name).done && !self.jobs[&job].cancelled {
-            self.fail_occurrence(name, now);
-        }
-    }
-
-    fn fail_occurrence(&mut self, name: GroupId, now: Moment) {
-        let job = name.occurrence.job;
-        log::info!("job={job} event=failed occurrence={} why=attempts_used", name.occurrence.number);
-        let entry = self.jobs.get_mut(&job).expect("its group was just changed");
-        entry.occurrences[name.occurrence.number as usize].progress.failed = true;
-        self.note_end(job, now);
-        let others = self.group_names(job);
-        for other in others.into_iter().filter(|other| other.occurrence == name.occurrence) {
-            self.stop_group(other, StopReason::Hopeless, now);
-        }
-    }
-
-    fn note_end(&mut self, job: JobId, now: Moment) {
-        let entry = self.jobs.get_mut(&job).expect("its group was just changed");
-        let over = |progress: &jobs::Progress| progress.failed || progress.done();
-        if entry.ended.is_some() || !entry.occurrences.iter().all(|occurrence| over(&occurrence.progress)) {
-            return;
-        }
-        entry.ended = Some(now);
-        let failed = entry.occurrences.iter().any(|occurrence| occurrence.progress.failed);
-        let state = if failed { JobState::Failed } else { JobState::Succeeded };
-        self.observe_end(job, state, now);
-    }
-
+    /// A run is where it was placed.
     fn confirm(&mut self, id: &BackendServerId, running: &RunningTask, now: Moment) {
         let Some(name) = self.group_of(running.task) else { return };
         if self.progress_of(name).run != running.run {
             return;
         }
         let Some(member) = self.member_mut(name, running.task.index, id) else { return };
-        if member.percent != running.percent {
-            member.percent = running.percent;
-            member.advanced = now;
-        }
+        member.percent = running.percent;
         if running.saved.is_some() {
             member.saved = running.saved.clone();
         }
@@ -190,7 +77,7 @@
         let retry = self.timing.stop_retry;
         let server = self.servers.get_mut(id).expect("the caller has looked");
         let mut before = std::mem::take(&mut server.strays);
-        let mut strays = std::collections::BTreeMap::new();
+        let mut strays = BTreeMap::new();
         for (task, run) in unwanted {
             let need = self.group_of(task).map(|name| self.step(name).counted_need()).unwrap_or_default();
             let stray = match before.remove(&task) {
@@ -208,7 +95,7 @@
 
     fn is_wanted(&self, id: &BackendServerId, running: &RunningTask) -> bool {
         let Some(name) = self.group_of(running.task) else { return false };
-        let placed = |member: &crate::live::Member| member.index == running.task.index && member.server == *id;
+        let placed = |member: &Member| member.index == running.task.index && member.server == *id;
         self.progress_of(name).run == running.run && self.group(name).members.iter().any(placed)
     }
 
@@ -227,25 +114,4 @@
             }
         }
     }
-
-    /// Lets ends be acknowledged whose progress the store holds.
-    pub(crate) fn acknowledge_stored(&mut self) {
-        let Scheduler { servers, jobs, with_ends, .. } = self;
-        with_ends.retain(|id| {
-            let Some(server) = servers.get_mut(id) else { return false };
-            while let Some(end) = server.pending_ends.front() {
-                let stored = end.held_by.is_none_or(|(occurrence, version)| {
-                    let entry = jobs.get(&occurrence.job);
-                    let state = entry.and_then(|entry| entry.occurrences.get(occurrence.number as usize));
-                    state.is_none_or(|state| state.stored_version >= version)
-                });
-                if !stored {
-                    break;
-                }
-                server.acknowledged = end.serial;
-                server.pending_ends.pop_front();
-            }
-            !server.pending_ends.is_empty()
-        });
-    }
 }
--- a/crates/scheduler/src/live.rs
+++ b/crates/scheduler/src/live.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use jobs::{Duration, Job, JobState, Need, OccurrenceId, Progress, Saved, Step, TaskId};
+use jobs::{Duration, Job, JobState, Need, OccurrenceId, Placed, Progress, Saved, Step, TaskId};
 use model::{BackendServerId, Moment, Revision};
 
 /// How far a start has come.
@@ -31,9 +31,28 @@
     pub(crate) settled: Option<Moment>,
     pub(crate) stop_sent: Option<Moment>,
     pub(crate) saved: Option<Saved>,
+    /// How far it says that it has come, from 0 to 100.
     pub(crate) percent: u32,
-    /// When it was last seen to get on.
-    pub(crate) advanced: Moment,
+}
+
+impl Member {
+    /// A task that is to start.
+    pub(crate) fn planned(placed: &Placed) -> Member {
+        Member {
+            index: placed.index,
+            server: placed.server.clone(),
+            phase: Phase::Planned,
+            settled: None,
+            stop_sent: None,
+            saved: None,
+            percent: 0,
+        }
+    }
+
+    /// A task that an earlier scheduler placed, found by one elected at `elected`.
+    pub(crate) fn restored(placed: &Placed, elected: Moment) -> Member {
+        Member { phase: Phase::Restored, settled: Some(elected), ..Member::planned(placed) }
+    }
 }
 
 /// Why a run is being stopped.
@@ -108,6 +127,11 @@
             groups,
         }
     }
+
+    /// Whether it has failed or is done.
+    pub(crate) fn over(&self) -> bool {
+        self.progress.failed || self.progress.done()
+    }
 }
 
 /// A job with its occurrences.
@@ -128,6 +152,11 @@
         JobEntry { chain: longest_chain(&job), job: Arc::new(job), cancelled: false, occurrences, ended: None }
     }
 
+    pub(crate) fn occurrence_ids(&self) -> impl Iterator<Item = OccurrenceId> + use<> {
+        let job = self.job.id;
+        (0..self.occurrences.len() as u32).map(move |number| OccurrenceId { job, number })
+    }
+
     /// What callers may be told: only what the store holds.
     pub(crate) fn state(&self) -> JobState {
         Progress::job_state(self.occurrences.iter().map(|o| &o.stored_progress), self.cancelled)
@@ -136,7 +165,7 @@
     /// Whether nothing of it runs or will run.
     pub(crate) fn over(&self) -> bool {
         let idle = |o: &Occurrence| o.groups.iter().flatten().all(|group| group.members.is_empty());
-        let ended = |o: &Occurrence| self.cancelled || o.progress.failed || o.progress.done();
+        let ended = |o: &Occurrence| self.cancelled || o.over();
         self.occurrences.iter().all(|occurrence| ended(occurrence) && idle(occurrence))
     }
 }
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -9,7 +9,7 @@
     Scheduler,
     candidate::{Candidate, Wanted},
     guarantee::Guarantees,
-    live::{GroupId, StopReason, weight},
+    live::{Group, GroupId, StopReason, weight},
     rooms::{Room, Rooms},
 };
 
@@ -142,15 +142,12 @@
         let waste = weight(&step.need) * (group.members.len() as f64) * (lost + RESTART_S);
         Some((waste, name, step.counted_need()))
     }
-}
 
-impl Scheduler {
     /// Whether one more task of the step may be away through the system's doing.
     fn may_be_absent(&self, name: GroupId) -> bool {
         let Some(most) = self.step(name).max_absent else { return true };
-        let occurrence = &self.jobs[&name.occurrence.job].occurrences[name.occurrence.number as usize];
-        let away = |group: &&crate::live::Group| group.members.is_empty() || group.stopping.is_some();
-        let absent = occurrence.groups[name.step].iter().filter(away).count();
+        let away = |group: &&Group| group.members.is_empty() || group.stopping.is_some();
+        let absent = self.occurrence(name.occurrence).groups[name.step].iter().filter(away).count();
         absent < most as usize
     }
 }
--- /dev/null
+++ b/crates/scheduler/src/restore.rs
@@ -0,0 +1,54 @@
+//! What a new scheduler takes over from the store.
+
+use std::sync::Arc;
+
+use jobs::{Job, OccurrenceId, Progress};
+use model::Revision;
+
+use crate::{
+    Scheduler,
+    live::{GroupId, Member, Occurrence},
+    server::Server,
+};
+
+impl Scheduler {
+    /// Progress that the store holds, read by a new scheduler after its jobs.
+    pub fn restore(&mut self, id: OccurrenceId, progress: Progress, revision: Revision) {
+        let Some(entry) = self.jobs.get_mut(&id.job) else { return };
+        let job = Arc::clone(&entry.job);
+        let Some(occurrence) = entry.occurrences.get_mut(id.number as usize) else { return };
+        let shape = |p: &Progress| p.groups.iter().map(Vec::len).collect::<Vec<_>>();
+        if shape(&progress) != shape(&occurrence.progress) {
+            log::error!("job={} event=progress_unreadable occurrence={} why=other_shape", id.job, id.number);
+            return;
+        }
+        occurrence.store_revision = revision;
+        occurrence.stored_progress = progress.clone();
+        occurrence.progress = progress;
+        self.changed.insert(id);
+        if entry.occurrences.iter().all(Occurrence::over) {
+            entry.ended.get_or_insert(self.elected);
+        }
+        self.restore_members(id, &job);
+    }
+
+    /// What was placed may run on, for as long as an earlier scheduler's leases keep it.
+    fn restore_members(&mut self, id: OccurrenceId, job: &Job) {
+        let earlier = self.timing.earlier_leases_over(self.elected);
+        let occurrence = &mut self.jobs.get_mut(&id.job).expect("it was just restored").occurrences[id.number as usize];
+        for (s, step) in occurrence.progress.groups.iter().enumerate() {
+            for (g, group) in step.iter().enumerate() {
+                let name = GroupId { occurrence: id, step: s, group: g };
+                let live = &mut occurrence.groups[s][g];
+                live.placed_at = self.elected;
+                for placed in &group.placed {
+                    let server =
+                        self.servers.entry(placed.server.clone()).or_insert_with(|| Server::new(None, earlier));
+                    server.used.add(&job.steps[s].counted_need());
+                    server.members.insert(name.task(placed.index), group.run);
+                    live.members.push(Member::restored(placed, self.elected));
+                }
+            }
+        }
+    }
+}
--- a/crates/scheduler/src/runs.rs
+++ b/crates/scheduler/src/runs.rs
@@ -1,38 +1,52 @@
-//! Runs of groups: placed, stopped, over.
+//! Runs of groups: looked up, placed, over.
 
-use jobs::{GroupProgress, JobId, Placed, Saved, Step, TaskId};
+use jobs::{GroupProgress, JobId, OccurrenceId, Placed, Saved, Step, TaskId};
 use model::{BackendServerId, Moment};
 
 use crate::{
     Scheduler,
-    live::{Group, GroupId, Member, Phase, StopReason},
-    observe::Observation,
-    orders::Order,
+    live::{Group, GroupId, Member, Occurrence},
 };
 
 impl Scheduler {
+    /// An occurrence; `None` if no such job or occurrence is known.
+    pub(crate) fn known_occurrence(&self, id: OccurrenceId) -> Option<&Occurrence> {
+        self.jobs.get(&id.job)?.occurrences.get(id.number as usize)
+    }
+
+    pub(crate) fn known_occurrence_mut(&mut self, id: OccurrenceId) -> Option<&mut Occurrence> {
+        self.jobs.get_mut(&id.job)?.occurrences.get_mut(id.number as usize)
+    }
+
+    /// The occurrence of a group, which is named only while its job is known. So do the lookups that follow.
+    pub(crate) fn occurrence(&self, id: OccurrenceId) -> &Occurrence {
+        &self.jobs[&id.job].occurrences[id.number as usize]
+    }
+
+    pub(crate) fn occurrence_mut(&mut self, id: OccurrenceId) -> &mut Occurrence {
+        let entry = self.jobs.get_mut(&id.job).expect("groups are named only while their job is known");
+        &mut entry.occurrences[id.number as usize]
+    }
+
     pub(crate) fn step(&self, name: GroupId) -> &Step {
         &self.jobs[&name.occurrence.job].job.steps[name.step]
     }
 
     pub(crate) fn group(&self, name: GroupId) -> &Group {
-        &self.jobs[&name.occurrence.job].occurrences[name.occurrence.number as usize].groups[name.step][name.group]
+        &self.occurrence(name.occurrence).groups[name.step][name.group]
     }
 
     pub(crate) fn group_mut(&mut self, name: GroupId) -> &mut Group {
-        let entry = self.jobs.get_mut(&name.occurrence.job).expect("groups are named only while their job is known");
-        &mut entry.occurrences[name.occurrence.number as usize].groups[name.step][name.group]
+        &mut self.occurrence_mut(name.occurrence).groups[name.step][name.group]
     }
 
     pub(crate) fn progress_of(&self, name: GroupId) -> &GroupProgress {
-        let occurrence = &self.jobs[&name.occurrence.job].occurrences[name.occurrence.number as usize];
-        &occurrence.progress.groups[name.step][name.group]
+        &self.occurrence(name.occurrence).progress.groups[name.step][name.group]
     }
 
     /// Changes the progress of a group, which then has to be stored.
     pub(crate) fn change(&mut self, name: GroupId, change: impl FnOnce(&mut GroupProgress)) {
-        let entry = self.jobs.get_mut(&name.occurrence.job).expect("groups are named only while their job is known");
-        let occurrence = &mut entry.occurrences[name.occurrence.number as usize];
+        let occurrence = self.occurrence_mut(name.occurrence);
         change(&mut occurrence.progress.groups[name.step][name.group]);
         occurrence.version += 1;
         self.dirty.insert(name.occurrence);
@@ -47,13 +61,13 @@
         known.then(|| GroupId::of(task, step))
     }
 
+    /// All groups of a job.
     pub(crate) fn group_names(&self, job: JobId) -> Vec<GroupId> {
         let Some(entry) = self.jobs.get(&job) else { return Vec::new() };
         let mut names = Vec::new();
-        for (number, occurrence) in entry.occurrences.iter().enumerate() {
-            let occurrence_id = jobs::OccurrenceId { job, number: number as u32 };
+        for (id, occurrence) in entry.occurrence_ids().zip(&entry.occurrences) {
             for (step, groups) in occurrence.groups.iter().enumerate() {
-                names.extend((0..groups.len()).map(|group| GroupId { occurrence: occurrence_id, step, group }));
+                names.extend((0..groups.len()).map(|group| GroupId { occurrence: id, step, group }));
             }
         }
         names
@@ -68,7 +82,9 @@
     pub(crate) fn place(&mut self, name: GroupId, servers: &[(u32, BackendServerId)], now: Moment) {
         let need = self.step(name).counted_need();
         let run = self.progress_of(name).run.next();
-        let placed = servers.iter().map(|(index, server)| Placed { index: *index, server: server.clone() }).collect();
+        let placed: Vec<Placed> =
+            servers.iter().map(|(index, server)| Placed { index: *index, server: server.clone() }).collect();
+        let members = placed.iter().map(Member::planned).collect();
         for (index, id) in servers {
             let server = self.servers.get_mut(id).expect("only known backend servers are chosen");
             server.used.add(&need);
@@ -80,23 +96,12 @@
             progress.begun = true;
             progress.placed = placed;
         });
-        let entry = self.jobs.get(&name.occurrence.job).expect("it was just changed");
-        let version = entry.occurrences[name.occurrence.number as usize].version;
+        let version = self.occurrence(name.occurrence).version;
         let group = self.group_mut(name);
         group.placed_version = version;
         group.placed_at = now;
         group.stopping = None;
-        let member = |(index, server): &(u32, BackendServerId)| Member {
-            index: *index,
-            server: server.clone(),
-            phase: Phase::Planned,
-            settled: None,
-            stop_sent: None,
-            saved: None,
-            percent: 0,
-            advanced: now,
-        };
-        group.members = servers.iter().map(member).collect();
+        group.members = members;
     }
 
     /// Says where a run goes, and what that rests on.
@@ -146,62 +151,4 @@
             }
         });
     }
-
-    /// Stops what there is of a group's run.
-    pub(crate) fn stop_group(&mut self, name: GroupId, reason: StopReason, now: Moment) {
-        let group = self.group_mut(name);
-        if group.members.is_empty() || group.stopping.is_some() {
-            return;
-        }
-        group.stopping = Some(reason);
-        let members = group.members.clone();
-        log::info!("job={} event=stopping step={} group={} why={reason}", name.occurrence.job, name.step, name.group);
-        self.observations.push(Observation::Stopped { why: reason.to_string() });
-        for member in members {
-            if member.phase == Phase::Planned {
-                self.remove_member(name, member.index, None, now);
-            } else {
-                self.send_stop(name, member.index, &member.server, now);
-            }
-        }
-    }
-
-    fn send_stop(&mut self, name: GroupId, index: u32, server: &BackendServerId, now: Moment) {
-        let run = self.progress_of(name).run;
-        if let Some(member) = self.member_mut(name, index, server) {
-            member.stop_sent = Some(now);
-        }
-        self.orders.push(Order::Stop { server: server.clone(), task: name.task(index), run });
-    }
-
-    pub(crate) fn repeat_stops(&mut self, now: Moment) {
-        let retry = self.timing.stop_retry;
-        let mut due = Vec::new();
-        for server in self.servers.values().filter(|server| server.unanswered == 0) {
-            for task in server.members.keys() {
-                let Some(name) = self.group_of(*task) else { continue };
-                let group = self.group(name);
-                let Some(member) = group.members.iter().find(|member| member.index == task.index) else { continue };
-                let unanswered = member.stop_sent.is_some_and(|sent| sent + retry <= now);
-                if group.stopping.is_some() && unanswered {
-                    due.push((name, member.index, member.server.clone()));
-                }
-            }
-        }
-        for (name, index, server) in due {
-            self.send_stop(name, index, &server, now);
-        }
-    }
-
-    /// Everything that may have run on a backend server is over, without a word of how it ended.
-    pub(crate) fn lapse_members(&mut self, id: &BackendServerId, why: &str, now: Moment) {
-        let Some(server) = self.servers.get(id) else { return };
-        let tasks: Vec<TaskId> = server.members.keys().copied().collect();
-        for task in tasks {
-            let Some(name) = self.group_of(task) else { continue };
-            log::info!("job={} event=lapsed task={task} server={id} why={why}", task.occurrence.job);
-            self.remove_member(name, task.index, None, now);
-            self.stop_group(name, StopReason::GangBroken, now);
-        }
-    }
 }
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -57,9 +57,7 @@
     pub(crate) strays: BTreeMap<TaskId, Stray>,
     /// It has shown what it runs since this scheduler was elected.
     pub(crate) stocked: bool,
-    /// The latest call that it answered was sent at this time.
-    pub(crate) last_contact: Option<Moment>,
-    /// Calls that it left without answer since then.
+    /// Calls that it left without answer since it last answered one.
     pub(crate) unanswered: u32,
     /// Every lease that it was given is over by then.
     pub(crate) lease_over: Moment,
@@ -68,6 +66,7 @@
     pub(crate) seen_end: u64,
     /// Highest end that may be acknowledged.
     pub(crate) acknowledged: u64,
+    /// It gets no new work before this, since it refused a start.
     pub(crate) not_before: Moment,
     pub(crate) health: Health,
 }
@@ -81,7 +80,6 @@
             members: BTreeMap::new(),
             strays: BTreeMap::new(),
             stocked: false,
-            last_contact: None,
             unanswered: 0,
             lease_over,
             pending_ends: VecDeque::new(),
--- /dev/null
+++ b/crates/scheduler/src/starts.rs
@@ -0,0 +1,112 @@
+//! Starts: ordered once the store holds where they go, and followed until they are answered.
+
+use std::sync::Arc;
+
+use jobs::{OccurrenceId, RunNumber, TaskId};
+use model::{BackendServerId, Moment};
+
+use crate::{
+    Scheduler,
+    live::{GroupId, Occurrence, Phase, StopReason},
+    orders::{Order, StartReply},
+};
+
+impl Scheduler {
+    /// Sends the starts whose places the store holds.
+    pub(crate) fn send_stored_starts(&mut self) {
+        for id in std::mem::take(&mut self.unsent) {
+            let Some(occurrence) = self.known_occurrence_mut(id) else { continue };
+            for (name, index, server) in take_stored_starts(id, occurrence) {
+                let order = self.start_order(name, index, &server);
+                self.orders.push(order);
+            }
+        }
+    }
+
+    /// A start was answered, or not.
+    pub fn start_replied(
+        &mut self,
+        server: &BackendServerId,
+        task: TaskId,
+        run: RunNumber,
+        reply: StartReply,
+        now: Moment,
+    ) {
+        if reply == StartReply::Fenced {
+            self.deposed = true;
+        }
+        if reply == StartReply::Gone {
+            self.server_gone(server, now);
+            return;
+        }
+        let Some(name) = self.group_of(task) else { return };
+        if self.progress_of(name).run != run {
+            return;
+        }
+        let Some(member) = self.member_mut(name, task.index, server) else { return };
+        match reply {
+            StartReply::Started => {
+                member.phase = Phase::Running;
+                member.settled = Some(now);
+            }
+            StartReply::Unknown => self.start_unanswered(name, task.index, server, now),
+            _ => self.start_refused(name, task, server, reply, now),
+        }
+    }
+
+    fn start_refused(&mut self, name: GroupId, task: TaskId, server: &BackendServerId, reply: StartReply, now: Moment) {
+        log::info!("job={} event=start_refused task={task} server={server} why={reply:?}", task.occurrence.job);
+        if let Some(server) = self.servers.get_mut(server) {
+            server.not_before = now + self.timing.refused_pause;
+        }
+        self.remove_member(name, task.index, None, now);
+        self.stop_group(name, StopReason::GangBroken, now);
+    }
+
+    /// Sent again, since a start takes effect once only; given up after some tries.
+    fn start_unanswered(&mut self, name: GroupId, index: u32, server: &BackendServerId, now: Moment) {
+        let most = self.timing.start_tries;
+        let stopping = self.group(name).stopping.is_some();
+        let Some(member) = self.member_mut(name, index, server) else { return };
+        let Phase::Sent { tries } = member.phase else { return };
+        if stopping {
+            return;
+        }
+        if tries < most {
+            member.phase = Phase::Sent { tries: tries + 1 };
+            let order = self.start_order(name, index, server);
+            self.orders.push(order);
+            return;
+        }
+        log::info!("job={} event=start_given_up task={} server={server}", name.occurrence.job, name.task(index));
+        self.stop_group(name, StopReason::GangBroken, now);
+    }
+
+    fn start_order(&self, name: GroupId, index: u32, server: &BackendServerId) -> Order {
+        let progress = self.progress_of(name);
+        Order::Start {
+            server: server.clone(),
+            task: name.task(index),
+            run: progress.run,
+            text: Arc::clone(&self.jobs[&name.occurrence.job].job.text),
+            saved: progress.saved.clone(),
+        }
+    }
+}
+
+/// Members whose place the store holds and that were not ordered yet; from here on they count as sent.
+fn take_stored_starts(id: OccurrenceId, occurrence: &mut Occurrence) -> Vec<(GroupId, u32, BackendServerId)> {
+    let mut sent = Vec::new();
+    for (step, groups) in occurrence.groups.iter_mut().enumerate() {
+        for (group, live) in groups.iter_mut().enumerate() {
+            if live.placed_version > occurrence.stored_version {
+                continue;
+            }
+            for member in live.members.iter_mut().filter(|member| member.phase == Phase::Planned) {
+                member.phase = Phase::Sent { tries: 1 };
+                sent.push((GroupId { occurrence: id, step, group }, member.index, member.server.clone()));
+            }
+        }
+    }
+    sent
+}
--- /dev/null
+++ b/crates/scheduler/src/stops.rs
@@ -0,0 +1,84 @@
+//! Runs are stopped, or lapse with their lease.
+
+use jobs::{RunNumber, TaskId};
+use model::{BackendServerId, Moment};
+
+use crate::{
+    Scheduler,
+    live::{GroupId, Phase, StopReason},
+    observe::Observation,
+    orders::Order,
+};
+
+impl Scheduler {
+    /// Stops what there is of a group's run.
+    pub(crate) fn stop_group(&mut self, name: GroupId, reason: StopReason, now: Moment) {
+        let group = self.group_mut(name);
+        if group.members.is_empty() || group.stopping.is_some() {
+            return;
+        }
+        group.stopping = Some(reason);
+        let members = group.members.clone();
+        log::info!("job={} event=stopping step={} group={} why={reason}", name.occurrence.job, name.step, name.group);
+        self.observations.push(Observation::Stopped { why: reason.to_string() });
+        for member in members {
+            if member.phase == Phase::Planned {
+                self.remove_member(name, member.index, None, now);
+            } else {
+                self.send_stop(name, member.index, &member.server, now);
+            }
+        }
+    }
+
+    /// Stops again what was stopped a while ago and is still there. A backend server that is out of reach is let be.
+    pub(crate) fn repeat_stops(&mut self, now: Moment) {
+        let retry = self.timing.stop_retry;
+        let mut due = Vec::new();
+        for server in self.servers.values().filter(|server| server.unanswered == 0) {
+            for task in server.members.keys() {
+                let Some(name) = self.group_of(*task) else { continue };
+                let group = self.group(name);
+                let Some(member) = group.members.iter().find(|member| member.index == task.index) else { continue };
+                let unanswered = member.stop_sent.is_some_and(|sent| sent + retry <= now);
+                if group.stopping.is_some() && unanswered {
+                    due.push((name, member.index, member.server.clone()));
+                }
+            }
+        }
+        for (name, index, server) in due {
+            self.send_stop(name, index, &server, now);
+        }
+    }
+
+    /// Everything that may have run on a backend server is over, without a word of how it ended.
+    pub(crate) fn lapse_members(&mut self, id: &BackendServerId, why: &str, now: Moment) {
+        let Some(server) = self.servers.get(id) else { return };
+        let tasks: Vec<TaskId> = server.members.keys().copied().collect();
+        for task in tasks {
+            let Some(name) = self.group_of(task) else { continue };
+            log::info!("job={} event=lapsed task={task} server={id} why={why}", task.occurrence.job);
+            self.remove_member(name, task.index, None, now);
+            self.stop_group(name, StopReason::GangBroken, now);
+        }
+    }
+
+    /// A stop was answered: the run ends, or never begins.
+    pub fn stop_replied(&mut self, server: &BackendServerId, task: TaskId, run: RunNumber, now: Moment) {
+        let Some(name) = self.group_of(task) else { return };
+        if self.progress_of(name).run != run {
+            return;
+        }
+        if let Some(member) = self.member_mut(name, task.index, server) {
+            member.settled = Some(now);
+            member.stop_sent = None;
+        }
+    }
+
+    fn send_stop(&mut self, name: GroupId, index: u32, server: &BackendServerId, now: Moment) {
+        let run = self.progress_of(name).run;
+        if let Some(member) = self.member_mut(name, index, server) {
+            member.stop_sent = Some(now);
+        }
+        self.orders.push(Order::Stop { server: server.clone(), task: name.task(index), run });
+    }
+}
