Split the runtime's long files by job; write its waits once

Requests, the relay, links and the leader each did several things in one file and in functions of about 40 lines. They have modules of one job now; outcomes are converted to the relay's words in one place each way, and waiting for an event or a time is one function. Calls, limits, log lines and their order stay.

--- /dev/null
+++ b/crates/runtime/src/active.rs
@@ -0,0 +1,145 @@
+//! The scheduler of a box at work, and the place where the box's requests find it.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use jobs::{Fence, Job, JobId, QueueId};
+use model::{CustomerId, Moment};
+use scheduler::{Counts, Scheduler};
+use smol::channel::{Receiver, Sender};
+
+use crate::{links::Links, measure, requests::StateOutcome};
+
+/// A channel for one token: a full one holds the news already.
+type Signal = (Sender<()>, Receiver<()>);
+
+/// A scheduler at work.
+pub(crate) struct Active {
+    scheduler: Mutex<Scheduler>,
+    pub(crate) fence: Fence,
+    pub(crate) links: Links,
+    /// Holds a token when something may let a group start.
+    plan: Signal,
+    /// Holds a token when something is to be stored.
+    write: Signal,
+    /// Holds a token when another scheduler has been elected.
+    deposed: Signal,
+}
+
+impl Active {
+    pub(crate) fn new(scheduler: Scheduler, links: Links) -> Active {
+        Active {
+            fence: scheduler.fence(),
+            scheduler: Mutex::new(scheduler),
+            links,
+            plan: smol::channel::bounded(1),
+            write: smol::channel::bounded(1),
+            deposed: smol::channel::bounded(1),
+        }
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Scheduler> {
+        self.scheduler.lock().expect("no holder panics")
+    }
+
+    /// Changes the scheduler, then sends what it wants sent and has the changes stored and planned.
+    pub(crate) fn update<T>(&self, change: impl FnOnce(&mut Scheduler) -> T) -> T {
+        let mut scheduler = self.lock();
+        let result = change(&mut scheduler);
+        let (orders, observations) = (scheduler.take_orders(), scheduler.take_observations());
+        let (plan, write) = (scheduler.take_plan_wanted(), scheduler.has_unstored());
+        let deposed = scheduler.deposed();
+        drop(scheduler);
+        for order in orders {
+            self.links.send(order);
+        }
+        measure::observe(observations);
+        if plan {
+            let _ = self.plan.0.try_send(());
+        }
+        if write {
+            let _ = self.write.0.try_send(());
+        }
+        if deposed {
+            self.depose();
+        }
+        result
+    }
+
+    /// Another scheduler has been elected.
+    pub(crate) fn depose(&self) {
+        let _ = self.deposed.0.try_send(());
+    }
+
+    /// Waits until another scheduler has been elected.
+    pub(crate) async fn until_deposed(&self) {
+        let _ = self.deposed.1.recv().await;
+    }
+
+    /// Waits until something may let a group start.
+    pub(crate) async fn plan_wanted(&self) {
+        let _ = self.plan.1.recv().await;
+    }
+
+    /// A plan is about to be made: what has happened up to now is no reason for another.
+    pub(crate) fn plan_begins(&self) {
+        let _ = self.plan.1.try_recv();
+    }
+
+    /// Waits until something may have to be written.
+    pub(crate) async fn changed(&self) {
+        let _ = self.write.1.recv().await;
+    }
+}
+
+/// The scheduler of this box, while it is elected and has read what the store holds.
+#[derive(Clone, Default)]
+pub(crate) struct ActiveSlot {
+    active: Arc<Mutex<Option<Arc<Active>>>>,
+}
+
+impl ActiveSlot {
+    fn get(&self) -> Option<Arc<Active>> {
+        self.active.lock().expect("no holder panics").clone()
+    }
+
+    pub(crate) fn set(&self, active: Arc<Active>) {
+        self.active.lock().expect("no holder panics").replace(active);
+    }
+
+    pub(crate) fn clear(&self) {
+        self.active.lock().expect("no holder panics").take();
+    }
+
+    pub(crate) fn add_job(&self, job: &Job) {
+        if let Some(active) = self.get() {
+            active.update(|scheduler| scheduler.add_job(job.clone()));
+        }
+    }
+
+    pub(crate) fn cancel(&self, id: JobId, now: Moment) {
+        if let Some(active) = self.get() {
+            active.update(|scheduler| scheduler.cancel(id, now));
+        }
+    }
+
+    pub(crate) fn state(&self, id: JobId, may_see: impl Fn(Option<&CustomerId>) -> bool) -> StateOutcome {
+        let Some(active) = self.get() else { return StateOutcome::Unavailable };
+        let scheduler = active.lock();
+        match scheduler.job(id) {
+            None => StateOutcome::NoSuchJob,
+            Some((_, owner, _)) if !may_see(owner) => StateOutcome::NotYours,
+            Some((state, _, _)) => StateOutcome::Found(state),
+        }
+    }
+
+    /// The fence and the sizes of the scheduler, if this box has one.
+    pub(crate) fn counts(&self) -> Option<(Fence, Counts)> {
+        let active = self.get()?;
+        let counts = active.lock().counts();
+        Some((active.fence, counts))
+    }
+
+    pub(crate) fn waiting(&self, queue: &QueueId) -> Option<u64> {
+        Some(self.get()?.lock().waiting(queue) as u64)
+    }
+}
--- a/crates/runtime/src/directory.rs
+++ b/crates/runtime/src/directory.rs
@@ -6,9 +6,10 @@
 use outside::{Change, Item};
 
 use crate::{
+    active::Active,
     border::ListedServer,
     follow::{Seen, follow},
-    leader::{Active, Parts},
+    leader::Parts,
 };
 
 /// Longest wait of the watch on backend servers.
@@ -48,7 +49,7 @@
             listed.insert(server.target.id.clone());
             take_server(parts, active, server);
         }
-        Err(e) => log::error!("event=server_unreadable why={}", e),
+        Err(e) => log::error!("event=server_unreadable why={e}"),
     }
 }
 
--- a/crates/runtime/src/election.rs
+++ b/crates/runtime/src/election.rs
@@ -8,11 +8,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    follow::{Backoff, Seen, follow},
+    active::ActiveSlot,
+    follow::{Seen, follow},
     keys,
-    leader::{self, ActiveSlot, Parts},
+    leader::{self, Parts},
     settings::Settings,
     view::{Leader, View},
+    wait::{Backoff, at_most, pause},
 };
 
 /// Candidates wait a random time up to this before they stand, so that few writes collide.
@@ -43,9 +45,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 #[display(rename_all = "snake_case")]
 enum Ended {
+    /// The store says that the lease is over.
     LeaseLost,
+    /// The store has not confirmed the lease for too long.
     Unconfirmed,
+    /// A backend server or the store knows a later scheduler.
     Deposed,
+    /// The box leaves.
     Resigned,
 }
 
@@ -75,20 +81,14 @@
     loop {
         if may_stand(&parts.view) {
             let patience = STAND_WITHIN.scaled(fastrand::f64()) + STAND_LATER.scaled(1.0 / settings.cpu_share);
-            smol::Timer::after(patience.into()).await;
+            pause(patience).await;
             if may_stand(&parts.view)
                 && let Some(won) = stand(&settings, &parts).await
             {
                 lead(&settings, &parts, &active, won).await;
             }
         }
-        let changed = async {
-            parts.view.leader_changed().await;
-        };
-        let tick = async {
-            smol::Timer::after(LOOK_EVERY.into()).await;
-        };
-        futures_lite::FutureExt::or(changed, tick).await;
+        at_most(LOOK_EVERY, parts.view.leader_changed()).await;
     }
 }
 
@@ -104,6 +104,7 @@
     confirmed: Moment,
 }
 
+/// Writes the scheduler's key under a new lease, unless another holds it. `None` if the election is not won.
 async fn stand(settings: &Settings, parts: &Parts) -> Option<Won> {
     let asked = parts.view.clock().now();
     let lease = parts.store.grant(settings.election_ttl).await.ok()?;
@@ -119,7 +120,7 @@
             return None;
         }
         Ok(Committed::LeaseGone) | Err(StoreError::Refused { .. }) => return None,
-        Err(StoreError::Lost { .. }) => found(parts, &record).await?,
+        Err(StoreError::Lost { .. }) => won_unanswered(parts, &record).await?,
     };
     log::info!("event=elected box={} fence={fence}", settings.box_id);
     metrics::counter!("martenscale_elections_total").increment(1);
@@ -127,13 +128,14 @@
     Some(Won { fence, lease, confirmed: asked + settings.election_ttl })
 }
 
-/// Whether a write without an answer has won the election.
-async fn found(parts: &Parts, record: &Record) -> Option<Fence> {
+/// The fence, if a write without an answer has won the election after all.
+async fn won_unanswered(parts: &Parts, record: &Record) -> Option<Fence> {
     let item = parts.store.get(keys::SCHEDULER.to_owned()).await.ok()??;
     let holder: Record = serde_json::from_slice(&item.value).ok()?;
     (holder == *record).then_some(Fence(item.revision.0))
 }
 
+/// Schedules for as long as the election holds, then makes way.
 async fn lead(settings: &Settings, parts: &Parts, active: &ActiveSlot, won: Won) {
     let (fence, lease) = (won.fence, won.lease);
     let schedule = async {
@@ -158,17 +160,9 @@
     let mut backoff = Backoff::new();
     let mut last = parts.view.clock().now();
     loop {
-        let next = async {
-            let since = parts.view.clock().now().since(last);
-            let rest = every.millis().saturating_sub(since.millis());
-            smol::Timer::after(std::time::Duration::from_millis(rest)).await;
-        };
-        let leaving = async {
-            while !parts.view.draining() {
-                parts.view.leader_changed().await;
-            }
-        };
-        futures_lite::FutureExt::or(next, leaving).await;
+        let since = parts.view.clock().now().since(last);
+        let rest = Duration::from_millis(every.millis().saturating_sub(since.millis()));
+        futures_lite::FutureExt::or(pause(rest), leaving(&parts.view)).await;
         if parts.view.draining() {
             return Ended::Resigned;
         }
@@ -191,3 +185,10 @@
         }
     }
 }
+
+/// Waits until the box leaves.
+async fn leaving(view: &View) {
+    while !view.draining() {
+        view.leader_changed().await;
+    }
+}
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -3,12 +3,7 @@
 use model::{Duration, Revision};
 use outside::{Change, CoordinationStore, Item, StoreError, Watched};
 
-use crate::view::View;
-
-/// Pause after a failed call, doubled up to [`LONGEST_PAUSE`], each time with half of it drawn at random.
-const FIRST_PAUSE: Duration = Duration::from_millis(50);
-/// A box that is cut off looks this often whether it still is.
-const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+use crate::{view::View, wait::Backoff};
 
 /// What is seen of a prefix.
 pub(crate) enum Seen {
@@ -18,29 +13,18 @@
     Changes(Vec<Change>),
 }
 
-/// Waits between tries of a call.
-pub(crate) struct Backoff {
-    pause: Duration,
-}
-
-impl Backoff {
-    pub(crate) fn new() -> Backoff {
-        Backoff { pause: FIRST_PAUSE }
-    }
-
-    pub(crate) fn reset(&mut self) {
-        self.pause = FIRST_PAUSE;
-    }
-
-    pub(crate) async fn wait(&mut self) {
-        self.wait_at_most(LONGEST_PAUSE).await;
-    }
-
-    /// Waits, but no longer than what is left of the caller's time.
-    pub(crate) async fn wait_at_most(&mut self, left: Duration) {
-        let pause = self.pause.scaled(0.5 + fastrand::f64() / 2.0).min(left);
-        self.pause = self.pause.scaled(2.0).min(LONGEST_PAUSE);
-        smol::Timer::after(pause.into()).await;
+impl Seen {
+    /// The items that are there or were written, in order; without what was removed.
+    pub(crate) fn written(self) -> Vec<Item> {
+        let changes = match self {
+            Seen::All(items) => return items,
+            Seen::Changes(changes) => changes,
+        };
+        let written = |change| match change {
+            Change::Put(item) => Some(item),
+            Change::Removed { .. } => None,
+        };
+        changes.into_iter().filter_map(written).collect()
     }
 }
 
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -5,20 +5,26 @@
 //! scheduler finds new jobs in the store. All I/O to the outside goes through the traits of
 //! [`border`], so that this crate knows no platform's protocol.
 
+mod active;
 pub mod border;
 mod configuration;
 mod directory;
 mod election;
 mod follow;
+mod intake;
 mod keys;
 mod leader;
+mod link_worker;
 mod links;
 mod measure;
 mod relay;
+mod relay_service;
+mod relay_words;
 mod requests;
 mod running_box;
 mod settings;
 mod view;
+mod wait;
 mod writer;
 
 pub use crate::{
--- /dev/null
+++ b/crates/runtime/src/link_worker.rs
@@ -0,0 +1,192 @@
+//! The work of one link: a loop of renewals holds its backend server, and another gives it orders in turn.
+
+use std::sync::Weak;
+
+use jobs::{RunNumber, TaskId};
+use model::{BackendServerId, Duration, Moment};
+use net::NetError;
+use scheduler::{Order, StartReply};
+use smol::channel::Receiver;
+
+use crate::{
+    active::Active,
+    border::{Hold, HoldReply, Start, StopReply, Target},
+    leader::Parts,
+    measure,
+    wait::{Backoff, at_most},
+};
+
+/// How long a renewal waits for an end while something runs: also how old a lease gets before it is renewed.
+const BUSY_WAIT: Duration = Duration::from_millis(1000);
+/// The same while nothing runs.
+const IDLE_WAIT: Duration = Duration::from_millis(2000);
+/// Ends are acknowledged with the next renewal, which waits this long at most for the store to hold them.
+const STORE_WAIT: Duration = Duration::from_millis(400);
+
+/// What the loops of a link work with.
+#[derive(Clone)]
+pub(crate) struct Worker {
+    pub(crate) parts: Parts,
+    /// How long each renewal keeps what runs.
+    pub(crate) lease: Duration,
+    pub(crate) target: Target,
+    /// Weak, since the scheduler's links own the loops.
+    pub(crate) active: Weak<Active>,
+}
+
+/// Renews leases, takes listings in and acknowledges ends, until the backend server or the scheduler is gone.
+pub(crate) async fn hold_loop(worker: Worker, stored: Receiver<()>) {
+    let mut backoff = Backoff::new();
+    let mut answered = false;
+    let id = worker.target.id.clone();
+    while let Some(active) = worker.active.upgrade() {
+        let Some(hold) = worker.next_hold(&active, answered) else { break };
+        let renews = hold.lease.is_some();
+        let _ = stored.try_recv();
+        let sent = worker.now();
+        let reply = worker.parts.servers.hold(worker.target.clone(), hold).await;
+        measure::server_call("hold", hold_outcome(&reply));
+        match reply {
+            Ok(HoldReply::Listing(listing)) => {
+                answered = true;
+                backoff.reset();
+                let now = worker.now();
+                active.update(|scheduler| scheduler.listing(&id, &listing, sent, now));
+                wait_for_store(&active, &id, &stored).await;
+            }
+            Ok(HoldReply::Fenced) => {
+                log::info!("event=deposed fence={} why=fenced_by server={id}", active.fence);
+                active.depose();
+                return;
+            }
+            Ok(HoldReply::Gone) => {
+                let now = worker.now();
+                active.update(|scheduler| scheduler.server_gone(&id, now));
+                break;
+            }
+            Err(e) => {
+                log::debug!("server={id} event=hold_failed renews={renews} why={e}");
+                answered = false;
+                active.update(|scheduler| scheduler.unanswered(&id));
+                backoff.wait().await;
+            }
+        }
+    }
+    worker.parts.servers.forget(&worker.target);
+}
+
+/// Waits until the ends that were just listed are stored, so that the next renewal acknowledges them.
+async fn wait_for_store(active: &Active, id: &BackendServerId, stored: &Receiver<()>) {
+    let taken = async {
+        while active.lock().has_pending_ends(id) {
+            if stored.recv().await.is_err() {
+                return;
+            }
+        }
+    };
+    at_most(STORE_WAIT, taken).await;
+}
+
+/// Gives orders, one at a time and in their order.
+pub(crate) async fn order_loop(worker: Worker, orders: Receiver<Order>) {
+    while let Ok(order) = orders.recv().await {
+        let Some(active) = worker.active.upgrade() else { return };
+        match order {
+            Order::Start { task, run, text, saved, .. } => {
+                let start = Start { fence: active.fence, task, run, text, saved, lease: worker.lease };
+                if worker.start(&active, start).await == StartReply::Gone {
+                    return;
+                }
+            }
+            Order::Stop { task, run, .. } => worker.stop(&active, task, run).await,
+        }
+    }
+}
+
+impl Worker {
+    fn now(&self) -> Moment {
+        self.parts.view.clock().now()
+    }
+
+    /// What the next renewal carries; `None` once the backend server is of no interest any more.
+    fn next_hold(&self, active: &Active, answered: bool) -> Option<Hold> {
+        let id = &self.target.id;
+        let now = self.now();
+        let mut scheduler = active.lock();
+        if !scheduler.knows(id) {
+            return None;
+        }
+        // An unanswered call may have renewed the lease, so one that is out of reach is only asked, not renewed.
+        let renews = answered;
+        if renews {
+            scheduler.lease_sent(id, now);
+        }
+        let wait = match (answered, scheduler.is_busy(id)) {
+            (false, _) => Duration::ZERO,
+            (true, true) => BUSY_WAIT,
+            (true, false) => IDLE_WAIT,
+        };
+        Some(Hold {
+            fence: scheduler.fence(),
+            acknowledged: scheduler.acknowledged(id),
+            lease: renews.then_some(self.lease),
+            wait,
+        })
+    }
+
+    async fn start(&self, active: &Active, start: Start) -> StartReply {
+        let (task, run) = (start.task, start.run);
+        active.lock().lease_sent(&self.target.id, self.now());
+        let reply = self.parts.servers.start(self.target.clone(), start).await;
+        log::info!(
+            "job={} event=start task={task} run={run} server={} fence={} outcome={reply:?}",
+            task.occurrence.job,
+            self.target.id,
+            active.fence
+        );
+        measure::server_call("start", start_outcome(reply));
+        let now = self.now();
+        active.update(|scheduler| scheduler.start_replied(&self.target.id, task, run, reply, now));
+        reply
+    }
+
+    async fn stop(&self, active: &Active, task: TaskId, run: RunNumber) {
+        let reply = self.parts.servers.stop(self.target.clone(), active.fence, task, run).await;
+        log::info!(
+            "job={} event=stop task={task} run={run} server={} fence={} outcome={reply:?}",
+            task.occurrence.job,
+            self.target.id,
+            active.fence
+        );
+        measure::server_call("stop", if reply.is_ok() { "answered" } else { "lost" });
+        let now = self.now();
+        match reply {
+            Ok(StopReply::Stopped) => active.update(|s| s.stop_replied(&self.target.id, task, run, now)),
+            Ok(StopReply::Fenced) => active.depose(),
+            Ok(StopReply::Gone) => active.update(|s| s.server_gone(&self.target.id, now)),
+            // The scheduler repeats it.
+            Err(_) => {}
+        }
+    }
+}
+
+fn hold_outcome(reply: &Result<HoldReply, NetError>) -> &'static str {
+    match reply {
+        Ok(HoldReply::Listing(_)) => "answered",
+        Ok(HoldReply::Fenced) => "fenced",
+        Ok(HoldReply::Gone) => "gone",
+        Err(_) => "lost",
+    }
+}
+
+fn start_outcome(reply: StartReply) -> &'static str {
+    match reply {
+        StartReply::Started => "started",
+        StartReply::NoRoom => "no_room",
+        StartReply::Refused => "refused",
+        StartReply::Late => "late",
+        StartReply::Fenced => "fenced",
+        StartReply::Gone => "gone",
+        StartReply::Unknown => "lost",
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/relay_service.rs
@@ -0,0 +1,96 @@
+//! Answers to other boxes' calls.
+
+use std::sync::Arc;
+
+use jobs::{Job, QueueId};
+use model::{CustomerId, Duration};
+use tonic::{Request, Response, Status};
+use wire::relay::{self, cancel_reply, relay_server::Relay, state_reply, submit_reply};
+
+use crate::{
+    border::Decoder,
+    requests::{Requests, StateOutcome},
+    view::View,
+};
+
+/// Answers other boxes.
+#[derive(Clone)]
+pub(crate) struct RelayService {
+    pub(crate) requests: Arc<Requests>,
+    pub(crate) view: Arc<View>,
+    pub(crate) decoder: Arc<dyn Decoder>,
+}
+
+#[tonic::async_trait]
+impl Relay for RelayService {
+    async fn submit(&self, req: Request<relay::SubmitRequest>) -> Result<Response<relay::SubmitReply>, Status> {
+        let req = req.into_inner();
+        let job: Job = serde_json::from_slice(&req.job).map_err(|e| Status::invalid_argument(e.to_string()))?;
+        let outcome: submit_reply::Outcome =
+            self.requests.submit_here(&job, Duration::from_millis(req.limit_ms)).await.into();
+        Ok(Response::new(relay::SubmitReply { outcome: outcome.into() }))
+    }
+
+    async fn cancel(&self, req: Request<relay::CancelRequest>) -> Result<Response<relay::CancelReply>, Status> {
+        let req = req.into_inner();
+        let (id, customer) = (parse(&req.job)?, customer(&req.customer)?);
+        let limit = Duration::from_millis(req.limit_ms);
+        let outcome: cancel_reply::Outcome = self.requests.cancel_here(id, customer.as_ref(), limit).await.into();
+        Ok(Response::new(relay::CancelReply { outcome: outcome.into() }))
+    }
+
+    async fn state(&self, req: Request<relay::StateRequest>) -> Result<Response<relay::StateReply>, Status> {
+        let req = req.into_inner();
+        let (id, customer) = (parse(&req.job)?, customer(&req.customer)?);
+        let mut outcome = self.requests.state_in_memory(id, customer.as_ref());
+        if outcome == StateOutcome::Unavailable && !req.scheduler_only {
+            outcome = self.requests.state_in_store(id, customer.as_ref()).await;
+        }
+        let state = state_reply::State::from(outcome);
+        Ok(Response::new(relay::StateReply { state: state.into() }))
+    }
+
+    async fn waiting(&self, req: Request<relay::WaitingRequest>) -> Result<Response<relay::WaitingReply>, Status> {
+        let queue = QueueId::from(req.into_inner().queue.as_str());
+        let waiting = self.requests.waiting_in_memory(&queue);
+        let reply = relay::WaitingReply { unavailable: waiting.is_none(), waiting: waiting.unwrap_or(0) };
+        Ok(Response::new(reply))
+    }
+
+    async fn configuration(
+        &self,
+        req: Request<relay::ConfigurationRequest>,
+    ) -> Result<Response<relay::ConfigurationReply>, Status> {
+        if !self.view.reaches_store() {
+            return Err(Status::unavailable("this box does not reach the store"));
+        }
+        let above = req.into_inner().above;
+        let newer = self.view.configuration().filter(|newest| newest.version > above);
+        let reply = newer.map_or_else(relay::ConfigurationReply::default, |newest| relay::ConfigurationReply {
+            version: newest.version,
+            document: newest.document.to_vec(),
+        });
+        Ok(Response::new(reply))
+    }
+}
+
+impl RelayService {
+    /// Takes a configuration that another box gave.
+    pub(crate) fn take_document(&self, document: &[u8]) {
+        match self.decoder.configuration(document) {
+            Ok(new) => {
+                self.view.take_configuration(new);
+            }
+            Err(e) => log::error!("event=configuration_unreadable from=box why={e}"),
+        }
+    }
+}
+
+fn parse<T: std::str::FromStr<Err: std::fmt::Display>>(text: &str) -> Result<T, Status> {
+    text.parse().map_err(|e: T::Err| Status::invalid_argument(e.to_string()))
+}
+
+/// An empty text names no customer.
+fn customer(text: &str) -> Result<Option<CustomerId>, Status> {
+    if text.is_empty() { Ok(None) } else { parse(text).map(Some) }
+}
--- /dev/null
+++ b/crates/runtime/src/requests/cancel.rs
@@ -0,0 +1,77 @@
+//! Cancellations.
+
+use jobs::{Job, JobId};
+use model::{CustomerId, Duration, Moment, Revision};
+use outside::{Committed, Put, StoreError, Transaction};
+
+use super::{ASK_LIMIT, CancelOutcome, RELAY_LIMIT, Requests, STORE_LIMIT, may_see};
+use crate::{keys, measure, wait::Backoff};
+
+impl Requests {
+    /// Cancels a job, within `limit`.
+    pub async fn cancel(&self, id: JobId, customer: Option<&CustomerId>, limit: Duration) -> CancelOutcome {
+        let until = self.now() + limit;
+        let mut outcome = CancelOutcome::Refused;
+        if self.view.reaches_store() {
+            outcome = self.cancel_here(id, customer, limit.min(STORE_LIMIT)).await;
+        }
+        for addr in self.relays() {
+            let left = until.since(self.now()).min(RELAY_LIMIT);
+            if left < ASK_LIMIT || !matches!(outcome, CancelOutcome::Refused | CancelOutcome::Unknown) {
+                break;
+            }
+            let relayed = self.peers.cancel(addr, id, customer, left).await;
+            if relayed == CancelOutcome::Unknown {
+                self.note_silent(addr);
+            }
+            if relayed != CancelOutcome::Refused {
+                outcome = relayed;
+            }
+        }
+        log::info!("job={id} event=cancel_requested outcome={outcome:?}");
+        measure::request("cancel", &outcome);
+        outcome
+    }
+
+    /// Stores from this box that a job is not wanted, within `limit`.
+    pub(crate) async fn cancel_here(&self, id: JobId, customer: Option<&CustomerId>, limit: Duration) -> CancelOutcome {
+        let until = self.now() + limit;
+        let Ok(job) = self.read_job(id, until).await else { return CancelOutcome::Refused };
+        if job.as_ref().is_some_and(|job| !may_see(job.customer.as_ref(), customer)) {
+            return CancelOutcome::NotYours;
+        }
+        let key = keys::cancel(id);
+        let put = Put { key: key.clone(), value: Vec::new(), lease: None };
+        // A job that is not there may be on its way: the mark keeps it from being made.
+        let mut expect = vec![(key, Revision(0))];
+        if job.is_none() {
+            expect.push((keys::job(id), Revision(0)));
+        }
+        let transaction = Transaction { expect, put: vec![put], remove: Vec::new() };
+        let left = until.since(self.now());
+        match self.commit(transaction, left).await {
+            Ok(Committed::Done(_)) => {
+                self.active.cancel(id, self.now());
+                if job.is_some() { CancelOutcome::Cancelled } else { CancelOutcome::NoSuchJob }
+            }
+            Ok(Committed::Conflict(items)) if items.iter().any(|item| item.key == keys::cancel(id)) => {
+                CancelOutcome::Cancelled
+            }
+            Ok(Committed::Conflict(_) | Committed::LeaseGone) => CancelOutcome::Unknown,
+            Err(StoreError::Refused { .. }) => CancelOutcome::Refused,
+            Err(StoreError::Lost { .. }) => CancelOutcome::Unknown,
+        }
+    }
+
+    /// Reads a job, again until the store answers or `until` is past.
+    async fn read_job(&self, id: JobId, until: Moment) -> Result<Option<Job>, StoreError> {
+        let mut backoff = Backoff::new();
+        loop {
+            match self.store.get(keys::job(id)).await {
+                Ok(item) => return Ok(item.and_then(|item| serde_json::from_slice(&item.value).ok())),
+                Err(e) if self.now() >= until => return Err(e),
+                Err(_) => backoff.wait_at_most(until.since(self.now())).await,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/requests/state.rs
@@ -0,0 +1,103 @@
+//! Questions: how a job stands, and how many wait.
+
+use jobs::{Job, JobId, Progress, QueueId};
+use model::{CustomerId, Duration};
+use outside::StoreError;
+
+use super::{ASK_LIMIT, RELAY_LIMIT, Requests, StateOutcome, may_see};
+use crate::{keys, measure};
+
+impl Requests {
+    /// Tells how a job stands, within `limit`.
+    pub async fn state(&self, id: JobId, customer: Option<&CustomerId>, limit: Duration) -> StateOutcome {
+        let outcome = self.state_anywhere(id, customer, limit).await;
+        measure::request("state", &outcome);
+        if outcome == StateOutcome::Unavailable {
+            log::info!("job={id} event=state_unavailable store={}", self.view.reaches_store());
+        }
+        outcome
+    }
+
+    async fn state_anywhere(&self, id: JobId, customer: Option<&CustomerId>, limit: Duration) -> StateOutcome {
+        let until = self.now() + limit;
+        let here = self.state_in_memory(id, customer);
+        if settled(here) {
+            return here;
+        }
+        if let Some(leader) = self.view.leader().filter(|leader| leader.addr != self.here) {
+            let asked = self.peers.state(leader.addr, id, customer, true, ASK_LIMIT.min(limit)).await;
+            if settled(asked) {
+                return asked;
+            }
+        }
+        if self.view.reaches_store() {
+            let stored = self.state_in_store(id, customer).await;
+            if stored != StateOutcome::Unavailable {
+                return stored;
+            }
+        }
+        for addr in self.others() {
+            let left = until.since(self.now()).min(ASK_LIMIT);
+            if left == Duration::ZERO {
+                break;
+            }
+            let asked = self.peers.state(addr, id, customer, false, left).await;
+            if asked != StateOutcome::Unavailable {
+                return asked;
+            }
+            self.note_silent(addr);
+        }
+        StateOutcome::Unavailable
+    }
+
+    pub(crate) fn state_in_memory(&self, id: JobId, customer: Option<&CustomerId>) -> StateOutcome {
+        self.active.state(id, |owner| may_see(owner, customer))
+    }
+
+    pub(crate) async fn state_in_store(&self, id: JobId, customer: Option<&CustomerId>) -> StateOutcome {
+        match self.read_state(id, customer).await {
+            Ok(outcome) => outcome,
+            Err(e) => {
+                log::info!("job={id} event=state_unread why={e}");
+                StateOutcome::Unavailable
+            }
+        }
+    }
+
+    async fn read_state(&self, id: JobId, customer: Option<&CustomerId>) -> Result<StateOutcome, StoreError> {
+        let Some(item) = self.store.get(keys::job(id)).await? else { return Ok(StateOutcome::NoSuchJob) };
+        let Ok(job) = serde_json::from_slice::<Job>(&item.value) else { return Ok(StateOutcome::Unavailable) };
+        if !may_see(job.customer.as_ref(), customer) {
+            return Ok(StateOutcome::NotYours);
+        }
+        let cancelled = self.store.get(keys::cancel(id)).await?.is_some();
+        let stored = self.store.range(keys::progress_of_job(id)).await?;
+        let mut all = vec![Progress::new(&job); job.occurrences() as usize];
+        for item in stored.items {
+            let number = keys::occurrence(&item.key).map(|occurrence| occurrence.number as usize);
+            let progress = serde_json::from_slice(&item.value).ok();
+            if let (Some(slot), Some(progress)) = (number.and_then(|n| all.get_mut(n)), progress) {
+                *slot = progress;
+            }
+        }
+        Ok(StateOutcome::Found(Progress::job_state(all.iter(), cancelled)))
+    }
+
+    /// Counts the accepted jobs of a queue that have not begun; `None` if the scheduler cannot be asked.
+    pub async fn waiting(&self, queue: &QueueId, limit: Duration) -> Option<u64> {
+        if let Some(waiting) = self.waiting_in_memory(queue) {
+            return Some(waiting);
+        }
+        let leader = self.view.leader()?;
+        self.peers.waiting(leader.addr, queue, limit.min(RELAY_LIMIT)).await
+    }
+
+    pub(crate) fn waiting_in_memory(&self, queue: &QueueId) -> Option<u64> {
+        self.active.waiting(queue)
+    }
+}
+
+/// Whether no one need be asked besides: a scheduler that knows of no such job may only not have heard of it yet.
+fn settled(outcome: StateOutcome) -> bool {
+    matches!(outcome, StateOutcome::Found(_) | StateOutcome::NotYours)
+}
--- /dev/null
+++ b/crates/runtime/src/requests/submit.rs
@@ -0,0 +1,95 @@
+//! Submissions.
+
+use jobs::Job;
+use model::{Duration, Revision};
+use outside::{Committed, Item, Put, StoreError, Transaction};
+
+use super::{ASK_LIMIT, RELAY_LIMIT, Requests, STORE_LIMIT, SubmitOutcome};
+use crate::{keys, measure};
+
+impl Requests {
+    /// Takes a job, within `limit`.
+    pub async fn submit(&self, job: &Job, limit: Duration) -> SubmitOutcome {
+        let outcome = self.submit_anywhere(job, limit).await;
+        measure::request("submit", &outcome);
+        outcome
+    }
+
+    async fn submit_anywhere(&self, job: &Job, limit: Duration) -> SubmitOutcome {
+        let until = self.now() + limit;
+        let mut doubt = false;
+        if self.view.reaches_store() {
+            match self.submit_here(job, limit.min(STORE_LIMIT)).await {
+                SubmitOutcome::Refused => {}
+                SubmitOutcome::Unknown => doubt = true,
+                settled => return settled,
+            }
+        }
+        for addr in self.relays() {
+            let left = until.since(self.now()).min(RELAY_LIMIT);
+            if left < ASK_LIMIT {
+                break;
+            }
+            match self.peers.submit(addr, job, left).await {
+                SubmitOutcome::Refused => {}
+                SubmitOutcome::Unknown => {
+                    doubt = true;
+                    self.note_silent(addr);
+                }
+                settled => {
+                    log::info!("job={} event=accepted by={addr}", job.id);
+                    return settled;
+                }
+            }
+        }
+        let outcome = if doubt { SubmitOutcome::Unknown } else { SubmitOutcome::Refused };
+        log::info!(
+            "job={} event=not_accepted outcome={outcome:?} store_reached={} store_silent_ms={}",
+            job.id,
+            self.view.reaches_store(),
+            self.view.store_age().map_or(-1, |age| age.millis() as i64)
+        );
+        outcome
+    }
+
+    /// Stores a job from this box, within `limit`.
+    pub(crate) async fn submit_here(&self, job: &Job, limit: Duration) -> SubmitOutcome {
+        let key = keys::job(job.id);
+        let put = Put {
+            key: key.clone(),
+            value: serde_json::to_vec(job).expect("our own types always serialize"),
+            lease: None,
+        };
+        // A cancellation that came first keeps a late write from making the job after all.
+        let expect = vec![(key.clone(), Revision(0)), (keys::cancel(job.id), Revision(0))];
+        let transaction = Transaction { expect, put: vec![put], remove: Vec::new() };
+        match self.commit(transaction, limit).await {
+            Ok(Committed::Done(revision)) => {
+                let config = self.view.configuration().map_or(0, |known| known.version);
+                log::info!("job={} event=accepted revision={revision} queue={} config={config}", job.id, job.queue);
+                self.active.add_job(job);
+                SubmitOutcome::Accepted
+            }
+            Ok(Committed::Conflict(items)) => known_job(job, &items, &key),
+            Ok(Committed::LeaseGone) => SubmitOutcome::Refused,
+            Err(StoreError::Refused { .. }) => SubmitOutcome::Refused,
+            Err(StoreError::Lost { .. }) => SubmitOutcome::Unknown,
+        }
+    }
+}
+
+/// The outcome if the store's conditions did not hold: an earlier submission, or a cancellation, came first.
+fn known_job(job: &Job, items: &[Item], key: &str) -> SubmitOutcome {
+    let Some(item) = items.iter().find(|item| item.key == *key) else {
+        // Cancelled before it came: it is not made any more.
+        return SubmitOutcome::Refused;
+    };
+    match serde_json::from_slice::<Job>(&item.value) {
+        Ok(known) if known.same_work(job) && known.customer == job.customer => SubmitOutcome::Accepted,
+        Ok(_) => SubmitOutcome::OtherJob,
+        Err(e) => {
+            log::error!("job={} event=job_unreadable why={e}", job.id);
+            SubmitOutcome::Unknown
+        }
+    }
+}
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -3,22 +3,25 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use model::{BoxId, Duration};
-use outside::{Change, Clock, CoordinationStore, Item, Put, Transaction};
+use outside::{Clock, CoordinationStore, Item, Put, Transaction};
 use serde::Serialize;
 use smol::net::TcpListener;
 use wire::relay::relay_server::RelayServer;
 
 use crate::{
+    active::ActiveSlot,
     border::{BackendServers, Decoder},
     election,
-    follow::{Backoff, Seen, follow},
+    follow::{Seen, follow},
     keys,
-    leader::{ActiveSlot, Parts},
+    leader::Parts,
     measure::MeasuredStore,
-    relay::{Peers, RelayService},
+    relay::Peers,
+    relay_service::RelayService,
     requests::Requests,
     settings::Settings,
     view::View,
+    wait::{Backoff, pause},
 };
 
 /// How often the list of boxes is read.
@@ -153,11 +156,7 @@
 async fn follow_configuration(parts: Parts, wait: Duration) {
     let key = parts.decoder.configuration_key();
     let on = |seen: Seen| {
-        let items: Vec<Item> = match seen {
-            Seen::All(items) => items,
-            Seen::Changes(changes) => changes.into_iter().filter_map(written).collect(),
-        };
-        for item in items.iter().filter(|item| item.key == key) {
+        for item in seen.written().iter().filter(|item| item.key == key) {
             match parts.decoder.configuration(&item.value) {
                 Ok(new) => {
                     parts.view.take_configuration(new);
@@ -169,13 +168,6 @@
     follow(&*parts.store, &parts.view, &key, None, wait, on).await;
 }
 
-fn written(change: Change) -> Option<Item> {
-    match change {
-        Change::Put(item) => Some(item),
-        Change::Removed { .. } => None,
-    }
-}
-
 /// Tells where this box is, and reads where the others are.
 async fn keep_boxes(settings: Settings, parts: Parts) {
     let here = settings.peers_address.to_string().into_bytes();
@@ -193,7 +185,7 @@
         if let Ok(snapshot) = parts.store.range(keys::BOXES.to_owned()).await {
             parts.view.set_boxes(boxes(&snapshot.items));
         }
-        smol::Timer::after(BOXES_EVERY.into()).await;
+        pause(BOXES_EVERY).await;
     }
 }
 
@@ -209,7 +201,7 @@
 /// While the store is out of reach, asks other boxes for the configuration.
 async fn ask_for_configuration(relay: RelayService, peers: Arc<Peers>) {
     loop {
-        smol::Timer::after(ASK_EVERY.into()).await;
+        pause(ASK_EVERY).await;
         if relay.view.reaches_store() {
             continue;
         }
--- a/crates/runtime/src/writer.rs
+++ b/crates/runtime/src/writer.rs
@@ -2,14 +2,16 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use jobs::OccurrenceId;
 use model::{Duration, Revision};
-use outside::{Committed, Put, StoreError, Transaction};
-use scheduler::Batch;
+use outside::{Committed, Item, Put, StoreError, Transaction};
+use scheduler::{Batch, Forgettable};
 
 use crate::{
-    follow::Backoff,
+    active::Active,
     keys,
-    leader::{Active, Parts},
+    leader::Parts,
+    wait::{Backoff, at_most, pause},
 };
 
 /// Most occurrences in one call: each takes a condition and a write, and the scheduler's key a condition, of
@@ -17,7 +19,6 @@
 const MOST_ENTRIES: usize = 15;
 /// A write that has no answer by then is made up for by the next. Above a slow store's answer (60 times 4 ms).
 const WRITE_LIMIT: Duration = Duration::from_millis(800);
-
 /// Jobs that are removed before anything else is looked at again.
 const MOST_FORGOTTEN: usize = 8;
 /// Keys in one removal, beside the condition on the scheduler's key (32 entries in all).
@@ -43,20 +44,12 @@
                 active.links.tell_stored();
             }
             Ok(Committed::Conflict(items)) => {
-                let holder = items.iter().find(|item| item.key == keys::SCHEDULER);
-                if holder.is_none_or(|holder| holder.revision.0 != active.fence.0) {
+                if !holds_key(&active, &items) {
                     log::info!("event=deposed fence={} why=scheduler_key_changed", active.fence);
                     active.depose();
                     return;
                 }
-                let mut found: BTreeMap<_, Revision> =
-                    batch.entries.iter().map(|entry| (entry.occurrence, Revision(0))).collect();
-                for item in &items {
-                    if let Some(id) = keys::occurrence(&item.key) {
-                        found.insert(id, item.revision);
-                    }
-                }
-                active.lock().found_in_store(&found);
+                active.lock().found_in_store(&revisions_found(&batch, &items));
             }
             Ok(Committed::LeaseGone) => backoff.wait().await,
             Err(e) => {
@@ -72,37 +65,59 @@
     }
 }
 
+/// Whether the scheduler's key stands as this scheduler wrote it.
+fn holds_key(active: &Active, items: &[Item]) -> bool {
+    let holder = items.iter().find(|item| item.key == keys::SCHEDULER);
+    holder.is_some_and(|holder| holder.revision.0 == active.fence.0)
+}
+
+/// The store's revisions of what a batch was to replace; 0 where there is nothing.
+fn revisions_found(batch: &Batch, items: &[Item]) -> BTreeMap<OccurrenceId, Revision> {
+    let mut found: BTreeMap<OccurrenceId, Revision> =
+        batch.entries.iter().map(|entry| (entry.occurrence, Revision(0))).collect();
+    for item in items {
+        if let Some(id) = keys::occurrence(&item.key) {
+            found.insert(id, item.revision);
+        }
+    }
+    found
+}
+
 /// Waits until something is to be stored; meanwhile removes what no one asks for any more.
 async fn wait_or_forget(parts: &Parts, active: &Active) {
     let forgotten = active.lock().forgettable(parts.view.clock().now(), MOST_FORGOTTEN);
     if forgotten.is_empty() {
-        let tick = async {
-            smol::Timer::after(FORGET_EVERY.into()).await;
-        };
-        futures_lite::FutureExt::or(active.changed(), tick).await;
+        at_most(FORGET_EVERY, active.changed()).await;
         return;
     }
     for old in &forgotten {
-        // The job goes last: a removal that breaks off is taken up again for as long as the job is there.
-        let mut remove: Vec<String> = old.occurrences.iter().map(|id| keys::progress(*id)).collect();
-        remove.extend([keys::cancel(old.job), keys::job(old.job)]);
-        for chunk in remove.chunks(MOST_REMOVED) {
-            let expect = vec![(keys::SCHEDULER.to_owned(), Revision(active.fence.0))];
-            let transaction = Transaction { expect, put: Vec::new(), remove: chunk.to_vec() };
-            match parts.store.commit(transaction, WRITE_LIMIT).await {
-                Ok(Committed::Done(_)) => {}
-                outcome => {
-                    log::info!("job={} event=not_forgotten outcome={outcome:?}", old.job);
-                    smol::Timer::after(FORGET_EVERY.into()).await;
-                    return;
-                }
-            }
+        if let Err(outcome) = remove(parts, active, old).await {
+            log::info!("job={} event=not_forgotten outcome={outcome:?}", old.job);
+            pause(FORGET_EVERY).await;
+            return;
         }
         log::info!("job={} event=forgotten", old.job);
         active.lock().forget(std::slice::from_ref(old));
     }
 }
 
+/// Removes all that the store holds of a job. The error is the answer to the call that did not.
+async fn remove(parts: &Parts, active: &Active, old: &Forgettable) -> Result<(), Result<Committed, StoreError>> {
+    // The job goes last: a removal that breaks off is taken up again for as long as the job is there.
+    let mut remove: Vec<String> = old.occurrences.iter().map(|id| keys::progress(*id)).collect();
+    remove.extend([keys::cancel(old.job), keys::job(old.job)]);
+    for chunk in remove.chunks(MOST_REMOVED) {
+        let expect = vec![(keys::SCHEDULER.to_owned(), Revision(active.fence.0))];
+        let transaction = Transaction { expect, put: Vec::new(), remove: chunk.to_vec() };
+        match parts.store.commit(transaction, WRITE_LIMIT).await {
+            Ok(Committed::Done(_)) => {}
+            outcome => return Err(outcome),
+        }
+    }
+    Ok(())
+}
+
+/// A batch as a write that only the elected scheduler can make.
 fn transaction(active: &Active, batch: &Batch) -> Transaction {
     let mut transaction = Transaction::default();
     transaction.expect.push((keys::SCHEDULER.to_owned(), Revision(active.fence.0)));
