Name the HTTP server's limits and build each message in one place

The default limits of a server and its two pauses stood as bare numbers, and each kind of response set its own headers. They are constants with a unit and a reason now, with the values that they had; requests and responses are the same.

--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -34,9 +34,21 @@
 const MAX_IDLE: usize = 8;
 /// How long a connection may take to stand.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// How long the head of a request may take to arrive, unless a server says otherwise. It is long, since it also
+/// bounds how long a connection may stand idle.
+const HEAD_LIMIT: Duration = Duration::from_secs(30);
+/// Longest head of a request in bytes, unless a server says otherwise: well above what our callers send.
+const MAX_HEAD: usize = 64 * 1024;
+/// A server that is stopping looks this often whether its last connection has closed.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+/// Pause after a connection could not be taken: time for some descriptors to be freed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Most connections that a server holds open at once; more are closed on arrival.
 pub const MAX_CONNECTIONS: usize = 4096;
 
+/// The content type of JSON.
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+
 type Sender = SendRequest<Full<Bytes>>;
 
 /// What a call brought back.
@@ -100,11 +112,7 @@
         let begun = std::time::Instant::now();
         let connecting = within(limit, self.sender(addr)).await;
         let mut sender = connecting.map_err(|e| NetError::Unsent { why: e.to_string() })?;
-        let (mut parts, body) = req.into_parts();
-        let host = HeaderValue::from_str(host).map_err(|e| NetError::Unsent { why: e.to_string() })?;
-        parts.headers.insert(HOST, host);
-        parts.headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        let req = Request::from_parts(parts, Full::new(body));
+        let req = addressed(req, host)?;
         let reply = within(limit.saturating_sub(begun.elapsed()), async {
             let res = sender.send_request(req).await.map_err(unsent_or_lost)?;
             let status = res.status();
@@ -166,6 +174,15 @@
     }
 }
 
+/// Adds the headers that every request bears.
+fn addressed(req: Request<Bytes>, host: &str) -> Result<Request<Full<Bytes>>, NetError> {
+    let host = HeaderValue::from_str(host).map_err(|e| NetError::Unsent { why: e.to_string() })?;
+    let mut req = req.map(Full::new);
+    req.headers_mut().insert(HOST, host);
+    req.headers_mut().insert(CONTENT_TYPE, JSON);
+    Ok(req)
+}
+
 /// A request that `hyper` gave back was never written.
 fn unsent_or_lost(e: hyper::Error) -> NetError {
     if e.is_canceled() { NetError::Unsent { why: e.to_string() } } else { lost(e) }
@@ -199,17 +216,18 @@
 /// A JSON response.
 pub fn json_response(status: StatusCode, value: &impl Serialize) -> Response<Full<Bytes>> {
     let body = serde_json::to_vec(value).expect("our own types always serialize");
-    let mut res = Response::new(Full::new(Bytes::from(body)));
-    *res.status_mut() = status;
-    res.headers_mut().insert("content-type", HeaderValue::from_static("application/json"));
-    res
+    response(status, JSON, body.into())
 }
 
 /// A response of plain text.
 pub fn text_response(status: StatusCode, text: String) -> Response<Full<Bytes>> {
-    let mut res = Response::new(Full::new(Bytes::from(text)));
+    response(status, HeaderValue::from_static("text/plain; charset=utf-8"), text.into())
+}
+
+fn response(status: StatusCode, content_type: HeaderValue, body: Bytes) -> Response<Full<Bytes>> {
+    let mut res = Response::new(Full::new(body));
     *res.status_mut() = status;
-    res.headers_mut().insert("content-type", HeaderValue::from_static("text/plain; charset=utf-8"));
+    res.headers_mut().insert(CONTENT_TYPE, content_type);
     res
 }
 
@@ -228,12 +246,7 @@
 
 impl Default for ServerLimits {
     fn default() -> ServerLimits {
-        ServerLimits {
-            connections: MAX_CONNECTIONS,
-            head: Duration::from_secs(30),
-            head_bytes: 64 * 1024,
-            body_bytes: MAX_BODY,
-        }
+        ServerLimits { connections: MAX_CONNECTIONS, head: HEAD_LIMIT, head_bytes: MAX_HEAD, body_bytes: MAX_BODY }
     }
 }
 
@@ -257,7 +270,7 @@
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 // Out of descriptors, most likely: wait for some to be closed.
-                smol::Timer::after(Duration::from_millis(50)).await;
+                smol::Timer::after(ACCEPT_PAUSE).await;
                 continue;
             };
             if open.load(Ordering::Relaxed) >= limits.connections {
@@ -279,7 +292,7 @@
     drop(listener);
     let emptied = async {
         while open.load(Ordering::Relaxed) > 0 {
-            smol::Timer::after(Duration::from_millis(10)).await;
+            smol::Timer::after(LOOK_EVERY).await;
         }
     };
     ex.run(emptied).await;
