Split the fuzzer's handling of events by event

One function of 89 lines handled all nine. Each longer case is a function with a name; draws from the random source keep their order, so that a seed still gives the case that it gave before.

--- a/crates/scheduler/tests/common/events.rs
+++ b/crates/scheduler/tests/common/events.rs
@@ -1,9 +1,16 @@
 //! Calls between schedulers, backend servers and the store, as they arrive and are answered.
 
-use scheduler::{EndKind, StartReply};
+use std::collections::BTreeMap;
+
+use jobs::{OccurrenceId, RunNumber, TaskId};
+use model::{BackendServerId, Moment, Revision};
+use scheduler::{Batch, EndKind, Listing, StartReply};
 
 use super::world::{Event, STEP_MS, World};
 
+/// After this long a scheduler is told that a start was not answered.
+const UNANSWERED_MS: u64 = 400;
+
 impl World {
     pub(crate) fn run_events(&mut self) {
         self.events.sort_by_key(|(at, _)| *at);
@@ -15,92 +22,107 @@
     }
 
     pub(crate) fn handle(&mut self, event: Event) {
-        let now = self.moment();
         match event {
             Event::Hold { leader, server, acknowledged, until, sent } => {
-                if !self.reachable(&server) {
-                    return;
-                }
-                let fence = self.leaders[leader].fence;
-                self.note(&server, fence, acknowledged);
-                let server = self.server_mut(&server);
-                let reply = server.hold(fence, acknowledged, until);
-                let (id, clock) = (server.id.clone(), server.clock_ms());
-                // An answer may be overtaken by later ones on other connections.
-                let delay = STEP_MS * (1 + self.rng.u64(..6));
-                self.after(delay, Event::Held { leader, server: id, reply, clock, sent });
-            }
-            Event::Held { leader, server, reply, clock, sent } => {
-                let reachable = self.reachable(&server);
-                let at = self.now;
-                let leader = &mut self.leaders[leader];
-                if !leader.alive || !reachable || leader.holding.remove(&server).is_none() {
-                    return;
-                }
-                let Some(listing) = reply else {
-                    leader.alive = false;
-                    return;
-                };
-                leader.clocks.insert(server.clone(), (clock, at));
-                leader.reached.insert(server.clone());
-                leader.scheduler.listing(&server, &listing, sent, now);
+                self.on_hold(leader, &server, acknowledged, until, sent);
             }
+            Event::Held { leader, server, reply, clock, sent } => self.on_held(leader, server, reply, clock, sent),
             Event::Start { leader, server, task, run, until, answered, saved } => {
-                if !self.reachable(&server) {
-                    if answered {
-                        let reply = StartReply::Unknown;
-                        self.after(400, Event::Started { leader, server, task, run, reply });
-                    }
-                    return;
-                }
-                let reply = self.start(leader, &server, task, run, until, saved);
+                let (delay, reply) = if self.reachable(&server) {
+                    (STEP_MS, self.start(leader, &server, task, run, until, saved))
+                } else {
+                    (UNANSWERED_MS, StartReply::Unknown)
+                };
                 if answered {
-                    self.after(STEP_MS, Event::Started { leader, server, task, run, reply });
-                }
-            }
-            Event::Started { leader, server, task, run, reply } => {
-                let leader = &mut self.leaders[leader];
-                if leader.alive {
-                    leader.scheduler.start_replied(&server, task, run, reply, now);
-                    leader.alive &= !leader.scheduler.deposed();
+                    self.after(delay, Event::Started { leader, server, task, run, reply });
                 }
             }
+            Event::Started { leader, server, task, run, reply } => self.on_started(leader, &server, task, run, reply),
             Event::Stop { leader, server, task, run, answered } => {
-                if !self.reachable(&server) {
-                    return;
-                }
-                let fence = self.leaders[leader].fence;
-                if !self.server_mut(&server).stop(task, run, fence) {
-                    return;
-                }
-                if self.servers[&server].running.get(&task).is_some_and(|known| known.run == run) {
-                    self.end(&server, task, EndKind::Stopped);
-                }
-                if answered {
+                if self.on_stop(leader, &server, task, run) && answered {
                     self.after(STEP_MS, Event::Stopped { leader, server, task, run });
                 }
             }
-            Event::Stopped { leader, server, task, run } => {
-                if self.leaders[leader].alive {
-                    self.leaders[leader].scheduler.stop_replied(&server, task, run, now);
-                }
-            }
+            Event::Stopped { leader, server, task, run } => self.on_stopped(leader, &server, task, run),
             Event::Write { leader, batch, answered } => {
                 let result = self.write(leader, &batch);
                 if answered {
                     self.after(STEP_MS, Event::Written { leader, batch, result });
                 }
             }
-            Event::Written { leader, batch, result } => {
-                let leader = &mut self.leaders[leader];
-                leader.writing = false;
-                match result {
-                    Ok(revision) => leader.scheduler.stored(batch, revision),
-                    Err(found) if leader.fence == self.holder => leader.scheduler.found_in_store(&found),
-                    Err(_) => leader.alive = false,
-                }
-            }
+            Event::Written { leader, batch, result } => self.on_written(leader, batch, result),
             Event::WriteLost { leader } => self.leaders[leader].writing = false,
         }
     }
+
+    fn on_hold(&mut self, leader: usize, id: &BackendServerId, acknowledged: u64, until: Option<u64>, sent: Moment) {
+        if !self.reachable(id) {
+            return;
+        }
+        let fence = self.leaders[leader].fence;
+        self.note(id, fence, acknowledged);
+        let server = self.server_mut(id);
+        let reply = server.hold(fence, acknowledged, until);
+        let (id, clock) = (server.id.clone(), server.clock_ms());
+        // An answer may be overtaken by later ones on other connections.
+        let delay = STEP_MS * (1 + self.rng.u64(..6));
+        self.after(delay, Event::Held { leader, server: id, reply, clock, sent });
+    }
+
+    fn on_held(&mut self, leader: usize, id: BackendServerId, reply: Option<Listing>, clock: u64, sent: Moment) {
+        let (now, at) = (self.moment(), self.now);
+        let reachable = self.reachable(&id);
+        let leader = &mut self.leaders[leader];
+        if !leader.alive || !reachable || leader.holding.remove(&id).is_none() {
+            return;
+        }
+        let Some(listing) = reply else {
+            leader.alive = false;
+            return;
+        };
+        leader.clocks.insert(id.clone(), (clock, at));
+        leader.reached.insert(id.clone());
+        leader.scheduler.listing(&id, &listing, sent, now);
+    }
+
+    fn on_started(&mut self, leader: usize, id: &BackendServerId, task: TaskId, run: RunNumber, reply: StartReply) {
+        let now = self.moment();
+        let leader = &mut self.leaders[leader];
+        if leader.alive {
+            leader.scheduler.start_replied(id, task, run, reply, now);
+            leader.alive &= !leader.scheduler.deposed();
+        }
+    }
+
+    /// Whether the backend server obeys, and so may answer.
+    fn on_stop(&mut self, leader: usize, id: &BackendServerId, task: TaskId, run: RunNumber) -> bool {
+        if !self.reachable(id) {
+            return false;
+        }
+        let fence = self.leaders[leader].fence;
+        if !self.server_mut(id).stop(task, run, fence) {
+            return false;
+        }
+        if self.servers[id].running.get(&task).is_some_and(|known| known.run == run) {
+            self.end(id, task, EndKind::Stopped);
+        }
+        true
+    }
+
+    fn on_stopped(&mut self, leader: usize, id: &BackendServerId, task: TaskId, run: RunNumber) {
+        let now = self.moment();
+        if self.leaders[leader].alive {
+            self.leaders[leader].scheduler.stop_replied(id, task, run, now);
+        }
+    }
+
+    fn on_written(&mut self, leader: usize, batch: Batch, result: Result<Revision, BTreeMap<OccurrenceId, Revision>>) {
+        let leader = &mut self.leaders[leader];
+        leader.writing = false;
+        match result {
+            Ok(revision) => leader.scheduler.stored(batch, revision),
+            Err(found) if leader.fence == self.holder => leader.scheduler.found_in_store(&found),
+            Err(_) => leader.alive = false,
+        }
+    }
 }
