--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -10,7 +10,11 @@
 //!   ended, absent from a listing that must show it, or past every lease that it can have been given.
 
 mod batch;
+mod candidate;
+mod choose;
+mod contact;
 mod ends;
+mod evacuate;
 mod forget;
 mod guarantee;
 mod health;
@@ -18,14 +22,18 @@
 mod live;
 mod observe;
 mod orders;
+mod outcomes;
 mod plan;
 mod policy;
 mod preempt;
 mod ready;
+mod restore;
 mod rooms;
 mod runs;
 mod scheduler;
 mod server;
+mod starts;
+mod stops;
 mod timing;
 
 pub use crate::{
