Name a victim's parts, and say what live state means

What may be stopped for an urgent job was a tuple of three, sorted by its first field; it is a struct now, next to the weight that only it uses. Fields of the live state say what they hold and when they are empty.

--- a/crates/scheduler/src/live.rs
+++ b/crates/scheduler/src/live.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use jobs::{Duration, Job, JobState, Need, OccurrenceId, Placed, Progress, Saved, Step, TaskId};
+use jobs::{Duration, Job, JobState, OccurrenceId, Placed, Progress, Saved, Step, TaskId};
 use model::{BackendServerId, Moment, Revision};
 
 /// How far a start has come.
@@ -29,7 +29,9 @@
     pub(crate) phase: Phase,
     /// A listing that was asked for after this must show the run, if it goes on.
     pub(crate) settled: Option<Moment>,
+    /// When it was last told to stop.
     pub(crate) stop_sent: Option<Moment>,
+    /// The latest checkpoint that it has told of.
     pub(crate) saved: Option<Saved>,
     /// How far it says that it has come, from 0 to 100.
     pub(crate) percent: u32,
@@ -79,6 +81,7 @@
     pub(crate) members: Vec<Member>,
     /// The version of the progress that holds where the members are placed.
     pub(crate) placed_version: u64,
+    /// Why its run is being stopped; `None` if it is not.
     pub(crate) stopping: Option<StopReason>,
     /// Since when it could have started; `None` while it cannot.
     pub(crate) ready_since: Option<Moment>,
@@ -105,10 +108,13 @@
 #[derive(Debug)]
 pub(crate) struct Occurrence {
     pub(crate) progress: Progress,
+    /// As the store holds it.
     pub(crate) stored_progress: Progress,
     /// Rises with each change of `progress`.
     pub(crate) version: u64,
+    /// The version that the store holds.
     pub(crate) stored_version: u64,
+    /// The store's revision of it; 0 if it holds none.
     pub(crate) store_revision: Revision,
     /// As `progress.groups`.
     pub(crate) groups: Vec<Vec<Group>>,
@@ -200,11 +206,3 @@
         TaskId { occurrence: self.occurrence, step: self.step as u32, index }
     }
 }
-
-/// A core counts one, an accelerator as much as this many cores, when work is weighed (users' rules page).
-pub(crate) const CORES_PER_ACCELERATOR: f64 = 8.0;
-
-/// Weighs room in cores.
-pub(crate) fn weight(need: &Need) -> f64 {
-    need.cpu_milli as f64 / 1000.0 + need.accelerators as f64 * CORES_PER_ACCELERATOR
-}
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -9,7 +9,7 @@
     Scheduler,
     candidate::{Candidate, Wanted},
     guarantee::Guarantees,
-    live::{Group, GroupId, StopReason, weight},
+    live::{Group, GroupId, StopReason},
     rooms::{Room, Rooms},
 };
 
@@ -17,6 +17,17 @@
 const UNSAVED_S: f64 = 0.5;
 /// What starting again costs besides, in seconds: stopping, waiting for room and reading the checkpoint.
 const RESTART_S: f64 = 0.5;
+/// A core counts one, an accelerator as much as this many cores, when work is weighed (users' rules page).
+const CORES_PER_ACCELERATOR: f64 = 8.0;
+
+/// A run that may be stopped, with what it holds on one backend server.
+#[derive(Debug)]
+struct Victim {
+    group: GroupId,
+    /// Core-seconds that would be thrown away.
+    waste: f64,
+    freed: Need,
+}
 
 /// What making room for some tasks on one backend server takes.
 #[derive(Debug, Clone, Default)]
@@ -54,6 +65,7 @@
         }
     }
 
+    /// Counts what a victim holds as room that is being made.
     fn free_soon(&self, victim: GroupId, rooms: &mut Rooms) {
         let need = self.step(victim).counted_need();
         for member in &self.group(victim).members {
@@ -63,6 +75,7 @@
         }
     }
 
+    /// The runs to be stopped, in one rack if the step asks for one; none if no room can be made.
     fn victims(
         &self,
         candidate: &Candidate,
@@ -93,36 +106,30 @@
         guarantees: &Guarantees,
         now: Moment,
     ) -> Vec<Offer> {
-        let mut victims: Vec<(f64, GroupId, Need)> = Vec::new();
+        let mut victims: Vec<Victim> = Vec::new();
         for task in self.servers[id].members.keys() {
-            let Some((waste, name, freed)) = self.victim(candidate, *task, guarantees, now) else { continue };
-            match victims.iter_mut().find(|(_, known, _)| *known == name) {
-                Some((_, _, sum)) => sum.add(&freed),
-                None => victims.push((waste, name, freed)),
+            let Some(victim) = self.victim(candidate, *task, guarantees, now) else { continue };
+            match victims.iter_mut().find(|known| known.group == victim.group) {
+                Some(known) => known.freed.add(&victim.freed),
+                None => victims.push(victim),
             }
         }
-        victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+        victims.sort_by(|a, b| a.waste.total_cmp(&b.waste));
         let mut free = room.soon;
         let mut offer = Offer { tasks: wanted.fitting(id, &free), ..Offer::default() };
         let mut offers = vec![offer.clone()];
-        for (waste, name, freed) in victims {
-            free.add(&freed);
-            offer.waste += waste;
-            offer.victims.push(name);
+        for victim in victims {
+            free.add(&victim.freed);
+            offer.waste += victim.waste;
+            offer.victims.push(victim.group);
             offer.tasks = wanted.fitting(id, &free);
             offers.push(offer.clone());
         }
         offers
     }
 
-    /// Whether a run may be stopped for the candidate, and what that throws away.
-    fn victim(
-        &self,
-        candidate: &Candidate,
-        task: TaskId,
-        guarantees: &Guarantees,
-        now: Moment,
-    ) -> Option<(f64, GroupId, Need)> {
+    /// The run that a task belongs to, if it may be stopped for the candidate.
+    fn victim(&self, candidate: &Candidate, task: TaskId, guarantees: &Guarantees, now: Moment) -> Option<Victim> {
         let name = self.group_of(task)?;
         let group = self.group(name);
         if group.stopping.is_some() || name.occurrence.job == candidate.occurrence.job {
@@ -140,7 +147,7 @@
         let ran = now.since(group.placed_at).secs_f64();
         let lost = if step.checkpoints { ran.min(UNSAVED_S) } else { ran };
         let waste = weight(&step.need) * (group.members.len() as f64) * (lost + RESTART_S);
-        Some((waste, name, step.counted_need()))
+        Some(Victim { group: name, waste, freed: step.counted_need() })
     }
 
     /// Whether one more task of the step may be away through the system's doing.
@@ -176,3 +183,8 @@
     victims.dedup();
     (tasks >= count).then_some((waste, victims))
 }
+
+/// Weighs room in cores.
+fn weight(need: &Need) -> f64 {
+    need.cpu_milli as f64 / 1000.0 + need.accelerators as f64 * CORES_PER_ACCELERATOR
+}
