Write a box's small checks once, and split its listing and settings

A belief's age was compared in three places, and reading settings mixed checks with conversion. Each has a function of its own; what is checked, in which order, and what is logged stay.

--- a/crates/martend/src/deployment/settings.rs
+++ b/crates/martend/src/deployment/settings.rs
@@ -77,16 +77,7 @@
 impl TryFrom<RawDeployment> for DeploymentSettings {
     type Error = CheckError;
     fn try_from(raw: RawDeployment) -> Result<DeploymentSettings, CheckError> {
-        let path = JsonPath::root().field("deployment");
-        within(&path, "lease_ms", raw.lease_ms, 1000, 600_000)?;
-        within(&path, "shortest_ttl_ms", raw.shortest_ttl_ms, 1, 60_000)?;
-        within(&path, "grace_ms", raw.grace_ms, 1000, 600_000)?;
-        if raw.far_factor.is_nan() || raw.far_factor < 1.0 {
-            return Err(CheckError::new(&path.field("far_factor"), raw.far_factor, "allowed is 1 or more"));
-        }
-        if raw.cpu_share.is_nan() || raw.cpu_share <= 0.0 {
-            return Err(CheckError::new(&path.field("cpu_share"), raw.cpu_share, "allowed is more than 0"));
-        }
+        check(&raw)?;
         let election_ttl = ELECTION_TTL.max(Duration::from_millis(raw.shortest_ttl_ms));
         let timing =
             Timing { lease: Duration::from_millis(raw.lease_ms), far_factor: raw.far_factor, ..Timing::default() };
@@ -112,6 +103,20 @@
     }
 }
 
+fn check(raw: &RawDeployment) -> Result<(), CheckError> {
+    let path = JsonPath::root().field("deployment");
+    within(&path, "lease_ms", raw.lease_ms, 1000, 600_000)?;
+    within(&path, "shortest_ttl_ms", raw.shortest_ttl_ms, 1, 60_000)?;
+    within(&path, "grace_ms", raw.grace_ms, 1000, 600_000)?;
+    if raw.far_factor.is_nan() || raw.far_factor < 1.0 {
+        return Err(CheckError::new(&path.field("far_factor"), raw.far_factor, "allowed is 1 or more"));
+    }
+    if raw.cpu_share.is_nan() || raw.cpu_share <= 0.0 {
+        return Err(CheckError::new(&path.field("cpu_share"), raw.cpu_share, "allowed is more than 0"));
+    }
+    Ok(())
+}
+
 fn within(path: &JsonPath, name: &str, ms: u64, min: u64, max: u64) -> Result<(), CheckError> {
     if (min..=max).contains(&ms) {
         return Ok(());
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -170,23 +170,27 @@
 
 /// Tells where this box is, and reads where the others are.
 async fn keep_boxes(settings: Settings, parts: Parts) {
+    list_this_box(&settings, &parts).await;
+    loop {
+        if let Ok(snapshot) = parts.store.range(keys::BOXES.to_owned()).await {
+            parts.view.set_boxes(boxes(&snapshot.items));
+        }
+        pause(BOXES_EVERY).await;
+    }
+}
+
+async fn list_this_box(settings: &Settings, parts: &Parts) {
     let here = settings.peers_address.to_string().into_bytes();
     let put = Put { key: keys::member_box(&settings.box_id), value: here, lease: None };
     let mut backoff = Backoff::new();
     loop {
         let transaction = Transaction { put: vec![put.clone()], ..Transaction::default() };
         match parts.store.commit(transaction, WRITE_LIMIT).await {
-            Ok(_) => break,
+            Ok(_) => return,
             Err(e) => log::debug!("event=box_not_listed why={e}"),
         }
         backoff.wait().await;
     }
-    loop {
-        if let Ok(snapshot) = parts.store.range(keys::BOXES.to_owned()).await {
-            parts.view.set_boxes(boxes(&snapshot.items));
-        }
-        pause(BOXES_EVERY).await;
-    }
 }
 
 fn boxes(items: &[Item]) -> BTreeMap<BoxId, SocketAddr> {
--- a/crates/runtime/src/view.rs
+++ b/crates/runtime/src/view.rs
@@ -25,9 +25,11 @@
 struct Beliefs {
     configuration: Option<Arc<Configuration>>,
     leader: Option<Leader>,
+    /// The store answered at this time.
     store_seen: Option<Moment>,
     /// Another box that reaches the store answered at this time.
     peer_seen: Option<Moment>,
+    /// Where other boxes are, as the store last told.
     boxes: BTreeMap<BoxId, SocketAddr>,
     draining: bool,
 }
@@ -38,6 +40,7 @@
     /// Holds a token when the scheduler may have changed, or the box leaves.
     changed: (Sender<()>, Receiver<()>),
     clock: Arc<dyn Clock>,
+    /// The store counts as out of reach once it has been silent for longer.
     store_silence: Duration,
 }
 
@@ -96,12 +99,13 @@
         let _ = self.changed.1.recv().await;
     }
 
+    /// The store has answered a call of this box.
     pub(crate) fn store_answered(&self) {
         let now = self.clock.now();
         let mut beliefs = self.lock();
-        let silent = beliefs.store_seen.is_none_or(|seen| now.since(seen) > self.store_silence);
+        let reached = self.lately(beliefs.store_seen, now);
         beliefs.store_seen = Some(now);
-        if silent {
+        if !reached {
             log::info!("event=store_reached");
         }
     }
@@ -109,7 +113,7 @@
     /// Whether the store has answered this box lately.
     pub fn reaches_store(&self) -> bool {
         let now = self.clock.now();
-        self.lock().store_seen.is_some_and(|seen| now.since(seen) <= self.store_silence)
+        self.lately(self.lock().store_seen, now)
     }
 
     /// How long ago the store answered; `None` if it never has.
@@ -118,6 +122,7 @@
         self.lock().store_seen.map(|seen| now.since(seen))
     }
 
+    /// Another box that reaches the store has answered.
     pub(crate) fn peer_answered(&self) {
         let now = self.clock.now();
         self.lock().peer_seen = Some(now);
@@ -126,7 +131,12 @@
     /// Whether another box that reaches the store has answered lately.
     pub(crate) fn reaches_peer(&self) -> bool {
         let now = self.clock.now();
-        self.lock().peer_seen.is_some_and(|seen| now.since(seen) <= self.store_silence)
+        self.lately(self.lock().peer_seen, now)
+    }
+
+    /// Whether something was seen so lately that it is taken to be so still.
+    fn lately(&self, seen: Option<Moment>, now: Moment) -> bool {
+        seen.is_some_and(|seen| now.since(seen) <= self.store_silence)
     }
 
     pub(crate) fn set_boxes(&self, boxes: BTreeMap<BoxId, SocketAddr>) {
