Say backend server and box where comments named other things

Two module and constant comments used words that the project does not use for its parts, and a link's struct had no comment at all. Only comments change.

--- a/crates/martend/src/deployment/mod.rs
+++ b/crates/martend/src/deployment/mod.rs
@@ -30,7 +30,7 @@
 const STILL_TAKES: StdDuration = StdDuration::from_millis(2300);
 /// Kept back from the time that a leaving box has, to end in order.
 const END_MARGIN: StdDuration = StdDuration::from_millis(500);
-/// Most callers' connections: below the descriptors that the users' machines have (4,100).
+/// Most callers' connections: below the descriptors that a box has at the users (4,100).
 const MOST_CONNECTIONS: usize = 3000;
 
 /// Runs a box until it is told to end. `path` is read again on SIGHUP.
--- a/crates/runtime/src/links.rs
+++ b/crates/runtime/src/links.rs
@@ -19,6 +19,7 @@
 /// Orders that wait for one backend server; it is refused more.
 const MOST_ORDERS: usize = 1024;
 
+/// An open link: its loops, and how they are reached.
 struct Link {
     target: Target,
     orders: Sender<Order>,
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -1,4 +1,4 @@
-//! What the scheduler knows of one backend server: one life of one worker.
+//! What the scheduler knows of one backend server, for one life of it: one that starts anew has another id.
 
 use std::{
     collections::{BTreeMap, VecDeque},
