--- a/crates/martend/tests/deployment.rs
+++ b/crates/martend/tests/deployment.rs
@@ -207,6 +207,8 @@
         world.submit(JobId(2), Work { tasks: 4, accelerators: 2, work_ms: 50 }).await;
         world.until_succeeded(0, 2..=2, 4).await;
         assert_eq!(world.state(0, JobId(1)).await.map(|answer| answer.state), Some("cancelled".to_owned()));
+        let large = world.caller.submit_padded(addr, JobId(98), WORK, 300_000).await.expect("it is answered");
+        assert_eq!(large.status, StatusCode::PAYLOAD_TOO_LARGE);
         let unknown = world.caller.state(addr, JobId(99)).await.expect("it is answered");
         assert_eq!(unknown.status, StatusCode::GONE);
     });
