--- a/crates/jobs/src/id.rs
+++ b/crates/jobs/src/id.rs
@@ -89,6 +89,16 @@
     }
 }
 
+/// One step of an occurrence. Written as `JOB.OCCURRENCE.STEP`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display)]
+#[display("{occurrence}.{step}")]
+pub struct StepId {
+    /// The occurrence.
+    pub occurrence: OccurrenceId,
+    /// Index of the step in the job, from 0.
+    pub step: u32,
+}
+
 /// One task: a member of a step of an occurrence. Written as `JOB.OCCURRENCE.STEP.INDEX`.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display)]
 #[display("{occurrence}.{step}.{index}")]
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -9,7 +9,7 @@
 mod state;
 
 pub use crate::{
-    id::{Fence, JobId, OccurrenceId, ParseNameError, QueueId, RunNumber, TaskId},
+    id::{Fence, JobId, OccurrenceId, ParseNameError, QueueId, RunNumber, StepId, TaskId},
     job::{Duration, Job, JobError, Need, RawJob, RawStep, Schedule, Step},
     progress::{GroupProgress, Placed, Progress, Saved},
     state::JobState,
--- a/crates/martend/src/deployment/mod.rs
+++ b/crates/martend/src/deployment/mod.rs
@@ -12,9 +12,10 @@
     http::{Call, Client, Handler, ServerLimits, json_response, serve, serve_until, text_response},
 };
 use outside::{Clock, SystemClock};
-use runtime::RunningBox;
+use runtime::{RunningBox, border::Adviser};
 use smol::net::TcpListener;
 use users_platform::{
+    advice::UsersAdviser,
     decode::UsersDecoder,
     front::{Front, Readiness},
     servers::Servers,
@@ -52,6 +53,7 @@
         Store::new(Client::default(), settings.store_address),
         Arc::new(Servers::default()),
         Arc::new(UsersDecoder),
+        adviser(&settings),
         Arc::clone(&clock),
     ));
     let front = Front { requests: Arc::clone(&this_box.requests), view: Arc::clone(&this_box.view), clock };
@@ -73,6 +75,12 @@
     Ok(())
 }
 
+/// The platform's adviser, if the settings name one.
+fn adviser(settings: &DeploymentSettings) -> Option<Arc<dyn Adviser>> {
+    let addr = settings.adviser_address?;
+    Some(Arc::new(UsersAdviser::new(Client::default(), addr)))
+}
+
 /// Takes no new work, lets what is under way end, and gives up the election at once.
 async fn leave(
     this_box: &RunningBox,
--- a/crates/martend/src/deployment/settings.rs
+++ b/crates/martend/src/deployment/settings.rs
@@ -38,6 +38,9 @@
     pub metrics_address: SocketAddr,
     /// The platform's store.
     pub store_address: SocketAddr,
+    /// The platform's adviser; empty or absent where no queue needs one.
+    #[serde(default)]
+    pub adviser_address: String,
     /// Boxes known from the start; they may be gone.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -68,6 +71,8 @@
     pub metrics_address: SocketAddr,
     /// The platform's store.
     pub store_address: SocketAddr,
+    /// The platform's adviser.
+    pub adviser_address: Option<SocketAddr>,
     /// How long a box that is told to end may take.
     pub grace: Duration,
     /// What is logged.
@@ -78,6 +83,7 @@
     type Error = CheckError;
     fn try_from(raw: RawDeployment) -> Result<DeploymentSettings, CheckError> {
         check(&raw)?;
+        let adviser_address = optional_address("adviser_address", &raw.adviser_address)?;
         let election_ttl = ELECTION_TTL.max(Duration::from_millis(raw.shortest_ttl_ms));
         let timing =
             Timing { lease: Duration::from_millis(raw.lease_ms), far_factor: raw.far_factor, ..Timing::default() };
@@ -97,6 +103,7 @@
             readiness_address: raw.readiness_address,
             metrics_address: raw.metrics_address,
             store_address: raw.store_address,
+            adviser_address,
             grace: Duration::from_millis(raw.grace_ms),
             log_level: raw.log_level,
         })
@@ -117,6 +124,15 @@
     Ok(())
 }
 
+/// An address that may be left empty.
+fn optional_address(name: &str, text: &str) -> Result<Option<SocketAddr>, CheckError> {
+    if text.is_empty() {
+        return Ok(None);
+    }
+    let path = JsonPath::root().field("deployment").field(name);
+    text.parse().map(Some).map_err(|_| CheckError::new(&path, text, "allowed is IP:port, or nothing"))
+}
+
 fn within(path: &JsonPath, name: &str, ms: u64, min: u64, max: u64) -> Result<(), CheckError> {
     if (min..=max).contains(&ms) {
         return Ok(());
--- a/crates/martend/tests/deployment.rs
+++ b/crates/martend/tests/deployment.rs
@@ -61,7 +61,11 @@
 
 impl World {
     async fn start(boxes: usize, servers: usize) -> World {
-        let platform = Platform::start(&Setup { servers, key: KEY.to_owned() }).await.expect("loopback can be used");
+        World::start_on(boxes, &Setup { servers, key: KEY.to_owned(), ..Setup::default() }).await
+    }
+
+    async fn start_on(boxes: usize, setup: &Setup) -> World {
+        let platform = Platform::start(setup).await.expect("loopback can be used");
         let all: Vec<[SocketAddr; 4]> = (0..boxes).map(|_| free_addrs()).collect();
         let seeds: Vec<SocketAddr> = all.iter().map(|addrs| addrs[2]).collect();
         let boxes = all.iter().enumerate().map(|(i, addrs)| start_box(&platform, &format!("box-{i}"), *addrs, &seeds));
@@ -251,3 +255,18 @@
         assert_eq!(world.platform.oracle.broken(), Vec::<String>::new());
     });
 }
+
+#[test]
+fn jobs_of_a_queue_with_advice_run_only_where_it_is_given() {
+    smol::block_on(async {
+        let setup = Setup { servers: 4, key: KEY.to_owned(), advice: true };
+        let world = World::start_on(1, &setup).await;
+        for id in 1..=4 {
+            world.submit(JobId(id), WORK).await;
+        }
+        // The backend servers refuse a start without the right ticket.
+        world.until_succeeded(0, 1..=4, 3).await;
+        assert_eq!(world.platform.oracle.begun(), 12);
+        assert_eq!(world.platform.oracle.broken(), Vec::<String>::new());
+    });
+}
--- a/crates/runtime/src/active.rs
+++ b/crates/runtime/src/active.rs
@@ -19,6 +19,8 @@
     pub(crate) links: Links,
     /// Holds a token when something may let a group start.
     plan: Signal,
+    /// Holds a token when the adviser is to be asked.
+    ask: Signal,
     /// Holds a token when something is to be stored.
     write: Signal,
     /// Holds a token when another scheduler has been elected.
@@ -32,6 +34,7 @@
             scheduler: Mutex::new(scheduler),
             links,
             plan: smol::channel::bounded(1),
+            ask: smol::channel::bounded(1),
             write: smol::channel::bounded(1),
             deposed: smol::channel::bounded(1),
         }
@@ -47,7 +50,7 @@
         let result = change(&mut scheduler);
         let (orders, observations) = (scheduler.take_orders(), scheduler.take_observations());
         let (plan, write) = (scheduler.take_plan_wanted(), scheduler.has_unstored());
-        let deposed = scheduler.deposed();
+        let (ask, deposed) = (scheduler.has_questions(), scheduler.deposed());
         drop(scheduler);
         for order in orders {
             self.links.send(order);
@@ -56,6 +59,9 @@
         if plan {
             let _ = self.plan.0.try_send(());
         }
+        if ask {
+            let _ = self.ask.0.try_send(());
+        }
         if write {
             let _ = self.write.0.try_send(());
         }
@@ -86,6 +92,11 @@
         let _ = self.plan.1.try_recv();
     }
 
+    /// Waits until the adviser is to be asked.
+    pub(crate) async fn advice_wanted(&self) {
+        let _ = self.ask.1.recv().await;
+    }
+
     /// Waits until something may have to be written.
     pub(crate) async fn changed(&self) {
         let _ = self.write.1.recv().await;
--- /dev/null
+++ b/crates/runtime/src/advice.rs
@@ -0,0 +1,38 @@
+//! Asks the adviser for the scheduler, one question at a time, since it answers a box's questions in turn.
+
+use std::sync::Arc;
+
+use crate::{active::Active, leader::Parts, measure, wait::Backoff};
+
+/// Asks whatever the latest plan wants to know, until it is dropped.
+pub(crate) async fn ask(parts: Parts, active: Arc<Active>) {
+    let Some(adviser) = parts.adviser.clone() else { return no_adviser(&active).await };
+    let mut backoff = Backoff::new();
+    loop {
+        let next = active.lock().take_question();
+        let Some(question) = next else {
+            active.advice_wanted().await;
+            continue;
+        };
+        let sent = parts.view.clock().now();
+        match adviser.advise(question.step, question.servers.clone(), question.takes).await {
+            Ok(allowed) => {
+                backoff.reset();
+                measure::server_call("advise", "answered");
+                active.update(|scheduler| scheduler.advised(&question, &allowed, sent));
+            }
+            Err(e) => {
+                measure::server_call("advise", "lost");
+                log::info!("job={} event=advice_failed why={e}", question.step.occurrence.job);
+                backoff.wait().await;
+                active.update(|scheduler| scheduler.not_advised(&question));
+            }
+        }
+    }
+}
+
+/// Jobs of queues that need advice wait where the settings name no adviser; that is said once.
+async fn no_adviser(active: &Active) {
+    active.advice_wanted().await;
+    log::error!("event=adviser_missing outcome=jobs_wait field=deployment.adviser_address");
+}
--- a/crates/runtime/src/border.rs
+++ b/crates/runtime/src/border.rs
@@ -1,12 +1,12 @@
 //! What an adapter to a platform provides.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
-use jobs::{Fence, RunNumber, Saved, TaskId};
+use jobs::{Fence, RunNumber, Saved, StepId, TaskId};
 use model::{BackendServerId, Duration};
 use net::{BoxFuture, NetError};
 use outside::Item;
-use scheduler::{Listing, ServerInfo, StartReply};
+use scheduler::{Listing, ServerInfo, StartReply, Ticket};
 
 use crate::Configuration;
 
@@ -58,6 +58,21 @@
     pub saved: Option<Saved>,
     /// The lease from now on.
     pub lease: Duration,
+    /// The adviser's leave, if the queue needs one.
+    pub ticket: Option<Ticket>,
+}
+
+/// How fast a run may work.
+#[derive(Debug, Clone, Copy)]
+pub struct PaceOrder {
+    /// The scheduler's fencing token.
+    pub fence: Fence,
+    /// What.
+    pub task: TaskId,
+    /// Which run of it.
+    pub run: RunNumber,
+    /// Share of its full speed, 0 to 100.
+    pub percent: u32,
 }
 
 /// What a backend server answers to a stop.
@@ -85,10 +100,24 @@
         task: TaskId,
         run: RunNumber,
     ) -> BoxFuture<'_, Result<StopReply, NetError>>;
+    /// Lets a run work at a share of its speed. `true` if it does, `false` if it is not there or was refused.
+    fn pace(&self, target: Target, order: PaceOrder) -> BoxFuture<'_, Result<bool, NetError>>;
     /// Forgets the connections to a backend server that has gone.
     fn forget(&self, target: &Target);
 }
 
+/// Tells where steps of some queues may run.
+pub trait Adviser: Send + Sync + 'static {
+    /// Asks about a step; the answer names the backend servers that are allowed, with their tickets. `takes` is what
+    /// the adviser itself needs for it.
+    fn advise(
+        &self,
+        step: StepId,
+        servers: Vec<BackendServerId>,
+        takes: Duration,
+    ) -> BoxFuture<'_, Result<BTreeMap<BackendServerId, Ticket>, NetError>>;
+}
+
 /// A backend server as the platform lists it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ListedServer {
--- a/crates/runtime/src/leader.rs
+++ b/crates/runtime/src/leader.rs
@@ -9,7 +9,8 @@
 
 use crate::{
     active::{Active, ActiveSlot},
-    border::{BackendServers, Decoder},
+    advice,
+    border::{Adviser, BackendServers, Decoder},
     directory, intake,
     links::Links,
     settings::Settings,
@@ -31,6 +32,8 @@
     pub(crate) store: Arc<dyn CoordinationStore>,
     pub(crate) servers: Arc<dyn BackendServers>,
     pub(crate) decoder: Arc<dyn Decoder>,
+    /// `None` on a platform without one.
+    pub(crate) adviser: Option<Arc<dyn Adviser>>,
     pub(crate) view: Arc<View>,
 }
 
@@ -48,6 +51,7 @@
         smol::spawn(intake::follow_intake(parts.clone(), Arc::clone(&active), known_to)),
         smol::spawn(directory::follow_servers(parts.clone(), Arc::clone(&active))),
         smol::spawn(writer::run(parts.clone(), Arc::clone(&active))),
+        smol::spawn(advice::ask(parts.clone(), Arc::clone(&active))),
         smol::spawn(plan(parts.clone(), Arc::clone(&active), configuration.version)),
     ];
     active.until_deposed().await;
--- a/crates/runtime/src/link_worker.rs
+++ b/crates/runtime/src/link_worker.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     active::Active,
-    border::{Hold, HoldReply, Start, StopReply, Target},
+    border::{Hold, HoldReply, PaceOrder, Start, StopReply, Target},
     leader::Parts,
     measure,
     wait::{Backoff, at_most},
@@ -18,6 +18,8 @@
 
 /// How long a renewal waits for an end while something runs: also how old a lease gets before it is renewed.
 const BUSY_WAIT: Duration = Duration::from_millis(1000);
+/// The same while best-effort tasks run beside tasks with a latency target: latency is measured over 0.5 s.
+const WATCHED_WAIT: Duration = Duration::from_millis(400);
 /// The same while nothing runs.
 const IDLE_WAIT: Duration = Duration::from_millis(2000);
 /// Ends are acknowledged with the next renewal, which waits this long at most for the store to hold them.
@@ -96,13 +98,14 @@
     while let Ok(order) = orders.recv().await {
         let Some(active) = worker.active.upgrade() else { return };
         match order {
-            Order::Start { task, run, text, saved, .. } => {
-                let start = Start { fence: active.fence, task, run, text, saved, lease: worker.lease };
+            Order::Start { task, run, text, saved, ticket, .. } => {
+                let start = Start { fence: active.fence, task, run, text, saved, lease: worker.lease, ticket };
                 if worker.start(&active, start).await == StartReply::Gone {
                     return;
                 }
             }
             Order::Stop { task, run, .. } => worker.stop(&active, task, run).await,
+            Order::Pace { task, run, percent, .. } => worker.pace(&active, task, run, percent).await,
         }
     }
 }
@@ -125,10 +128,11 @@
         if renews {
             scheduler.lease_sent(id, now);
         }
-        let wait = match (answered, scheduler.is_busy(id)) {
-            (false, _) => Duration::ZERO,
-            (true, true) => BUSY_WAIT,
-            (true, false) => IDLE_WAIT,
+        let wait = match answered {
+            false => Duration::ZERO,
+            true if scheduler.watches_latency(id) => WATCHED_WAIT,
+            true if scheduler.is_busy(id) => BUSY_WAIT,
+            true => IDLE_WAIT,
         };
         Some(Hold {
             fence: scheduler.fence(),
@@ -174,6 +178,16 @@
             Err(_) => {}
         }
     }
+
+    /// Tells how fast a run may work. The scheduler repeats it if there is no answer.
+    async fn pace(&self, active: &Active, task: TaskId, run: RunNumber, percent: u32) {
+        let order = PaceOrder { fence: active.fence, task, run, percent };
+        let reply = self.parts.servers.pace(self.target.clone(), order).await;
+        measure::server_call("pace", if reply.is_ok() { "answered" } else { "lost" });
+        if let Ok(true) = reply {
+            active.update(|scheduler| scheduler.pace_replied(&self.target.id, task, run, percent));
+        }
+    }
 }
 
 fn hold_outcome(reply: &Result<HoldReply, NetError>) -> &'static str {
@@ -190,6 +204,7 @@
         StartReply::Started => "started",
         StartReply::NoRoom => "no_room",
         StartReply::Refused => "refused",
+        StartReply::NoTicket => "no_ticket",
         StartReply::Late => "late",
         StartReply::Fenced => "fenced",
         StartReply::Gone => "gone",
--- a/crates/runtime/src/links.rs
+++ b/crates/runtime/src/links.rs
@@ -77,8 +77,8 @@
 
     /// Queues an order.
     pub(crate) fn send(&self, order: Order) {
-        let (Order::Start { server, task, .. } | Order::Stop { server, task, .. }) = &order;
-        let (server, task) = (server.clone(), *task);
+        let (server, task) = order.subject();
+        let server = server.clone();
         let links = self.by_id.lock().expect("no holder panics");
         let sent = links.get(&server).is_some_and(|link| link.orders.try_send(order).is_ok());
         if !sent {
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     active::ActiveSlot,
-    border::{BackendServers, Decoder},
+    border::{Adviser, BackendServers, Decoder},
     election,
     follow::{Seen, follow},
     keys,
@@ -82,6 +82,7 @@
         store: impl CoordinationStore,
         servers: Arc<dyn BackendServers>,
         decoder: Arc<dyn Decoder>,
+        adviser: Option<Arc<dyn Adviser>>,
         clock: Arc<dyn Clock>,
     ) -> RunningBox {
         let store: Arc<dyn CoordinationStore> = Arc::new(MeasuredStore(store));
@@ -98,8 +99,13 @@
         ));
         let relay =
             RelayService { requests: Arc::clone(&requests), view: Arc::clone(&view), decoder: Arc::clone(&decoder) };
-        let parts =
-            Parts { store: Arc::clone(&store), servers, decoder: Arc::clone(&decoder), view: Arc::clone(&view) };
+        let parts = Parts {
+            store: Arc::clone(&store),
+            servers,
+            decoder: Arc::clone(&decoder),
+            adviser,
+            view: Arc::clone(&view),
+        };
         let wait = settings.watch_wait;
         let tasks = vec![
             smol::spawn(net::grpc::serve(listener, RelayServer::new(relay.clone()))),
--- /dev/null
+++ b/crates/scheduler/src/advice.rs
@@ -0,0 +1,184 @@
+//! Queues whose steps may run only where an adviser allows it: whom to ask about, and what it has said.
+//!
+//! The adviser's verdict on a backend server never changes for a step, but its leave is a ticket that holds for a
+//! while only. So what is refused is never asked again, and what was allowed is asked again once it is needed.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use jobs::{OccurrenceId, StepId};
+use model::{BackendServerId, Duration, Moment};
+
+use crate::{
+    Scheduler,
+    candidate::{Candidate, Wanted},
+    rooms::{Room, Rooms},
+};
+
+/// The adviser's leave for a step on a backend server, opaque to the scheduler.
+pub type Ticket = Arc<str>;
+
+/// Backend servers that one question names at most: what the users' rules page allows for in a job's objective.
+const MOST_ASKED: usize = 30;
+/// A ticket is not used for starts in the last part of its time: a start is stored before it is sent.
+const TICKET_MARGIN: Duration = Duration::from_millis(300);
+
+/// A question to the adviser.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Question {
+    /// Which step is to run.
+    pub step: StepId,
+    /// Where it might.
+    pub servers: Vec<BackendServerId>,
+    /// How long the answer takes the adviser.
+    pub takes: Duration,
+    /// How long its tickets hold.
+    valid: Duration,
+}
+
+/// What the adviser has said of a step on a backend server.
+#[derive(Debug, Clone)]
+enum Verdict {
+    Refused,
+    Allowed { ticket: Ticket, until: Moment },
+}
+
+/// What the adviser has said, and what it is to be asked.
+#[derive(Debug, Default)]
+pub(crate) struct AdviceBook {
+    verdicts: BTreeMap<StepId, BTreeMap<BackendServerId, Verdict>>,
+    /// By the order of the latest plan.
+    questions: Vec<Question>,
+    /// The step that the adviser is being asked about.
+    asking: Option<StepId>,
+}
+
+impl AdviceBook {
+    /// Questions of an earlier plan that were not asked are dropped: this one tells what is wanted now.
+    pub(crate) fn begin_plan(&mut self) {
+        self.questions.clear();
+    }
+
+    /// Where a step may start now.
+    pub(crate) fn allowed(&self, step: StepId, now: Moment) -> BTreeSet<&BackendServerId> {
+        let holds = |verdict: &Verdict| matches!(verdict, Verdict::Allowed { until, .. } if now < *until);
+        let verdicts = self.verdicts.get(&step).into_iter().flatten();
+        verdicts.filter(|(_, verdict)| holds(verdict)).map(|(id, _)| id).collect()
+    }
+
+    /// The ticket for a step, also once its time is over.
+    pub(crate) fn ticket(&self, step: StepId, server: &BackendServerId) -> Option<Ticket> {
+        match self.verdicts.get(&step)?.get(server)? {
+            Verdict::Allowed { ticket, .. } => Some(Arc::clone(ticket)),
+            Verdict::Refused => None,
+        }
+    }
+
+    /// A backend server did not take a ticket: it has to be asked for again.
+    pub(crate) fn ticket_refused(&mut self, step: StepId, server: &BackendServerId) {
+        if let Some(verdicts) = self.verdicts.get_mut(&step) {
+            verdicts.remove(server);
+        }
+    }
+
+    /// No step of the occurrence will start again.
+    pub(crate) fn forget(&mut self, occurrence: OccurrenceId) {
+        self.verdicts.retain(|step, _| step.occurrence != occurrence);
+    }
+
+    fn is_refused(&self, step: StepId, server: &BackendServerId) -> bool {
+        matches!(self.verdicts.get(&step).and_then(|verdicts| verdicts.get(server)), Some(Verdict::Refused))
+    }
+}
+
+impl Scheduler {
+    /// Whether the adviser is to be asked something.
+    pub fn has_questions(&self) -> bool {
+        self.advice.asking.is_none() && !self.advice.questions.is_empty()
+    }
+
+    /// What the adviser is to be asked next: one question at a time, since it answers them in turn.
+    pub fn take_question(&mut self) -> Option<Question> {
+        if self.advice.asking.is_some() || self.advice.questions.is_empty() {
+            return None;
+        }
+        let question = self.advice.questions.remove(0);
+        self.advice.asking = Some(question.step);
+        Some(question)
+    }
+
+    /// The adviser left a question without an answer: the next plan asks again, if it still has to.
+    pub fn not_advised(&mut self, question: &Question) {
+        log::info!("job={} event=not_advised step={}", question.step.occurrence.job, question.step);
+        self.advice.asking = None;
+        self.plan_wanted = true;
+    }
+
+    /// The adviser allows these of the backend servers of a question that was sent at `sent`, and no others.
+    pub fn advised(&mut self, question: &Question, allowed: &BTreeMap<BackendServerId, Ticket>, sent: Moment) {
+        let job = question.step.occurrence.job;
+        log::info!(
+            "job={job} event=advised step={} asked={} allowed={}",
+            question.step,
+            question.servers.len(),
+            allowed.len()
+        );
+        self.advice.asking = None;
+        self.plan_wanted = true;
+        if !self.open.contains(&job) {
+            return;
+        }
+        let until = sent + Duration::from_millis(question.valid.millis().saturating_sub(TICKET_MARGIN.millis()));
+        let verdicts = self.advice.verdicts.entry(question.step).or_default();
+        for server in &question.servers {
+            let verdict = match allowed.get(server) {
+                Some(ticket) => Verdict::Allowed { ticket: Arc::clone(ticket), until },
+                None => Verdict::Refused,
+            };
+            verdicts.insert(server.clone(), verdict);
+        }
+    }
+
+    /// Asks about more backend servers for a candidate that has not been placed whole.
+    pub(crate) fn want_advice(&mut self, candidate: &Candidate, rooms: &Rooms, now: Moment) {
+        let Some(question) = self.question(candidate, rooms, now) else { return };
+        if !question.servers.is_empty() {
+            self.advice.questions.push(question);
+        }
+    }
+
+    fn question(&self, candidate: &Candidate, rooms: &Rooms, now: Moment) -> Option<Question> {
+        let waits = |&group: &usize| self.group(candidate.group(group)).members.is_empty();
+        if self.advice.asking == Some(candidate.step_id()) || !candidate.groups.iter().any(waits) {
+            return None;
+        }
+        let queue = &self.jobs[&candidate.occurrence.job].job.queue;
+        let advice = self.policy.queues.get(queue)?.advice?;
+        let wanted = self.wanted(candidate, now)?;
+        let servers = self.to_be_asked(candidate, &wanted, rooms);
+        let takes = advice.base + advice.each.scaled(servers.len() as f64);
+        Some(Question { step: candidate.step_id(), servers, takes, valid: advice.valid })
+    }
+
+    /// Backend servers without a ticket that holds, the most promising first: those of racks with most room, if the
+    /// step has to stay in one, then those with most room themselves.
+    fn to_be_asked(&self, candidate: &Candidate, wanted: &Wanted<'_>, rooms: &Rooms) -> Vec<BackendServerId> {
+        let step = candidate.step_id();
+        let could =
+            |(id, room): &(&BackendServerId, &Room)| wanted.could_run(room) && !self.advice.is_refused(step, id);
+        let mut free_in_rack: BTreeMap<&Arc<str>, u64> = BTreeMap::new();
+        for (id, room) in rooms.iter().filter(could) {
+            *free_in_rack.entry(&room.rack).or_default() += wanted.fitting(id, &room.soon);
+        }
+        let unknown = |(id, room): &(&BackendServerId, &Room)| could(&(id, room)) && !wanted.allows(id, room);
+        let mut order: Vec<(&BackendServerId, &Room)> = rooms.iter().filter(unknown).collect();
+        order.sort_by_key(|(id, room)| {
+            let in_rack = if wanted.step.same_rack { free_in_rack[&room.rack] } else { 0 };
+            let near = wanted.step.data_rack.as_ref().is_none_or(|rack| *rack == room.rack);
+            (!near, std::cmp::Reverse(in_rack), std::cmp::Reverse(wanted.fitting(id, &room.soon)), *id)
+        });
+        order.into_iter().take(MOST_ASKED).map(|(id, _)| id.clone()).collect()
+    }
+}
--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -1,9 +1,9 @@
 //! What could start, in which order, and what it asks of a place.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use jobs::{Need, OccurrenceId, Step};
-use model::BackendServerId;
+use jobs::{Need, OccurrenceId, Step, StepId};
+use model::{BackendServerId, Moment};
 
 use crate::{Scheduler, guarantee::Guarantees, live::GroupId, policy::ServiceId, ready::ReadySteps, rooms::Room};
 
@@ -28,6 +28,10 @@
 }
 
 impl Candidate {
+    pub(crate) fn step_id(&self) -> StepId {
+        StepId { occurrence: self.occurrence, step: self.step as u32 }
+    }
+
     pub(crate) fn group(&self, group: usize) -> GroupId {
         GroupId { occurrence: self.occurrence, step: self.step, group }
     }
@@ -44,11 +48,19 @@
     careful: bool,
     /// Tasks of the step that each backend server runs already, if their number there is limited.
     here: BTreeMap<&'a BackendServerId, u64>,
+    /// Backend servers that the adviser allows now; `None` if its leave is not needed.
+    allowed: Option<BTreeSet<&'a BackendServerId>>,
 }
 
 impl Wanted<'_> {
     /// Whether a task of the step may run there at all.
-    pub(crate) fn allows(&self, room: &Room) -> bool {
+    pub(crate) fn allows(&self, id: &BackendServerId, room: &Room) -> bool {
+        let advised = self.allowed.as_ref().is_none_or(|allowed| allowed.contains(id));
+        advised && self.could_run(room)
+    }
+
+    /// The same, whatever the adviser says.
+    pub(crate) fn could_run(&self, room: &Room) -> bool {
         let labelled = self.step.label.as_ref().is_none_or(|label| room.labels.contains(label));
         let trusted = !(self.careful && room.doubtful);
         *self.service == room.service && trusted && labelled && room.capacity.contains(&self.need)
@@ -112,7 +124,7 @@
     }
 
     /// What a candidate asks of a place; `None` if no configuration has named the job's queue.
-    pub(crate) fn wanted(&self, candidate: &Candidate) -> Option<Wanted<'_>> {
+    pub(crate) fn wanted(&self, candidate: &Candidate, now: Moment) -> Option<Wanted<'_>> {
         let entry = &self.jobs[&candidate.occurrence.job];
         let queue = self.policy.queues.get(&entry.job.queue)?;
         let step = &entry.job.steps[candidate.step];
@@ -128,6 +140,7 @@
         let careful = progress.iter().any(|group| !group.failed_runs.is_empty());
         let need = step.counted_need();
         let urgent = queue.priority == 0 || step.long_running;
-        Some(Wanted { step, need, service: &queue.service, urgent, careful, here })
+        let allowed = queue.advice.map(|_| self.advice.allowed(candidate.step_id(), now));
+        Some(Wanted { step, need, service: &queue.service, urgent, careful, here, allowed })
     }
 }
--- a/crates/scheduler/src/choose.rs
+++ b/crates/scheduler/src/choose.rs
@@ -32,8 +32,11 @@
         now: Moment,
     ) -> Places {
         let mut places = Places::new();
-        for (id, room) in self.order_for_tasks(candidate, wanted, rooms, &part, now) {
-            let mut fitting = wanted.fitting(id, &part(room));
+        let order = self.order_for_tasks(candidate, wanted, rooms, &part, now);
+        // Best-effort tasks take no processors by their count, so room alone would heap them on one backend server.
+        let most = if wanted.step.best_effort { left.len().div_ceil(order.len().max(1)) as u64 } else { u64::MAX };
+        for (id, room) in order {
+            let mut fitting = wanted.fitting(id, &part(room)).min(most);
             let mut skipped = Vec::new();
             while fitting > 0 && !left.is_empty() {
                 let taken = places.len() as u64;
@@ -67,12 +70,13 @@
         let far_is_worth_it = self.far_is_worth_it(candidate, wanted.step, now);
         let mut order: Vec<(&BackendServerId, &Room)> = rooms
             .iter()
-            .filter(|(_, room)| part(room).contains(&wanted.need) && wanted.allows(room))
+            .filter(|(id, room)| part(room).contains(&wanted.need) && wanted.allows(id, room))
             .filter(|(_, room)| far_is_worth_it || near(room))
             .collect();
         order.sort_by_key(|(_, room)| {
             let free = part(room);
-            (!near(room), room.doubtful, &room.rack, free.accelerators, free.cpu_milli)
+            let disturbance = disturbance(wanted.step, room);
+            (!near(room), room.doubtful, disturbance, &room.rack, free.accelerators, free.cpu_milli)
         });
         order
     }
@@ -87,7 +91,7 @@
         now: Moment,
     ) -> Option<Places> {
         let allowed: Vec<(&BackendServerId, &Room)> =
-            rooms.iter().filter(|(id, room)| wanted.allows(room) && !self.avoids(name, id, now)).collect();
+            rooms.iter().filter(|(id, room)| wanted.allows(id, room) && !self.avoids(name, id, now)).collect();
         let count = u64::from(wanted.step.count);
         let slots = slots_by_rack(wanted, &allowed, &part);
         // Work that can wait fills the racks from the first, so that whole racks stay free for what cannot.
@@ -121,6 +125,16 @@
     }
 }
 
+/// How much a task of the step and what runs there would get into each other's way: best-effort tasks and tasks with
+/// a latency target keep apart, and the former spread out, since each lives on what the others leave.
+fn disturbance(step: &Step, room: &Room) -> u64 {
+    match step {
+        Step { best_effort: true, .. } => room.serving + room.best_effort,
+        Step { target: Some(_), .. } => room.best_effort,
+        _ => 0,
+    }
+}
+
 /// How many tasks of the step fit into each rack.
 fn slots_by_rack<'r>(
     wanted: &Wanted<'_>,
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -45,8 +45,11 @@
     pub run: RunNumber,
     /// The latest checkpoint, if the run made one.
     pub saved: Option<Saved>,
-    /// Share of its work that is done, 0 to 100.
+    /// Share of its work that is done, 0 to 100; of a task that lasts, 100 once it is at work.
     pub percent: u32,
+    /// The tail latency, in milliseconds, of what a task with a latency target serves; `None` for any other
+    /// task, or where the backend server measures none.
+    pub latency_ms: Option<f64>,
 }
 
 /// Everything that a backend server lists.
--- a/crates/scheduler/src/forget.rs
+++ b/crates/scheduler/src/forget.rs
@@ -35,6 +35,7 @@
             for occurrence in occurrences {
                 self.ready.remove(occurrence);
                 self.dirty.remove(occurrence);
+                self.advice.forget(*occurrence);
             }
         }
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -9,6 +9,7 @@
 //! - *one place at a time*: a task is placed again only when its earlier run is known to be over: listed as
 //!   ended, absent from a listing that must show it, or past every lease that it can have been given.
 
+mod advice;
 mod batch;
 mod candidate;
 mod choose;
@@ -23,6 +24,7 @@
 mod observe;
 mod orders;
 mod outcomes;
+mod pace;
 mod plan;
 mod policy;
 mod preempt;
@@ -37,12 +39,13 @@
 mod timing;
 
 pub use crate::{
+    advice::{Question, Ticket},
     batch::{Batch, Entry},
     ends::{End, EndKind, Listing, RunningTask},
     forget::Forgettable,
     observe::Observation,
     orders::{Order, StartReply},
-    policy::{CustomerPolicy, Policy, QueuePolicy, ServiceId},
+    policy::{Advice, CustomerPolicy, Policy, QueuePolicy, ServiceId},
     scheduler::{Counts, Scheduler},
     server::ServerInfo,
     timing::Timing,
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -41,6 +41,7 @@
         if !listing.more_ends {
             self.find_lost(id, listing, sent, now);
         }
+        self.pace_best_effort(id, now);
         if !listing.ended.is_empty() {
             self.acknowledge_stored();
         }
@@ -54,6 +55,7 @@
         }
         let Some(member) = self.member_mut(name, running.task.index, id) else { return };
         member.percent = running.percent;
+        member.latency_ms = running.latency_ms;
         if running.saved.is_some() {
             member.saved = running.saved.clone();
         }
--- a/crates/scheduler/src/live.rs
+++ b/crates/scheduler/src/live.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 
-use jobs::{Duration, Job, JobState, OccurrenceId, Placed, Progress, Saved, Step, TaskId};
+use jobs::{Duration, Job, JobState, OccurrenceId, Placed, Progress, Saved, Step, StepId, TaskId};
 use model::{BackendServerId, Moment, Revision};
 
+use crate::pace::Pace;
+
 /// How far a start has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -35,6 +37,9 @@
     pub(crate) saved: Option<Saved>,
     /// How far it says that it has come, from 0 to 100.
     pub(crate) percent: u32,
+    /// See [`crate::RunningTask::latency_ms`].
+    pub(crate) latency_ms: Option<f64>,
+    pub(crate) pace: Pace,
 }
 
 impl Member {
@@ -48,12 +53,14 @@
             stop_sent: None,
             saved: None,
             percent: 0,
+            latency_ms: None,
+            pace: Pace::full(),
         }
     }
 
     /// A task that an earlier scheduler placed, found by one elected at `elected`.
     pub(crate) fn restored(placed: &Placed, elected: Moment) -> Member {
-        Member { phase: Phase::Restored, settled: Some(elected), ..Member::planned(placed) }
+        Member { phase: Phase::Restored, settled: Some(elected), pace: Pace::unknown(), ..Member::planned(placed) }
     }
 }
 
@@ -201,6 +208,10 @@
         GroupId { occurrence: task.occurrence, step: task.step as usize, group }
     }
 
+    pub(crate) fn step_id(&self) -> StepId {
+        StepId { occurrence: self.occurrence, step: self.step as u32 }
+    }
+
     /// A member's task.
     pub(crate) fn task(&self, index: u32) -> TaskId {
         TaskId { occurrence: self.occurrence, step: self.step as u32, index }
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -5,6 +5,8 @@
 use jobs::{RunNumber, Saved, TaskId};
 use model::BackendServerId;
 
+use crate::advice::Ticket;
+
 /// An order to a backend server.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Order {
@@ -20,6 +22,8 @@
         text: Arc<str>,
         /// Where to go on from.
         saved: Option<Saved>,
+        /// The adviser's leave to run there, if the queue needs one.
+        ticket: Option<Ticket>,
     },
     /// Stop a run, and never start it; safe to send twice.
     Stop {
@@ -30,6 +34,28 @@
         /// Which run of it.
         run: RunNumber,
     },
+    /// Let a run work at a share of its speed; safe to send twice.
+    Pace {
+        /// Where.
+        server: BackendServerId,
+        /// What.
+        task: TaskId,
+        /// Which run of it.
+        run: RunNumber,
+        /// Share of its speed, 0 to 100.
+        percent: u32,
+    },
+}
+
+impl Order {
+    /// The backend server and the task that it is about.
+    pub fn subject(&self) -> (&BackendServerId, TaskId) {
+        match self {
+            Order::Start { server, task, .. } | Order::Stop { server, task, .. } | Order::Pace { server, task, .. } => {
+                (server, *task)
+            }
+        }
+    }
 }
 
 /// What came of a start.
@@ -41,6 +67,8 @@
     NoRoom,
     /// It does not run and never will.
     Refused,
+    /// It does not run and never will: the ticket does not hold.
+    NoTicket,
     /// The order came too late; it does not run, but another order for it may come yet.
     Late,
     /// The backend server obeys a later scheduler.
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -21,6 +21,7 @@
         self.refresh_ready(now);
         let mut guarantees = Guarantees::new(self);
         let candidates = self.candidates(wall_ms, &mut guarantees);
+        self.advice.begin_plan();
         if candidates.is_empty() {
             return;
         }
@@ -31,6 +32,7 @@
             } else {
                 self.plan_tasks(candidate, &mut rooms, &guarantees, now);
             }
+            self.want_advice(candidate, &rooms, now);
         }
     }
 
@@ -41,7 +43,7 @@
     /// Starts a gang where it fits. If it is urgent, room is made or kept for it meanwhile.
     fn plan_gang(&mut self, candidate: &Candidate, rooms: &mut Rooms, guarantees: &Guarantees, now: Moment) {
         let name = candidate.group(0);
-        let Some(wanted) = self.wanted(candidate) else { return };
+        let Some(wanted) = self.wanted(candidate, now) else { return };
         let count = u64::from(wanted.step.count);
         if !wanted.urgent && !self.leaves_headroom(&wanted, 0, count, rooms) {
             return;
@@ -53,17 +55,17 @@
         } else {
             None
         };
-        let (need, urgent) = (wanted.need, wanted.urgent);
+        let (step, urgent) = (wanted.step.clone(), wanted.urgent);
         if let Some(places) = free {
-            rooms.claim(&need, &places);
+            rooms.claim(&step, &places);
             self.place(name, &places, now);
         } else if let Some(places) = soon {
-            rooms.claim(&need, &places);
+            rooms.claim(&step, &places);
         } else if urgent {
             self.preempt_for(candidate, count, rooms, guarantees, now);
-            let Some(wanted) = self.wanted(candidate) else { return };
+            let Some(wanted) = self.wanted(candidate, now) else { return };
             if let Some(places) = self.choose_gang(name, &wanted, rooms, |room| room.soon, now) {
-                rooms.claim(&need, &places);
+                rooms.claim(&step, &places);
             }
         }
     }
@@ -71,8 +73,8 @@
     /// Starts tasks that each run by themselves where they fit. If they are urgent, room is made or kept for the
     /// rest.
     fn plan_tasks(&mut self, candidate: &Candidate, rooms: &mut Rooms, guarantees: &Guarantees, now: Moment) {
-        let Some(wanted) = self.wanted(candidate) else { return };
-        let (need, urgent) = (wanted.need, wanted.urgent);
+        let Some(wanted) = self.wanted(candidate, now) else { return };
+        let (step, urgent) = (wanted.step.clone(), wanted.urgent);
         let mut left = candidate.groups.clone();
         let placed = self.choose_tasks(candidate, &wanted, rooms, |room| room.free, &mut left, now);
         let waiting = if urgent && !left.is_empty() {
@@ -80,16 +82,16 @@
         } else {
             Places::new()
         };
-        rooms.claim(&need, &placed);
-        rooms.claim(&need, &waiting);
+        rooms.claim(&step, &placed);
+        rooms.claim(&step, &waiting);
         for (group, server) in placed {
             self.place(candidate.group(group as usize), &[(group, server)], now);
         }
         if urgent && !left.is_empty() {
             self.preempt_for(candidate, left.len() as u64, rooms, guarantees, now);
-            let Some(wanted) = self.wanted(candidate) else { return };
+            let Some(wanted) = self.wanted(candidate, now) else { return };
             let coming = self.choose_tasks(candidate, &wanted, rooms, |room| room.soon, &mut left, now);
-            rooms.claim(&need, &coming);
+            rooms.claim(&step, &coming);
         }
     }
 
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -18,6 +18,17 @@
     }
 }
 
+/// The adviser of a queue tells which backend servers may run a step, and gives a ticket for each.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Advice {
+    /// What each question takes.
+    pub base: Duration,
+    /// What each backend server that it names takes besides.
+    pub each: Duration,
+    /// How long a ticket holds.
+    pub valid: Duration,
+}
+
 /// How the jobs of one queue are served.
 #[derive(Debug, Clone, PartialEq)]
 pub struct QueuePolicy {
@@ -31,6 +42,8 @@
     pub objective: Duration,
     /// The backend servers that run its tasks.
     pub service: ServiceId,
+    /// Set if its tasks start only where the adviser allows it.
+    pub advice: Option<Advice>,
 }
 
 /// What a customer may count on.
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -9,7 +9,7 @@
     Scheduler,
     candidate::{Candidate, Wanted},
     guarantee::Guarantees,
-    live::{Group, GroupId, StopReason},
+    live::{Group, GroupId, Member, StopReason},
     rooms::{Room, Rooms},
 };
 
@@ -17,6 +17,8 @@
 const UNSAVED_S: f64 = 0.5;
 /// What starting again costs besides, in seconds: stopping, waiting for room and reading the checkpoint.
 const RESTART_S: f64 = 0.5;
+/// A task that lasts is at work from this percentage on (users' protocol page).
+const AT_WORK: u32 = 100;
 /// A core counts one, an accelerator as much as this many cores, when work is weighed (users' rules page).
 const CORES_PER_ACCELERATOR: f64 = 8.0;
 
@@ -84,10 +86,10 @@
         guarantees: &Guarantees,
         now: Moment,
     ) -> Vec<GroupId> {
-        let Some(wanted) = self.wanted(candidate) else { return Vec::new() };
+        let Some(wanted) = self.wanted(candidate, now) else { return Vec::new() };
         let avoids = |id: &BackendServerId| wanted.step.gang && self.avoids(candidate.group(0), id, now);
         let mut by_rack: BTreeMap<Option<&Arc<str>>, Vec<Vec<Offer>>> = BTreeMap::new();
-        for (id, room) in rooms.iter().filter(|(id, room)| wanted.allows(room) && !avoids(id)) {
+        for (id, room) in rooms.iter().filter(|(id, room)| wanted.allows(id, room) && !avoids(id)) {
             let rack = wanted.step.same_rack.then_some(&room.rack);
             let offers = self.offers(candidate, &wanted, id, room, guarantees, now);
             by_rack.entry(rack).or_default().push(offers);
@@ -150,10 +152,14 @@
         Some(Victim { group: name, waste, freed: step.counted_need() })
     }
 
-    /// Whether one more task of the step may be away through the system's doing.
+    /// Whether one more task of the step may be away through the system's doing. One that is not at work yet, or is
+    /// out of reach, counts as away whatever the cause.
     fn may_be_absent(&self, name: GroupId) -> bool {
         let Some(most) = self.step(name).max_absent else { return true };
-        let away = |group: &&Group| group.members.is_empty() || group.stopping.is_some();
+        let reached = |id: &BackendServerId| self.servers.get(id).is_some_and(|server| server.unanswered == 0);
+        let at_work = |member: &Member| member.percent >= AT_WORK && reached(&member.server);
+        let away =
+            |group: &&Group| group.members.is_empty() || group.stopping.is_some() || !group.members.iter().all(at_work);
         let absent = self.occurrence(name.occurrence).groups[name.step].iter().filter(away).count();
         absent < most as usize
     }
--- a/crates/scheduler/src/ready.rs
+++ b/crates/scheduler/src/ready.rs
@@ -21,6 +21,7 @@
             }
             if entry.over() {
                 self.open.remove(&id.job);
+                self.advice.forget(id);
             }
         }
     }
--- a/crates/scheduler/src/rooms.rs
+++ b/crates/scheduler/src/rooms.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use jobs::Need;
+use jobs::{Need, Step};
 use model::{BackendServerId, Moment};
 
 use crate::{Scheduler, choose::Places, policy::ServiceId};
@@ -18,6 +18,10 @@
     pub(crate) free: Need,
     /// Free once everything that is being stopped has ended.
     pub(crate) soon: Need,
+    /// Best-effort tasks there.
+    pub(crate) best_effort: u64,
+    /// Tasks with a latency target there.
+    pub(crate) serving: u64,
     /// A task failed there lately and none has been done since.
     pub(crate) doubtful: bool,
 }
@@ -53,8 +57,9 @@
         self.totals.get(service).copied().unwrap_or_default()
     }
 
-    /// Takes room for a task of `need` at each place.
-    pub(crate) fn claim(&mut self, need: &Need, places: &Places) {
+    /// Takes room for a task of a step at each place.
+    pub(crate) fn claim(&mut self, step: &Step, places: &Places) {
+        let need = &step.counted_need();
         for (_, server) in places {
             let room = self.by_server.get_mut(server).expect("places are chosen among the rooms");
             let totals = self.totals.entry(room.service.clone()).or_default();
@@ -62,6 +67,8 @@
             totals.used += need.accelerators;
             room.free.remove(need);
             room.soon.remove(need);
+            room.best_effort += u64::from(step.best_effort);
+            room.serving += u64::from(step.target.is_some());
         }
     }
 }
@@ -80,10 +87,14 @@
             let free = server.free();
             totals.free += free.accelerators;
             let mut soon = free;
+            let (mut best_effort, mut serving) = (0, 0);
             for task in server.members.keys() {
                 let Some(name) = self.group_of(*task) else { continue };
+                let step = self.step(name);
+                best_effort += u64::from(step.best_effort);
+                serving += u64::from(step.target.is_some());
                 if self.group(name).stopping.is_some() {
-                    soon.add(&self.step(name).counted_need());
+                    soon.add(&step.counted_need());
                 }
             }
             for stray in server.strays.values() {
@@ -96,6 +107,8 @@
                 capacity: info.capacity,
                 free,
                 soon,
+                best_effort,
+                serving,
                 doubtful: server.health.doubtful(now),
             };
             rooms.by_server.insert(id.clone(), room);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -6,6 +6,7 @@
 use model::{BackendServerId, CustomerId, Duration, Moment};
 
 use crate::{
+    advice::AdviceBook,
     live::{JobEntry, StopReason},
     observe::Observation,
     orders::Order,
@@ -59,6 +60,8 @@
     /// Occurrences that may have starts to send since the store took their progress.
     pub(crate) unsent: BTreeSet<OccurrenceId>,
     pub(crate) orders: Vec<Order>,
+    /// What the adviser has said, and what it is to be asked.
+    pub(crate) advice: AdviceBook,
     pub(crate) observations: Vec<Observation>,
     /// The clocks at the latest plan: this process's own, and the time of day.
     pub(crate) wall: (Moment, u64),
@@ -85,6 +88,7 @@
             dirty: BTreeSet::new(),
             unsent: BTreeSet::new(),
             orders: Vec::new(),
+            advice: AdviceBook::default(),
             observations: Vec::new(),
             wall: (elected, 0),
             deposed: false,
--- a/crates/scheduler/src/starts.rs
+++ b/crates/scheduler/src/starts.rs
@@ -56,7 +56,9 @@
 
     fn start_refused(&mut self, name: GroupId, task: TaskId, server: &BackendServerId, reply: StartReply, now: Moment) {
         log::info!("job={} event=start_refused task={task} server={server} why={reply:?}", task.occurrence.job);
-        if let Some(server) = self.servers.get_mut(server) {
+        if reply == StartReply::NoTicket {
+            self.advice.ticket_refused(name.step_id(), server);
+        } else if let Some(server) = self.servers.get_mut(server) {
             server.not_before = now + self.timing.refused_pause;
         }
         self.remove_member(name, task.index, None, now);
@@ -90,6 +92,7 @@
             run: progress.run,
             text: Arc::clone(&self.jobs[&name.occurrence.job].job.text),
             saved: progress.saved.clone(),
+            ticket: self.advice.ticket(name.step_id(), server),
         }
     }
 }
--- /dev/null
+++ b/crates/scheduler/tests/advice.rs
@@ -0,0 +1,118 @@
+//! Steps that start only where the adviser allows it.
+
+mod common;
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use common::{Fixture, Started, gang, job, server_id, step};
+use jobs::{JobId, OccurrenceId, StepId};
+use model::{BackendServerId, Duration};
+use scheduler::{Advice, EndKind, Question, StartReply, Ticket};
+
+const ADVICE: Advice =
+    Advice { base: Duration::from_millis(100), each: Duration::from_millis(2), valid: Duration::from_millis(2000) };
+
+fn fixture(servers: usize) -> Fixture {
+    let mut fixture = Fixture::new(servers);
+    fixture.need_advice(ADVICE);
+    fixture
+}
+
+fn ticket(i: usize) -> Ticket {
+    Arc::from(format!("ticket-{i}"))
+}
+
+/// Plans, and gives the question that comes of it; nothing may start before it is answered.
+fn question(fixture: &mut Fixture) -> Question {
+    assert!(fixture.start_all().is_empty(), "nothing starts without the adviser's leave");
+    fixture.scheduler.take_question().expect("the adviser is asked")
+}
+
+fn answer(fixture: &mut Fixture, question: &Question, good: &[usize]) {
+    let allowed: BTreeMap<BackendServerId, Ticket> = good.iter().map(|&i| (server_id(i), ticket(i))).collect();
+    let now = fixture.now;
+    fixture.scheduler.advised(question, &allowed, now);
+}
+
+fn servers(started: &[Started]) -> Vec<BackendServerId> {
+    let mut servers: Vec<BackendServerId> = started.iter().map(|s| s.server.clone()).collect();
+    servers.sort();
+    servers.dedup();
+    servers
+}
+
+#[test]
+fn a_step_starts_only_where_it_is_allowed_and_carries_the_ticket() {
+    let mut fixture = fixture(4);
+    fixture.submit(job(1, vec![step(2, 4)]));
+    let asked = question(&mut fixture);
+    assert_eq!(asked.step, StepId { occurrence: OccurrenceId { job: JobId(1), number: 0 }, step: 0 });
+    assert_eq!(asked.servers.len(), 4);
+    assert_eq!(asked.takes, Duration::from_millis(108));
+    answer(&mut fixture, &asked, &[2]);
+    let started = fixture.start_all();
+    assert_eq!(servers(&started), [server_id(2)]);
+    assert!(started.iter().all(|s| s.ticket == Some(ticket(2))));
+    assert!(!fixture.scheduler.has_questions(), "everything is placed");
+}
+
+#[test]
+fn what_was_refused_is_not_asked_again_and_a_gang_asks_on_until_it_fits() {
+    let mut fixture = fixture(40);
+    fixture.submit(job(1, vec![gang(2, 8)]));
+    let first = question(&mut fixture);
+    assert_eq!(first.servers.len(), 30);
+    answer(&mut fixture, &first, &[0]);
+    let second = question(&mut fixture);
+    assert_eq!(second.servers.len(), 10, "only those that were not asked");
+    assert!(second.servers.iter().all(|id| !first.servers.contains(id)));
+    let last = (0..40).map(server_id).position(|id| id == second.servers[0]).expect("it is known");
+    answer(&mut fixture, &second, &[last]);
+    assert_eq!(servers(&fixture.start_all()), [server_id(0), server_id(last)]);
+}
+
+#[test]
+fn a_ticket_whose_time_is_over_is_asked_for_again() {
+    let mut fixture = fixture(1);
+    fixture.submit(job(1, vec![step(1, 8)]));
+    let asked = question(&mut fixture);
+    answer(&mut fixture, &asked, &[0]);
+    let started = fixture.start_all();
+    fixture.advance(2000);
+    fixture.end(&started[0], EndKind::Stopped);
+    let again = question(&mut fixture);
+    assert_eq!(again.servers, [server_id(0)]);
+    answer(&mut fixture, &again, &[0]);
+    assert_eq!(fixture.start_all().len(), 1);
+}
+
+#[test]
+fn a_ticket_that_is_refused_is_asked_for_again_and_the_backend_server_not_blamed() {
+    let mut fixture = fixture(1);
+    fixture.submit(job(1, vec![step(1, 8)]));
+    let asked = question(&mut fixture);
+    answer(&mut fixture, &asked, &[0]);
+    let started = fixture.start_all();
+    let now = fixture.now;
+    fixture.scheduler.start_replied(&started[0].server, started[0].task, started[0].run, StartReply::NoTicket, now);
+    let again = question(&mut fixture);
+    answer(&mut fixture, &again, &[0]);
+    assert_eq!(fixture.start_all().len(), 1, "at once: the backend server is not paused");
+}
+
+#[test]
+fn one_question_is_out_at_a_time_and_a_lost_one_is_asked_again() {
+    let mut fixture = fixture(2);
+    fixture.submit(job(1, vec![step(1, 1)]));
+    fixture.submit(job(2, vec![step(1, 1)]));
+    let first = question(&mut fixture);
+    fixture.start_all();
+    assert!(fixture.scheduler.take_question().is_none(), "the first is not answered yet");
+    fixture.scheduler.not_advised(&first);
+    let again = question(&mut fixture);
+    assert_eq!(again, first);
+    answer(&mut fixture, &again, &[0, 1]);
+    assert_eq!(fixture.start_all().len(), 1);
+    let second = fixture.scheduler.take_question().expect("the second job needs leave of its own");
+    assert_eq!(second.step.occurrence.job, JobId(2));
+}
--- a/crates/scheduler/tests/common/leading.rs
+++ b/crates/scheduler/tests/common/leading.rs
@@ -83,6 +83,7 @@
             Order::Stop { server, task, run, .. } => {
                 self.after(late, Event::Stop { leader: i, server, task, run, answered: !lost });
             }
+            Order::Pace { .. } => unreachable!("no job of this world lives on what others leave"),
         }
     }
 }
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -12,8 +12,8 @@
 use jobs::{Fence, Job, JobId, JobState, Need, RunNumber, Step, TaskId};
 use model::{BackendServerId, CustomerId, Duration, Moment, Revision};
 use scheduler::{
-    CustomerPolicy, End, EndKind, Listing, Order, Policy, QueuePolicy, RunningTask, Scheduler, ServerInfo, ServiceId,
-    StartReply, Timing,
+    Advice, CustomerPolicy, End, EndKind, Listing, Order, Policy, QueuePolicy, RunningTask, Scheduler, ServerInfo,
+    ServiceId, StartReply, Timing,
 };
 
 pub(crate) const SERVICE: &str = "desk";
@@ -25,6 +25,7 @@
     pub(crate) task: TaskId,
     pub(crate) run: RunNumber,
     pub(crate) saved: Option<jobs::Saved>,
+    pub(crate) ticket: Option<scheduler::Ticket>,
 }
 
 pub(crate) fn run_of(started: &Started) -> u64 {
@@ -83,6 +84,7 @@
         stretch: 3.0,
         objective: Duration::from_secs(1),
         service: ServiceId::from(SERVICE),
+        advice: None,
     };
     Policy {
         version: 1,
@@ -103,6 +105,12 @@
     revision: u64,
     policy: Policy,
     pub(crate) stops: Vec<Order>,
+    /// How fast each task was last told to work.
+    pub(crate) paces: BTreeMap<TaskId, u32>,
+    /// What backend servers list as every task's progress.
+    pub(crate) percent: u32,
+    /// The tail latency that they list.
+    pub(crate) latency_ms: BTreeMap<TaskId, f64>,
 }
 
 impl Fixture {
@@ -116,6 +124,9 @@
             revision: 100,
             policy: policy(),
             stops: Vec::new(),
+            paces: BTreeMap::new(),
+            percent: 1,
+            latency_ms: BTreeMap::new(),
         };
         for i in 0..servers {
             fixture.add_server(i);
@@ -136,6 +147,14 @@
         self.scheduler.set_policy(self.policy.clone());
     }
 
+    /// Queues let their steps run only where the adviser allows it.
+    pub(crate) fn need_advice(&mut self, advice: Advice) {
+        for queue in self.policy.queues.values_mut() {
+            queue.advice = Some(advice);
+        }
+        self.scheduler.set_policy(self.policy.clone());
+    }
+
     pub(crate) fn submit(&mut self, job: Job) {
         self.scheduler.add_job(job);
     }
@@ -171,14 +190,18 @@
         let mut started = Vec::new();
         for order in self.scheduler.take_orders() {
             match order {
-                Order::Start { server, task, run, saved, .. } => {
-                    let start = Started { server: server.clone(), task, run, saved };
+                Order::Start { server, task, run, saved, ticket, .. } => {
+                    let start = Started { server: server.clone(), task, run, saved, ticket };
                     self.running.get_mut(&server).expect("it was added").push(start.clone());
                     self.scheduler.lease_sent(&server, self.now);
                     self.scheduler.start_replied(&server, task, run, StartReply::Started, self.now);
                     started.push(start);
                 }
                 stop @ Order::Stop { .. } => self.stops.push(stop),
+                Order::Pace { server, task, run, percent } => {
+                    self.paces.insert(task, percent);
+                    self.scheduler.pace_replied(&server, task, run, percent);
+                }
             }
         }
         started
@@ -204,7 +227,13 @@
     }
 
     fn listed(&self, id: &BackendServerId) -> Vec<RunningTask> {
-        let running = |s: &Started| RunningTask { task: s.task, run: s.run, saved: None, percent: 1 };
+        let running = |s: &Started| RunningTask {
+            task: s.task,
+            run: s.run,
+            saved: None,
+            percent: self.percent,
+            latency_ms: self.latency_ms.get(&s.task).copied(),
+        };
         self.running[id].iter().map(running).collect()
     }
 
--- a/crates/scheduler/tests/common/server.rs
+++ b/crates/scheduler/tests/common/server.rs
@@ -122,6 +122,7 @@
             run: run.run,
             saved: run.saved.clone(),
             percent: 1,
+            latency_ms: None,
         };
         Some(Listing {
             running: self.running.iter().map(running).collect(),
--- a/crates/scheduler/tests/plan.rs
+++ b/crates/scheduler/tests/plan.rs
@@ -15,9 +15,7 @@
 }
 
 fn stopped(fixture: &Fixture) -> Vec<u64> {
-    let id = |order: &Order| match order {
-        Order::Start { task, .. } | Order::Stop { task, .. } => task.occurrence.job.0,
-    };
+    let id = |order: &Order| order.subject().1.occurrence.job.0;
     fixture.stops.iter().map(id).collect()
 }
 
