Take a backend server that has left as gone at once

Cause: a member's backend server had announced that it drains, and left. Ruled out: a cut (debug logs show the connection closed by its end, the entry gone 20 ms later, the port refusing, then silence); shorter leases (they would throw work away in every cut that they do not outlast).

Now a backend server counts as gone if it said that it drains, refuses connections, and fell silent within 0.3 s of leaving the platform's list. One that is cut off, even by refusals, leaves the list only after three heartbeats: the tests hold both apart.

--- a/crates/net/src/deadline.rs
+++ b/crates/net/src/deadline.rs
@@ -12,6 +12,13 @@
         /// The system's words.
         why: String,
     },
+    /// Nothing listens at the address: the request did not leave this process, and the one that listened has ended,
+    /// or the network says so for it.
+    #[display("refused: {why}")]
+    Refused {
+        /// The system's words.
+        why: String,
+    },
     /// The request may have taken effect.
     #[display("no reply: {why}")]
     Lost {
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -111,7 +111,7 @@
     ) -> Result<Reply, NetError> {
         let begun = std::time::Instant::now();
         let connecting = within(limit, self.sender(addr)).await;
-        let mut sender = connecting.map_err(|e| NetError::Unsent { why: e.to_string() })?;
+        let mut sender = connecting.map_err(not_connected)?;
         let req = addressed(req, host)?;
         let reply = within(limit.saturating_sub(begun.elapsed()), async {
             let res = sender.send_request(req).await.map_err(unsent_or_lost)?;
@@ -148,11 +148,11 @@
                 return Ok(sender);
             }
         }
-        let unsent = |e: &dyn std::fmt::Display| NetError::Unsent { why: format!("{addr}: {e}") };
-        let stream = within(CONNECT_LIMIT, async { connect(addr).await.map_err(|e| unsent(&e)) })
+        let stream = within(CONNECT_LIMIT, async { connect(addr).await.map_err(|e| connect_error(addr, &e)) })
             .await
-            .map_err(|e| unsent(&e))?;
-        let (sender, conn) = http1::handshake(FuturesIo::new(stream)).await.map_err(|e| unsent(&e))?;
+            .map_err(not_connected)?;
+        let handshake = http1::handshake(FuturesIo::new(stream)).await;
+        let (sender, conn) = handshake.map_err(|e| NetError::Unsent { why: format!("{addr}: {e}") })?;
         smol::spawn(async move {
             // The error of a broken connection reaches the caller through its sender.
             let _ = conn.await;
@@ -183,6 +183,19 @@
     Ok(req)
 }
 
+fn connect_error(addr: SocketAddr, e: &std::io::Error) -> NetError {
+    let why = format!("{addr}: {e}");
+    if e.kind() == std::io::ErrorKind::ConnectionRefused { NetError::Refused { why } } else { NetError::Unsent { why } }
+}
+
+/// Whatever kept a connection from being made, the request did not leave.
+fn not_connected(e: NetError) -> NetError {
+    match e {
+        NetError::Lost { why } => NetError::Unsent { why },
+        other => other,
+    }
+}
+
 /// A request that `hyper` gave back was never written.
 fn unsent_or_lost(e: hyper::Error) -> NetError {
     if e.is_canceled() { NetError::Unsent { why: e.to_string() } } else { lost(e) }
--- a/crates/runtime/src/directory.rs
+++ b/crates/runtime/src/directory.rs
@@ -39,7 +39,7 @@
         take(parts, active, listed, item);
     }
     for id in before.difference(listed) {
-        unlist(active, id);
+        unlist(parts, active, id);
     }
 }
 
@@ -68,11 +68,12 @@
 fn remove(parts: &Parts, active: &Arc<Active>, listed: &mut BTreeSet<BackendServerId>, key: &str) {
     if let Some(id) = parts.decoder.server_of_key(key) {
         listed.remove(&id);
-        unlist(active, &id);
+        unlist(parts, active, &id);
     }
 }
 
-fn unlist(active: &Arc<Active>, id: &BackendServerId) {
+fn unlist(parts: &Parts, active: &Arc<Active>, id: &BackendServerId) {
     log::info!("server={id} event=unlisted");
-    active.update(|scheduler| scheduler.server_unlisted(id));
+    let now = parts.view.clock().now();
+    active.update(|scheduler| scheduler.server_unlisted(id, now));
 }
--- a/crates/runtime/src/link_worker.rs
+++ b/crates/runtime/src/link_worker.rs
@@ -5,7 +5,7 @@
 use jobs::{RunNumber, TaskId};
 use model::{BackendServerId, Duration, Moment};
 use net::NetError;
-use scheduler::{Order, StartReply};
+use scheduler::{Order, StartReply, Unanswered};
 use smol::channel::Receiver;
 
 use crate::{
@@ -70,7 +70,8 @@
             Err(e) => {
                 log::debug!("server={id} event=hold_failed renews={renews} why={e}");
                 answered = false;
-                active.update(|scheduler| scheduler.unanswered(&id));
+                let (how, now) = (unanswered(&e), worker.now());
+                active.update(|scheduler| scheduler.unanswered(&id, how, now));
                 backoff.wait().await;
             }
         }
@@ -190,6 +191,13 @@
     }
 }
 
+fn unanswered(e: &NetError) -> Unanswered {
+    match e {
+        NetError::Refused { .. } => Unanswered::Refused,
+        NetError::Unsent { .. } | NetError::Lost { .. } => Unanswered::Silent,
+    }
+}
+
 fn hold_outcome(reply: &Result<HoldReply, NetError>) -> &'static str {
     match reply {
         Ok(HoldReply::Listing(_)) => "answered",
--- a/crates/scheduler/src/contact.rs
+++ b/crates/scheduler/src/contact.rs
@@ -7,6 +7,15 @@
     server::{Server, ServerInfo},
 };
 
+/// How a backend server left a call without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unanswered {
+    /// Nothing listens at its address any more, or the network says so.
+    Refused,
+    /// Anything else.
+    Silent,
+}
+
 impl Scheduler {
     /// The platform lists a backend server, or its account of itself has changed.
     pub fn server_listed(&mut self, id: BackendServerId, info: ServerInfo, now: Moment) {
@@ -16,6 +25,7 @@
         let was_draining = server.info.as_ref().is_some_and(|old| old.draining);
         server.info = Some(info);
         server.listed = true;
+        server.silence.unlisted = None;
         self.plan_wanted = true;
         if draining && !was_draining {
             log::info!("server={id} event=draining fence={}", self.fence);
@@ -23,11 +33,14 @@
         }
     }
 
-    /// The platform no longer lists a backend server. It may run on: its runs are over only when its leases are.
-    pub fn server_unlisted(&mut self, id: &BackendServerId) {
+    /// The platform no longer lists a backend server. It may run on: unless it has left, its runs are over only when
+    /// its leases are.
+    pub fn server_unlisted(&mut self, id: &BackendServerId, now: Moment) {
         if let Some(server) = self.servers.get_mut(id) {
             server.listed = false;
+            server.silence.unlisted = Some(now);
         }
+        self.look_whether_left(id, now);
     }
 
     /// A backend server's life is over: another life answers in its place.
@@ -47,12 +60,23 @@
     }
 
     /// A backend server left a call without an answer.
-    pub fn unanswered(&mut self, id: &BackendServerId) {
+    pub fn unanswered(&mut self, id: &BackendServerId, how: Unanswered, now: Moment) {
         let Some(server) = self.servers.get_mut(id) else { return };
         server.unanswered += 1;
+        server.silence.refused |= how == Unanswered::Refused;
         if server.unanswered == 1 {
+            server.silence.since = Some(now);
             log::warn!("server={id} event=unreachable lease_over_at={}", server.lease_over.millis());
         }
+        self.look_whether_left(id, now);
+    }
+
+    /// A backend server that has left takes all that ran on it along, so that no lease has to be waited for.
+    fn look_whether_left(&mut self, id: &BackendServerId, now: Moment) {
+        if self.servers.get(id).is_some_and(Server::has_left) {
+            log::info!("server={id} event=left");
+            self.server_gone(id, now);
+        }
     }
 
     /// Whether a backend server is listed, or may still run something.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -41,6 +41,7 @@
 pub use crate::{
     advice::{Question, Ticket},
     batch::{Batch, Entry},
+    contact::Unanswered,
     ends::{End, EndKind, Listing, RunningTask},
     forget::Forgettable,
     observe::Observation,
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -30,6 +30,8 @@
             server.lease_over = self.timing.lease_over(now);
         }
         server.unanswered = 0;
+        server.silence.since = None;
+        server.silence.refused = false;
         self.plan_wanted |= !listing.ended.is_empty();
         for end in &listing.ended {
             self.take_end(id, end, now);
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -10,6 +10,11 @@
 
 use crate::{health::Health, policy::ServiceId};
 
+/// A backend server that leaves is silent and unlisted within this of each other: 25 ms apart on the users' bench.
+/// One that is cut off is unlisted three heartbeats after the last (users: 1.5 s each), so at least 3 s later, and the
+/// call that it leaves unanswered is found out within 2.5 s.
+const LEAVES_WITHIN: Duration = Duration::from_millis(300);
+
 /// A backend server's account of itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServerInfo {
@@ -43,6 +48,17 @@
     pub(crate) stop_sent: Moment,
 }
 
+/// What tells a backend server that has left from one that is out of reach.
+#[derive(Debug, Default)]
+pub(crate) struct Silence {
+    /// When the first of the calls without an answer failed; `None` while it answers.
+    pub(crate) since: Option<Moment>,
+    /// Nothing listened at its address in that time.
+    pub(crate) refused: bool,
+    /// When the platform ceased to list it; `None` while it does.
+    pub(crate) unlisted: Option<Moment>,
+}
+
 /// A backend server.
 #[derive(Debug)]
 pub(crate) struct Server {
@@ -59,6 +75,7 @@
     pub(crate) stocked: bool,
     /// Calls that it left without answer since it last answered one.
     pub(crate) unanswered: u32,
+    pub(crate) silence: Silence,
     /// Every lease that it was given is over by then.
     pub(crate) lease_over: Moment,
     pub(crate) pending_ends: VecDeque<PendingEnd>,
@@ -81,6 +98,7 @@
             strays: BTreeMap::new(),
             stocked: false,
             unanswered: 0,
+            silence: Silence::default(),
             lease_over,
             pending_ends: VecDeque::new(),
             seen_end: 0,
@@ -101,6 +119,20 @@
         free
     }
 
+    /// Whether its process has ended as it had announced, and everything on it with that.
+    ///
+    /// A backend server that leaves takes its own entry out of the platform's list at the moment at which its
+    /// connections close and its port refuses new ones. One that is cut off falls out of the list only after three
+    /// heartbeats, long after the first call that it left unanswered, also if what cuts it refuses connections.
+    pub(crate) fn has_left(&self) -> bool {
+        let Silence { since: Some(silent), refused: true, unlisted: Some(unlisted) } = self.silence else {
+            return false;
+        };
+        let announced = self.info.as_ref().is_some_and(|info| info.draining);
+        let apart = silent.since(unlisted).max(unlisted.since(silent));
+        announced && !self.listed && apart < LEAVES_WITHIN
+    }
+
     /// Whether new work may be placed here.
     pub(crate) fn open(&self, now: Moment) -> bool {
         let steady = self.info.as_ref().is_some_and(|info| !info.draining);
--- a/crates/scheduler/tests/common/leading.rs
+++ b/crates/scheduler/tests/common/leading.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use model::BackendServerId;
-use scheduler::{Order, StartReply};
+use scheduler::{Order, StartReply, Unanswered};
 
 use super::world::{Event, LEASE_MS, STEP_MS, World};
 
@@ -46,7 +46,7 @@
                 Some(_) => {
                     leader.holding.remove(&id);
                     leader.reached.remove(&id);
-                    leader.scheduler.unanswered(&id);
+                    leader.scheduler.unanswered(&id, Unanswered::Silent, moment);
                 }
                 None => {}
             }
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -13,7 +13,7 @@
 use model::{BackendServerId, CustomerId, Duration, Moment, Revision};
 use scheduler::{
     Advice, CustomerPolicy, End, EndKind, Listing, Order, Policy, QueuePolicy, RunningTask, Scheduler, ServerInfo,
-    ServiceId, StartReply, Timing,
+    ServiceId, StartReply, Timing, Unanswered,
 };
 
 pub(crate) const SERVICE: &str = "desk";
@@ -168,7 +168,7 @@
         let ids: Vec<BackendServerId> = self.running.keys().cloned().collect();
         for id in ids {
             if self.cut.contains(&id) {
-                self.scheduler.unanswered(&id);
+                self.scheduler.unanswered(&id, Unanswered::Silent, self.now);
             } else {
                 self.list(&id);
             }
--- /dev/null
+++ b/crates/scheduler/tests/leaving.rs
@@ -0,0 +1,92 @@
+//! Backend servers that leave, and what tells them from those that are out of reach.
+
+mod common;
+
+use common::{Fixture, info, job, server_id, step};
+use model::Duration;
+use scheduler::{ServerInfo, Unanswered};
+
+/// A task runs on the first of two backend servers, which then says that it leaves.
+fn draining() -> Fixture {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(job(1, vec![step(1, 4)]));
+    assert_eq!(fixture.start_all().len(), 1);
+    announce(&mut fixture);
+    fixture.add_server(1);
+    assert!(fixture.start_all().is_empty(), "it serves on until it leaves");
+    fixture
+}
+
+fn announce(fixture: &mut Fixture) {
+    let now = fixture.now;
+    fixture.scheduler.server_listed(server_id(0), ServerInfo { draining: true, ..info(0) }, now);
+}
+
+fn unanswered(fixture: &mut Fixture, how: Unanswered) {
+    let now = fixture.now;
+    fixture.scheduler.unanswered(&server_id(0), how, now);
+}
+
+fn unlisted(fixture: &mut Fixture) {
+    let now = fixture.now;
+    fixture.scheduler.server_unlisted(&server_id(0), now);
+}
+
+fn pass(fixture: &mut Fixture, ms: u64) {
+    fixture.now = fixture.now + Duration::from_millis(ms);
+}
+
+#[test]
+fn what_ran_where_a_backend_server_has_left_starts_elsewhere_at_once() {
+    let mut fixture = draining();
+    unanswered(&mut fixture, Unanswered::Silent);
+    pass(&mut fixture, 20);
+    unlisted(&mut fixture);
+    assert!(fixture.start_all().is_empty(), "its connection closed, which a cut can do too");
+    pass(&mut fixture, 30);
+    unanswered(&mut fixture, Unanswered::Refused);
+    let again = fixture.start_all();
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].server, server_id(1));
+}
+
+#[test]
+fn the_list_may_tell_first() {
+    let mut fixture = draining();
+    unlisted(&mut fixture);
+    pass(&mut fixture, 100);
+    unanswered(&mut fixture, Unanswered::Refused);
+    assert_eq!(fixture.start_all().len(), 1);
+}
+
+#[test]
+fn one_that_is_cut_off_with_refusals_falls_out_of_the_list_later_and_keeps_its_lease() {
+    let mut fixture = draining();
+    unanswered(&mut fixture, Unanswered::Refused);
+    for _ in 0..30 {
+        pass(&mut fixture, 100);
+        unanswered(&mut fixture, Unanswered::Refused);
+    }
+    unlisted(&mut fixture);
+    assert!(fixture.start_all().is_empty());
+}
+
+#[test]
+fn one_that_the_store_alone_has_lost_and_that_is_cut_off_later_keeps_its_lease() {
+    let mut fixture = draining();
+    unlisted(&mut fixture);
+    pass(&mut fixture, 500);
+    unanswered(&mut fixture, Unanswered::Refused);
+    assert!(fixture.start_all().is_empty());
+}
+
+#[test]
+fn one_that_did_not_say_that_it_leaves_keeps_its_lease() {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(job(1, vec![step(1, 4)]));
+    fixture.start_all();
+    fixture.add_server(1);
+    unanswered(&mut fixture, Unanswered::Refused);
+    unlisted(&mut fixture);
+    assert!(fixture.start_all().is_empty());
+}
