Soak real boxes under faults from outside

A test target of martend: four boxes as processes, each behind a proxy to its callers and one to the store, six backend servers behind one each. A seed draws kills, pauses, stops and restarts, links that are slow, silent, mute or reset, a store that is down or forgets its history, crashed backend servers and changes of the configuration, in series and beside each other, while four callers hand in, ask and cancel on connections that they keep. Checked meanwhile: nothing runs twice, nor after it was noted as done, nor if it was refused, nor long after it was cancelled; a state that is told is true; an accepted job is known; no process goes back to an earlier configuration. Checked at the end: every box serves, every accepted job is done, gangs by one run, and boxes leave in order.

The stand-in has learnt gangs that work only together, second lives, slow clocks, and a store that forgets its history. Ruled out: a harness of libtest (seeds, counts and lengths are arguments; getopts reads them).

--- a/crates/martend/tests/deployment.rs
+++ b/crates/martend/tests/deployment.rs
@@ -140,7 +140,7 @@
     }
 }
 
-const WORK: Work = Work { tasks: 3, accelerators: 2, work_ms: 300 };
+const WORK: Work = Work { tasks: 3, accelerators: 2, work_ms: 300, gang: false };
 
 #[test]
 fn jobs_outlive_the_scheduler_and_run_once() {
@@ -208,7 +208,7 @@
         assert_eq!(denied.status, StatusCode::UNAUTHORIZED);
         let cancelled = world.caller.cancel(addr, JobId(1)).await.expect("it is answered");
         assert_eq!(cancelled.status, StatusCode::OK);
-        world.submit(JobId(2), Work { tasks: 4, accelerators: 2, work_ms: 50 }).await;
+        world.submit(JobId(2), Work { tasks: 4, accelerators: 2, work_ms: 50, gang: false }).await;
         world.until_succeeded(0, 2..=2, 4).await;
         assert_eq!(world.state(0, JobId(1)).await.map(|answer| answer.state), Some("cancelled".to_owned()));
         let large = world.caller.submit_padded(addr, JobId(98), WORK, 300_000).await.expect("it is answered");
@@ -242,9 +242,9 @@
 fn a_backend_server_that_comes_back_after_its_lease_is_heard_again() {
     smol::block_on(async {
         let mut world = World::start(1, 1).await;
-        world.submit(JobId(1), Work { tasks: 1, accelerators: 2, work_ms: 500 }).await;
+        world.submit(JobId(1), Work { tasks: 1, accelerators: 2, work_ms: 500, gang: false }).await;
         until("the job runs", || async { world.platform.oracle.begun() == 1 }).await;
-        world.platform.cut_server(0);
+        world.platform.cut_server(0).await;
         // Longer than the lease and all that is added to it: the box forgets the backend server.
         smol::Timer::after(Duration::from_millis(4500)).await;
         world.platform.restore_server(0).await.expect("its address is free");
@@ -259,7 +259,7 @@
 #[test]
 fn jobs_of_a_queue_with_advice_run_only_where_it_is_given() {
     smol::block_on(async {
-        let setup = Setup { servers: 4, key: KEY.to_owned(), advice: true };
+        let setup = Setup { servers: 4, key: KEY.to_owned(), advice: true, ..Setup::default() };
         let world = World::start_on(1, &setup).await;
         for id in 1..=4 {
             world.submit(JobId(id), WORK).await;
--- /dev/null
+++ b/crates/martend/tests/soak/boxes.rs
@@ -0,0 +1,140 @@
+//! Boxes as processes, and the signals that they get.
+
+use std::{
+    fs::File,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus},
+    sync::atomic::{AtomicU32, Ordering},
+    time::{Duration, Instant},
+};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::proxy::Proxy;
+
+/// A box that is told to end has ended by then: its grace of 6 s, and a second for a busy machine.
+const ENDS_WITHIN: Duration = Duration::from_secs(7);
+
+/// One box: its addresses stay, its processes come and go. The process is killed when this is dropped.
+pub(crate) struct BoxProcess {
+    pub(crate) name: String,
+    /// Callers, readiness, peers, metrics.
+    pub(crate) addrs: [SocketAddr; 4],
+    /// What callers use.
+    pub(crate) front: Proxy,
+    /// What the box reaches the store by.
+    pub(crate) store: Proxy,
+    /// Processes that it has had.
+    pub(crate) lives: usize,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+impl Drop for BoxProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Four addresses on a loopback address of the box's own, so that nothing else takes a port before the box does.
+pub(crate) fn free_addrs() -> [SocketAddr; 4] {
+    static BOXES: AtomicU32 = AtomicU32::new(0);
+    let n = BOXES.fetch_add(1, Ordering::Relaxed);
+    let pid = std::process::id();
+    let ip = Ipv4Addr::new(127, 1 + (pid % 200) as u8, (pid / 200 % 250) as u8, 1 + (n % 250) as u8);
+    let listeners = [(); 4].map(|()| TcpListener::bind((ip, 0)).expect("a port is free"));
+    listeners.map(|listener| listener.local_addr().expect("it is bound"))
+}
+
+impl BoxProcess {
+    pub(crate) fn new(
+        name: String,
+        addrs: [SocketAddr; 4],
+        front: Proxy,
+        store: Proxy,
+        settings: PathBuf,
+    ) -> BoxProcess {
+        BoxProcess { name, addrs, front, store, lives: 0, settings, child: None }
+    }
+
+    /// Starts a process unless one runs; what it logs goes into `dir`.
+    pub(crate) fn start(&mut self, dir: &Path) {
+        if self.child.is_some() {
+            return;
+        }
+        let log = File::create(dir.join(format!("{}.{}.log", self.name, self.lives))).expect("the directory is there");
+        let child = Command::new(env!("CARGO_BIN_EXE_martend"))
+            .env("MARTENSCALE_CONFIG", &self.settings)
+            .stdout(log.try_clone().expect("a descriptor is free"))
+            .stderr(log)
+            .spawn()
+            .expect("the box starts");
+        self.lives += 1;
+        self.child = Some(child);
+    }
+
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It may have ended already.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// The process stands still until [`BoxProcess::resume`].
+    pub(crate) fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    pub(crate) fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = self.child.as_ref().and_then(|child| Pid::from_raw(child.id().cast_signed()));
+        if let Some(pid) = pid {
+            // A child that was not waited for keeps its id, so no other process can be meant.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Tells the process to end.
+    pub(crate) fn tell_to_end(&self) -> Told {
+        self.signal(Signal::TERM);
+        Told { life: self.lives, at: Instant::now() }
+    }
+
+    /// How the process has ended; `None` while it runs, or if there is none.
+    pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        self.child = None;
+        Some(status)
+    }
+}
+
+/// Which process was told to end, and when.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Told {
+    life: usize,
+    pub(crate) at: Instant,
+}
+
+/// Waits for a process that was told to end. The error says what it did instead of leaving in order.
+pub(crate) async fn left_in_order(a_box: &smol::lock::Mutex<BoxProcess>, told: Told) -> Result<(), String> {
+    loop {
+        let mut locked = a_box.lock().await;
+        if locked.child.is_none() || locked.lives != told.life {
+            return Ok(());
+        }
+        if let Some(status) = locked.ended() {
+            return if status.success() { Ok(()) } else { Err(format!("{} ended with {status}", locked.name)) };
+        }
+        if told.at.elapsed() > ENDS_WITHIN {
+            locked.kill();
+            return Err(format!("{} has not ended {} s after it was told to", locked.name, ENDS_WITHIN.as_secs()));
+        }
+        drop(locked);
+        smol::Timer::after(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/crates/martend/tests/soak/callers.rs
@@ -0,0 +1,104 @@
+//! Callers that hand jobs in, ask for them and cancel some, on connections that they keep.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use fastrand::Rng;
+use hyper::StatusCode;
+use jobs::JobId;
+use users_platform_standin::{Answer, Caller, Work};
+
+use crate::{
+    ledger::{Cancelled, Handed},
+    world::{KEY, World},
+};
+
+/// A caller hands a job in at most so often, at one box after another.
+const TRIES: usize = 4;
+/// An accepted job is known everywhere after this (users: 3 s), and a slow proxy.
+const VISIBLE_WITHIN: Duration = Duration::from_secs(5);
+
+/// Goes on until it is dropped.
+pub(crate) async fn call(world: Arc<World>, caller: u64, seed: u64) {
+    let mut rng = Rng::with_seed(seed.wrapping_mul(31).wrapping_add(caller));
+    let client = Caller::new(KEY, Arc::clone(&world.oracle));
+    for n in 0.. {
+        smol::Timer::after(Duration::from_millis(rng.u64(100..700))).await;
+        let id = JobId(caller << 32 | n);
+        match rng.u8(..10) {
+            0..6 => hand_in(&world, &client, id, &mut rng).await,
+            6..9 => ask(&world, &client, &mut rng).await,
+            _ => cancel(&world, &client, &mut rng).await,
+        }
+    }
+}
+
+fn work(rng: &mut Rng) -> Work {
+    Work { tasks: rng.u32(1..=4), accelerators: rng.u32(1..=4), work_ms: rng.u64(50..1500), gang: rng.u8(..3) == 0 }
+}
+
+async fn hand_in(world: &World, client: &Caller, id: JobId, rng: &mut Rng) {
+    let work = work(rng);
+    world.ledger.begin(id, work);
+    let mut doubtful = false;
+    for _ in 0..TRIES {
+        let addr = world.any_front(rng);
+        match client.submit(addr, id, work).await.map(|answer| answer.status) {
+            Ok(StatusCode::OK) => return world.ledger.handed(id, Handed::Accepted(Instant::now())),
+            Ok(StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) => {}
+            Ok(StatusCode::GATEWAY_TIMEOUT) | Err(_) => doubtful = true,
+            Ok(status) => world.oracle.found(format!("{id} was answered {status}")),
+        }
+        smol::Timer::after(Duration::from_millis(rng.u64(50..400))).await;
+    }
+    world.ledger.handed(id, if doubtful { Handed::Doubtful } else { Handed::Refused });
+}
+
+/// One of the caller's jobs, old or new.
+fn any_job(world: &World, rng: &mut Rng) -> Option<JobId> {
+    let all = world.ledger.all();
+    rng.choice(&all).map(|(id, _)| *id)
+}
+
+async fn ask(world: &World, client: &Caller, rng: &mut Rng) {
+    let Some(id) = any_job(world, rng) else { return };
+    let Some(before) = world.ledger.get(id) else { return };
+    let asked = Instant::now();
+    let Ok(answer) = client.state(world.any_front(rng), id).await else { return };
+    check_state(world, id, &answer);
+    let known = matches!(before.handed, Handed::Accepted(at) if at + VISIBLE_WITHIN < asked);
+    if known && answer.status == StatusCode::GONE {
+        world.oracle.found(format!("{id} was accepted and is not known"));
+    }
+}
+
+/// A state that is told is true.
+pub(crate) fn check_state(world: &World, id: JobId, answer: &Answer) {
+    let Some(entry) = world.ledger.get(id) else { return };
+    let done = world.oracle.done_tasks(id);
+    match answer.state.as_str() {
+        "succeeded" if done != entry.work.tasks as usize => {
+            world.oracle.found(format!("{id} is told as succeeded with {done} of {} tasks done", entry.work.tasks));
+        }
+        "failed" => world.oracle.found(format!("{id} is told as failed, and nothing has failed")),
+        "cancelled" if entry.cancelled == Cancelled::No => {
+            world.oracle.found(format!("{id} is told as cancelled, and no one has cancelled it"));
+        }
+        _ => {}
+    }
+}
+
+async fn cancel(world: &World, client: &Caller, rng: &mut Rng) {
+    let Some(id) = any_job(world, rng) else { return };
+    if world.ledger.get(id).is_none_or(|entry| entry.cancelled != Cancelled::No) {
+        return;
+    }
+    world.ledger.cancelled(id, Cancelled::Asked);
+    if let Ok(answer) = client.cancel(world.any_front(rng), id).await
+        && answer.status == StatusCode::OK
+    {
+        world.ledger.cancelled(id, Cancelled::Told(Instant::now()));
+    }
+}
--- /dev/null
+++ b/crates/martend/tests/soak/faults.rs
@@ -0,0 +1,202 @@
+//! The faults of a run, drawn from its seed.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use fastrand::Rng;
+
+use crate::{
+    boxes::left_in_order,
+    proxy::Mode,
+    world::{BOXES, SERVERS, World},
+};
+
+/// Which link a proxy spoils.
+#[derive(Debug, Clone, Copy)]
+enum Link {
+    /// Between callers and a box.
+    Front(usize),
+    /// Between a box and the store.
+    Store(usize),
+    /// Between all boxes and a backend server.
+    Server(usize),
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    /// A box is killed and starts again.
+    Kill(usize),
+    /// All boxes are killed at once.
+    KillAll,
+    /// A box stands still.
+    Pause(usize),
+    /// A box is told to end and starts again.
+    Stop(usize),
+    /// All boxes are told to end, one after the other.
+    StopInTurn,
+    /// A link is spoilt.
+    Spoil(Link, Mode),
+    /// All links of some boxes to the store are.
+    SpoilStores(Mode),
+    /// The store refuses everything.
+    StoreDown,
+    /// Watches hear nothing, and then their history is gone.
+    ForgetHistory,
+    /// A backend server crashes and begins another life.
+    CrashServer(usize),
+    /// The operators change the configuration.
+    Configure,
+}
+
+/// What happens, when, and for how long.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Planned {
+    at: Duration,
+    lasts: Duration,
+    fault: Fault,
+}
+
+/// From one fault to the next, in milliseconds: shorter than most of them last, so that they overlap.
+const GAP_MS: std::ops::Range<u64> = 100..1800;
+/// How long a fault lasts, in milliseconds: below and above a lease (3 s) and an election's (1.5 s).
+const LASTS_MS: std::ops::Range<u64> = 200..5500;
+
+/// Draws the faults of a run.
+pub(crate) fn plan(rng: &mut Rng, length: Duration) -> Vec<Planned> {
+    let mut planned = Vec::new();
+    let mut at = Duration::from_millis(rng.u64(GAP_MS));
+    while at < length {
+        let lasts = Duration::from_millis(rng.u64(LASTS_MS)).min(length - at);
+        planned.push(Planned { at, lasts, fault: fault(rng) });
+        at += Duration::from_millis(rng.u64(GAP_MS));
+    }
+    planned
+}
+
+fn fault(rng: &mut Rng) -> Fault {
+    match rng.u8(..24) {
+        0..3 => Fault::Kill(rng.usize(..BOXES)),
+        3 => Fault::KillAll,
+        4..7 => Fault::Pause(rng.usize(..BOXES)),
+        7..9 => Fault::Stop(rng.usize(..BOXES)),
+        9 => Fault::StopInTurn,
+        10..13 => Fault::Spoil(Link::Store(rng.usize(..BOXES)), mode(rng)),
+        13..16 => Fault::Spoil(Link::Server(rng.usize(..SERVERS)), mode(rng)),
+        16..18 => Fault::Spoil(Link::Front(rng.usize(..BOXES)), mode(rng)),
+        18 => Fault::SpoilStores(mode(rng)),
+        19 => Fault::StoreDown,
+        20 => Fault::ForgetHistory,
+        21..23 => Fault::CrashServer(rng.usize(..SERVERS)),
+        _ => Fault::Configure,
+    }
+}
+
+fn mode(rng: &mut Rng) -> Mode {
+    match rng.u8(..5) {
+        0 => Mode::Slow(Duration::from_millis(rng.u64(20..600))),
+        1 | 2 => Mode::Silent,
+        3 => Mode::Mute,
+        _ => Mode::Reset,
+    }
+}
+
+/// Lets the faults happen, each at its time and beside the others, and waits until the last is over.
+pub(crate) async fn inject(world: &Arc<World>, planned: Vec<Planned>) {
+    let begun = Instant::now();
+    let tasks: Vec<_> = planned
+        .into_iter()
+        .map(|planned| {
+            let world = Arc::clone(world);
+            smol::spawn(async move {
+                smol::Timer::at(begun + planned.at).await;
+                world.note(&format!("{:?} for {:?}", planned.fault, planned.lasts));
+                happen(&world, planned.fault, planned.lasts).await;
+            })
+        })
+        .collect();
+    for task in tasks {
+        task.await;
+    }
+}
+
+async fn happen(world: &World, fault: Fault, lasts: Duration) {
+    match fault {
+        Fault::Kill(i) => kill(world, &[i], lasts).await,
+        Fault::KillAll => kill(world, &(0..BOXES).collect::<Vec<_>>(), lasts).await,
+        Fault::Pause(i) => {
+            world.paused(i, Instant::now() + lasts);
+            world.boxes[i].lock().await.pause();
+            smol::Timer::after(lasts).await;
+            world.boxes[i].lock().await.resume();
+        }
+        Fault::Stop(i) => stop(world, i).await,
+        Fault::StopInTurn => {
+            for i in 0..BOXES {
+                stop(world, i).await;
+            }
+        }
+        Fault::Spoil(link, mode) => {
+            set(world, link, mode).await;
+            smol::Timer::after(lasts).await;
+            set(world, link, Mode::Open).await;
+        }
+        Fault::SpoilStores(mode) => {
+            for i in 0..BOXES {
+                set(world, Link::Store(i), mode).await;
+            }
+            smol::Timer::after(lasts).await;
+            for i in 0..BOXES {
+                set(world, Link::Store(i), Mode::Open).await;
+            }
+        }
+        Fault::StoreDown => {
+            world.platform.lock().await.set_store_down(true);
+            smol::Timer::after(lasts).await;
+            world.platform.lock().await.set_store_down(false);
+        }
+        Fault::ForgetHistory => {
+            world.platform.lock().await.set_watches_deaf(true);
+            smol::Timer::after(lasts.min(Duration::from_secs(1))).await;
+            let platform = world.platform.lock().await;
+            platform.forget_history();
+            platform.set_watches_deaf(false);
+        }
+        Fault::CrashServer(i) => {
+            let crashed = world.platform.lock().await.crash_server(i).await;
+            crashed.expect("its address is free again");
+        }
+        Fault::Configure => world.configure().await,
+    }
+}
+
+async fn kill(world: &World, boxes: &[usize], lasts: Duration) {
+    for &i in boxes {
+        world.boxes[i].lock().await.kill();
+    }
+    smol::Timer::after(lasts).await;
+    for &i in boxes {
+        world.boxes[i].lock().await.start(&world.dir);
+    }
+}
+
+/// A box that is told to end does so in order, unless it is paused or killed meanwhile, which
+/// [`World::may_be_late`] knows.
+async fn stop(world: &World, i: usize) {
+    let told = world.boxes[i].lock().await.tell_to_end();
+    if let Err(what) = left_in_order(&world.boxes[i], told).await
+        && !world.may_be_late(i, told.at)
+    {
+        world.oracle.found(what);
+    }
+    world.boxes[i].lock().await.start(&world.dir);
+}
+
+async fn set(world: &World, link: Link, mode: Mode) {
+    match link {
+        Link::Front(i) => world.boxes[i].lock().await.front.set(mode),
+        Link::Store(i) => world.boxes[i].lock().await.store.set(mode),
+        Link::Server(i) => world.servers[i].set(mode),
+    }
+}
--- /dev/null
+++ b/crates/martend/tests/soak/main.rs
@@ -0,0 +1,100 @@
+//! A randomized soak: real processes of `martend` on a stand-in for the users' platform, with faults from outside.
+//!
+//! A seed gives the faults and what callers do. Loopback proxies delay, hold, mute and reset connections, signals
+//! stop, pause, kill and restart boxes, and the store and the backend servers misbehave; faults come in series and
+//! overlap. The promises are checked all the while, by what callers and backend servers see, and once more after
+//! everything is well again.
+//!
+//!     cargo test --release -p martend --test soak -- --seeds 50 --from 1000 --seconds 15
+//!
+//! Without options it runs the seeds of `regressions.txt` and a short fixed one, as CI does.
+
+mod boxes;
+mod callers;
+mod checks;
+mod faults;
+mod ledger;
+mod proxy;
+mod world;
+
+use std::{process::ExitCode, time::Duration};
+
+use getopts::Options;
+
+use crate::world::World;
+
+/// Every seed that has ever failed, with its length and the cause.
+const REGRESSIONS: &str = include_str!("regressions.txt");
+/// The seed of CI, and how long its faults go on.
+const CI_SEED: u64 = 1;
+const CI_FAULTS: Duration = Duration::from_secs(8);
+/// How long faults go on by default, in seconds.
+const FAULTS_S: u64 = 15;
+
+/// One run.
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    seed: u64,
+    faults: Duration,
+}
+
+fn main() -> ExitCode {
+    let mut options = Options::new();
+    options.optopt("", "seeds", "how many fresh seeds to run", "N");
+    options.optopt("", "from", "the first of them (1)", "SEED");
+    options.optopt("", "seconds", "how long faults go on in each (15)", "S");
+    options.optflag("h", "help", "print this");
+    let usage = options.usage("usage: soak [--seeds N] [--from SEED] [--seconds S]");
+    let parsed = match options.parse(std::env::args().skip(1)) {
+        Ok(parsed) => parsed,
+        Err(e) => return refuse(&e.to_string(), &usage),
+    };
+    if parsed.opt_present("help") {
+        println!("{usage}");
+        return ExitCode::SUCCESS;
+    }
+    let number = |name: &str, default: u64| match parsed.opt_get_default(name, default) {
+        Ok(number) => Ok(number),
+        Err(e) => Err(format!("--{name}: {e}: allowed is a whole number")),
+    };
+    let cases = match (number("seeds", 0), number("from", 1), number("seconds", FAULTS_S)) {
+        (Ok(0), Ok(_), Ok(_)) => ci_cases(),
+        (Ok(seeds), Ok(from), Ok(seconds)) => {
+            let faults = Duration::from_secs(seconds);
+            (from..from + seeds).map(|seed| Case { seed, faults }).collect()
+        }
+        (Err(e), ..) | (_, Err(e), _) | (.., Err(e)) => return refuse(&e, &usage),
+    };
+    run_all(&cases)
+}
+
+fn refuse(why: &str, usage: &str) -> ExitCode {
+    eprintln!("{why}\n{usage}");
+    ExitCode::from(2)
+}
+
+fn ci_cases() -> Vec<Case> {
+    let lines = REGRESSIONS.lines().filter(|line| !line.starts_with('#') && !line.trim().is_empty());
+    let case = |line: &str| {
+        let mut words = line.split_whitespace().map(|word| word.parse().expect("seed and seconds are numbers"));
+        let mut next = || words.next().expect("a line has a seed and seconds");
+        Case { seed: next(), faults: Duration::from_secs(next()) }
+    };
+    let kept = lines.map(|line| case(line.split('#').next().unwrap_or_default()));
+    kept.chain([Case { seed: CI_SEED, faults: CI_FAULTS }]).collect()
+}
+
+fn run_all(cases: &[Case]) -> ExitCode {
+    let mut failed = 0;
+    for case in cases {
+        let broken = smol::block_on(World::play(case.seed, case.faults));
+        let verdict = if broken.is_empty() { "ok" } else { "FAILED" };
+        println!("soak seed {} of {} s ... {verdict}", case.seed, case.faults.as_secs());
+        for what in &broken {
+            println!("    {what}");
+        }
+        failed += usize::from(!broken.is_empty());
+    }
+    println!("soak: {} passed, {failed} failed", cases.len() - failed);
+    if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
