Carry out waves of upkeep

Cause: of the users' protocol, upkeep of machines in waves was not built; a wave would have been left undone.

Built: the scheduler chooses machines, the idlest first, as many as may be down beside those that are or are about to be; closes their backend servers to new work; moves what goes on elsewhere from a checkpoint or lasts, lets other work end by itself for a while, and stops nothing that may not be absent; hands a machine over once it is empty; asks again while an answer is open, which the platform takes as the same upkeep. What has begun stands in the store beside the operators' status, under the election's fence, for the next scheduler. Ruled out: keeping nothing (a new scheduler would empty machines again that had their turn); counting a machine as back by time alone (the list must show another backend server on it).

Before: not built. Moves between pools are still not built.

--- a/crates/martend/src/deployment/mod.rs
+++ b/crates/martend/src/deployment/mod.rs
@@ -12,12 +12,16 @@
     http::{Call, Client, Handler, ServerLimits, json_response, serve, serve_until, text_response},
 };
 use outside::{Clock, SystemClock};
-use runtime::{RunningBox, border::Adviser};
+use runtime::{
+    Beside, RunningBox,
+    border::{Adviser, Machines},
+};
 use smol::net::TcpListener;
 use users_platform::{
     advice::UsersAdviser,
     decode::UsersDecoder,
     front::{Front, Readiness},
+    machines::UsersMachines,
     servers::Servers,
     store::Store,
 };
@@ -53,7 +57,7 @@
         Store::new(Client::default(), settings.store_address),
         Arc::new(Servers::default()),
         Arc::new(UsersDecoder),
-        adviser(&settings),
+        beside(&settings),
         Arc::clone(&clock),
     ));
     let front = Front { requests: Arc::clone(&this_box.requests), view: Arc::clone(&this_box.view), clock };
@@ -75,10 +79,11 @@
     Ok(())
 }
 
-/// The platform's adviser, if the settings name one.
-fn adviser(settings: &DeploymentSettings) -> Option<Arc<dyn Adviser>> {
-    let addr = settings.adviser_address?;
-    Some(Arc::new(UsersAdviser::new(Client::default(), addr)))
+/// The platform's adviser and machines, if the settings name them.
+fn beside(settings: &DeploymentSettings) -> Beside {
+    let adviser = |addr| Arc::new(UsersAdviser::new(Client::default(), addr)) as Arc<dyn Adviser>;
+    let machines = |addr| Arc::new(UsersMachines::new(Client::default(), addr)) as Arc<dyn Machines>;
+    Beside { adviser: settings.adviser_address.map(adviser), machines: settings.machines_address.map(machines) }
 }
 
 /// Takes no new work, lets what is under way end, and gives up the election at once.
--- a/crates/martend/src/deployment/settings.rs
+++ b/crates/martend/src/deployment/settings.rs
@@ -41,6 +41,9 @@
     /// The platform's adviser; empty or absent where no queue needs one.
     #[serde(default)]
     pub adviser_address: String,
+    /// Where the platform's machines are listed and handed over for upkeep; empty or absent where there is none.
+    #[serde(default)]
+    pub machines_address: String,
     /// Boxes known from the start; they may be gone.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -73,6 +76,8 @@
     pub store_address: SocketAddr,
     /// The platform's adviser.
     pub adviser_address: Option<SocketAddr>,
+    /// Where the platform's machines are listed and handed over for upkeep.
+    pub machines_address: Option<SocketAddr>,
     /// How long a box that is told to end may take.
     pub grace: Duration,
     /// What is logged.
@@ -84,6 +89,7 @@
     fn try_from(raw: RawDeployment) -> Result<DeploymentSettings, CheckError> {
         check(&raw)?;
         let adviser_address = optional_address("adviser_address", &raw.adviser_address)?;
+        let machines_address = optional_address("machines_address", &raw.machines_address)?;
         let election_ttl = ELECTION_TTL.max(Duration::from_millis(raw.shortest_ttl_ms));
         let timing =
             Timing { lease: Duration::from_millis(raw.lease_ms), far_factor: raw.far_factor, ..Timing::default() };
@@ -104,6 +110,7 @@
             metrics_address: raw.metrics_address,
             store_address: raw.store_address,
             adviser_address,
+            machines_address,
             grace: Duration::from_millis(raw.grace_ms),
             log_level: raw.log_level,
         })
--- a/crates/runtime/src/border.rs
+++ b/crates/runtime/src/border.rs
@@ -3,10 +3,10 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use jobs::{Fence, RunNumber, Saved, StepId, TaskId};
-use model::{BackendServerId, Duration};
+use model::{BackendServerId, BoxId, Duration};
 use net::{BoxFuture, NetError};
 use outside::Item;
-use scheduler::{Listing, ServerInfo, StartReply, Ticket};
+use scheduler::{Listing, Machine, MachineId, ServerInfo, StartReply, Ticket, UpkeepReply, WaveRequest};
 
 use crate::Configuration;
 
@@ -118,6 +118,14 @@
     ) -> BoxFuture<'_, Result<BTreeMap<BackendServerId, Ticket>, NetError>>;
 }
 
+/// The platform's machines, and the upkeep that it gives them.
+pub trait Machines: Send + Sync + 'static {
+    /// All machines.
+    fn list(&self) -> BoxFuture<'_, Result<Vec<Machine>, NetError>>;
+    /// Hands a machine over for the upkeep of a wave; everything there dies at once. Safe to send twice.
+    fn begin_upkeep(&self, machine: MachineId, wave: u64, holder: BoxId, fence: Fence) -> BoxFuture<'_, UpkeepReply>;
+}
+
 /// A backend server as the platform lists it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ListedServer {
@@ -147,6 +155,12 @@
     fn servers_prefix(&self) -> String;
     /// Reads a backend server's item.
     fn server(&self, item: &Item) -> Result<ListedServer, DecodeError>;
+    /// Every wave of upkeep has a key under this prefix.
+    fn waves_prefix(&self) -> String;
+    /// Reads a wave's item.
+    fn wave(&self, item: &Item) -> Result<WaveRequest, DecodeError>;
+    /// What operators read of a wave: the key, and the value.
+    fn wave_status(&self, number: u64, succeeded: bool) -> (String, Vec<u8>);
     /// Which backend server a key under the prefix belongs to.
     fn server_of_key(&self, key: &str) -> Option<BackendServerId>;
 }
--- a/crates/runtime/src/keys.rs
+++ b/crates/runtime/src/keys.rs
@@ -12,6 +12,9 @@
 /// The boxes and where they talk to each other.
 pub(crate) const BOXES: &str = "marten/box/";
 
+/// What the scheduler must remember of waves of upkeep.
+const WAVES: &str = "marten/wave/";
+
 const JOB: &str = "/job";
 const CANCEL: &str = "/cancel";
 
@@ -50,6 +53,10 @@
     key.strip_prefix(PROGRESS)?.parse().ok()
 }
 
+pub(crate) fn wave(number: u64) -> String {
+    format!("{WAVES}{number}")
+}
+
 pub(crate) fn member_box(id: &BoxId) -> String {
     format!("{BOXES}{id}")
 }
--- a/crates/runtime/src/leader.rs
+++ b/crates/runtime/src/leader.rs
@@ -10,10 +10,11 @@
 use crate::{
     active::{Active, ActiveSlot},
     advice,
-    border::{Adviser, BackendServers, Decoder},
+    border::{Adviser, BackendServers, Decoder, Machines},
     directory, intake,
     links::Links,
     settings::Settings,
+    upkeep,
     view::View,
     wait::{at_most, pause},
     writer,
@@ -34,6 +35,8 @@
     pub(crate) decoder: Arc<dyn Decoder>,
     /// `None` on a platform without one.
     pub(crate) adviser: Option<Arc<dyn Adviser>>,
+    /// `None` on a platform that has no upkeep.
+    pub(crate) machines: Option<Arc<dyn Machines>>,
     pub(crate) view: Arc<View>,
 }
 
@@ -52,6 +55,8 @@
         smol::spawn(directory::follow_servers(parts.clone(), Arc::clone(&active))),
         smol::spawn(writer::run(parts.clone(), Arc::clone(&active))),
         smol::spawn(advice::ask(parts.clone(), Arc::clone(&active))),
+        smol::spawn(upkeep::follow_waves(parts.clone(), Arc::clone(&active))),
+        smol::spawn(upkeep::run(parts.clone(), Arc::clone(&active), settings.box_id.clone())),
         smol::spawn(plan(parts.clone(), Arc::clone(&active), configuration.version)),
     ];
     active.until_deposed().await;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -24,6 +24,7 @@
 mod requests;
 mod running_box;
 mod settings;
+mod upkeep;
 mod view;
 mod wait;
 mod writer;
@@ -31,7 +32,7 @@
 pub use crate::{
     configuration::{Access, CallLimits, Configuration, Denied, Route},
     requests::{CancelOutcome, Requests, StateOutcome, SubmitOutcome},
-    running_box::{RunningBox, Status},
+    running_box::{Beside, RunningBox, Status},
     settings::Settings,
     view::View,
 };
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     active::ActiveSlot,
-    border::{Adviser, BackendServers, Decoder},
+    border::{Adviser, BackendServers, Decoder, Machines},
     election,
     follow::{Seen, follow},
     keys,
@@ -63,6 +63,15 @@
     pub unstored: Option<usize>,
 }
 
+/// What a platform may have beside its store and its backend servers.
+#[derive(Clone, Default)]
+pub struct Beside {
+    /// Tells where steps of some queues may run.
+    pub adviser: Option<Arc<dyn Adviser>>,
+    /// Its machines, and the upkeep that it gives them.
+    pub machines: Option<Arc<dyn Machines>>,
+}
+
 /// A box at work; dropping it ends all that it does.
 pub struct RunningBox {
     /// Takes callers' requests.
@@ -82,7 +91,7 @@
         store: impl CoordinationStore,
         servers: Arc<dyn BackendServers>,
         decoder: Arc<dyn Decoder>,
-        adviser: Option<Arc<dyn Adviser>>,
+        beside: Beside,
         clock: Arc<dyn Clock>,
     ) -> RunningBox {
         let store: Arc<dyn CoordinationStore> = Arc::new(MeasuredStore(store));
@@ -103,7 +112,8 @@
             store: Arc::clone(&store),
             servers,
             decoder: Arc::clone(&decoder),
-            adviser,
+            adviser: beside.adviser,
+            machines: beside.machines,
             view: Arc::clone(&view),
         };
         let wait = settings.watch_wait;
--- /dev/null
+++ b/crates/runtime/src/upkeep.rs
@@ -0,0 +1,131 @@
+//! Waves of upkeep: read from the store, carried out on the platform's machines, and told of in the store.
+
+use std::sync::Arc;
+
+use model::{BoxId, Duration, Revision};
+use outside::{Committed, Item, Put, Transaction};
+use scheduler::{WaveProgress, WaveRequest};
+
+use crate::{
+    active::Active,
+    border::Machines,
+    follow::{Seen, follow},
+    keys,
+    leader::Parts,
+    measure,
+    wait::{Backoff, pause},
+};
+
+/// Longest wait of the watch on waves.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// While a wave is open, machines are listed this often: an upkeep takes some seconds (users: 2 s).
+const LIST_EVERY: Duration = Duration::from_millis(700);
+/// While none is, one is looked for this often.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+/// How long a write of a wave's progress may take.
+const WRITE_LIMIT: Duration = Duration::from_millis(800);
+
+/// Follows the waves that operators ask for.
+pub(crate) async fn follow_waves(parts: Parts, active: Arc<Active>) {
+    let prefix = parts.decoder.waves_prefix();
+    let (tx, rx) = smol::channel::unbounded();
+    let on = |seen: Seen| {
+        for item in seen.written() {
+            let _ = tx.try_send(item);
+        }
+    };
+    let take = async {
+        while let Ok(item) = rx.recv().await {
+            take_wave(&parts, &active, &item).await;
+        }
+    };
+    let watch = follow(&*parts.store, &parts.view, &prefix, None, WATCH_WAIT, on);
+    futures_lite::FutureExt::or(watch, take).await;
+}
+
+async fn take_wave(parts: &Parts, active: &Active, item: &Item) {
+    let request: WaveRequest = match parts.decoder.wave(item) {
+        Ok(request) => request,
+        Err(e) => return log::error!("event=wave_unreadable why={e}"),
+    };
+    let progress = read_progress(parts, request.number).await;
+    let now = parts.view.clock().now();
+    active.update(|scheduler| scheduler.wave_asked(request, progress, now));
+}
+
+/// What an earlier scheduler has done of a wave, read for as long as it takes.
+async fn read_progress(parts: &Parts, number: u64) -> WaveProgress {
+    let mut backoff = Backoff::new();
+    loop {
+        match parts.store.get(keys::wave(number)).await {
+            Ok(None) => return WaveProgress::default(),
+            Ok(Some(item)) => match serde_json::from_slice(&item.value) {
+                Ok(progress) => return progress,
+                Err(e) => {
+                    log::error!("event=wave_progress_unreadable key={} why={e}", item.key);
+                    return WaveProgress::default();
+                }
+            },
+            Err(e) => {
+                log::info!("event=read_failed key={} why={e}", keys::wave(number));
+                backoff.wait().await;
+            }
+        }
+    }
+}
+
+/// Carries waves out, until it is dropped.
+pub(crate) async fn run(parts: Parts, active: Arc<Active>, box_id: BoxId) {
+    loop {
+        if !active.lock().has_open_waves() {
+            pause(LOOK_EVERY).await;
+            continue;
+        }
+        let Some(machines) = parts.machines.clone() else {
+            log::error!("event=machines_missing outcome=waves_wait field=deployment.machines_address");
+            return;
+        };
+        hand_over_due(&parts, &active, &*machines, &box_id).await;
+        store_progress(&parts, &active).await;
+        pause(LIST_EVERY).await;
+    }
+}
+
+/// Lists the machines, and hands over those that are due.
+async fn hand_over_due(parts: &Parts, active: &Active, machines: &dyn Machines, box_id: &BoxId) {
+    let listed = machines.list().await;
+    measure::server_call("list_machines", if listed.is_ok() { "answered" } else { "lost" });
+    let listed = match listed {
+        Ok(listed) => listed,
+        Err(e) => return log::info!("event=machines_not_listed why={e}"),
+    };
+    let now = parts.view.clock().now();
+    let due = active.update(|scheduler| {
+        scheduler.machines_listed(listed, now);
+        scheduler.due_upkeeps(now)
+    });
+    for (wave, machine) in due {
+        let reply = machines.begin_upkeep(machine.clone(), wave, box_id.clone(), active.fence).await;
+        let now = parts.view.clock().now();
+        active.update(|scheduler| scheduler.upkeep_replied(wave, &machine, reply, now));
+    }
+}
+
+/// Stores how far waves have come, for the next scheduler and for operators.
+async fn store_progress(parts: &Parts, active: &Active) {
+    let unstored = active.lock().unstored_waves();
+    for (number, progress) in unstored {
+        let (status_key, status) = parts.decoder.wave_status(number, progress.succeeded);
+        let value = serde_json::to_vec(&progress).expect("our own types always serialize");
+        let puts = [(keys::wave(number), value), (status_key, status)];
+        let transaction = Transaction {
+            expect: vec![(keys::SCHEDULER.to_owned(), Revision(active.fence.0))],
+            put: puts.into_iter().map(|(key, value)| Put { key, value, lease: None }).collect(),
+            remove: Vec::new(),
+        };
+        match parts.store.commit(transaction, WRITE_LIMIT).await {
+            Ok(Committed::Done(_)) => active.lock().wave_stored(number, &progress),
+            outcome => log::info!("event=wave_not_stored number={number} outcome={outcome:?}"),
+        }
+    }
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -37,6 +37,7 @@
 mod starts;
 mod stops;
 mod timing;
+mod upkeep;
 
 pub use crate::{
     advice::{Question, Ticket},
@@ -50,4 +51,5 @@
     scheduler::{Counts, Scheduler},
     server::ServerInfo,
     timing::Timing,
+    upkeep::{Machine, MachineId, UpkeepReply, WaveProgress, WaveRequest},
 };
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -154,7 +154,7 @@
 
     /// Whether one more task of the step may be away through the system's doing. One that is not at work yet, or is
     /// out of reach, counts as away whatever the cause.
-    fn may_be_absent(&self, name: GroupId) -> bool {
+    pub(crate) fn may_be_absent(&self, name: GroupId) -> bool {
         let Some(most) = self.step(name).max_absent else { return true };
         let reached = |id: &BackendServerId| self.servers.get(id).is_some_and(|server| server.unanswered == 0);
         let at_work = |member: &Member| member.percent >= AT_WORK && reached(&member.server);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -14,6 +14,7 @@
     ready::ReadySteps,
     server::Server,
     timing::Timing,
+    upkeep::Upkeep,
 };
 
 /// Leases and stops are looked at this often at most: well below their own times.
@@ -60,6 +61,8 @@
     /// Occurrences that may have starts to send since the store took their progress.
     pub(crate) unsent: BTreeSet<OccurrenceId>,
     pub(crate) orders: Vec<Order>,
+    /// Waves of upkeep that operators have asked for.
+    pub(crate) upkeep: Upkeep,
     /// What the adviser has said, and what it is to be asked.
     pub(crate) advice: AdviceBook,
     pub(crate) observations: Vec<Observation>,
@@ -88,6 +91,7 @@
             dirty: BTreeSet::new(),
             unsent: BTreeSet::new(),
             orders: Vec::new(),
+            upkeep: Upkeep::default(),
             advice: AdviceBook::default(),
             observations: Vec::new(),
             wall: (elected, 0),
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -83,6 +83,8 @@
     pub(crate) seen_end: u64,
     /// Highest end that may be acknowledged.
     pub(crate) acknowledged: u64,
+    /// It is being emptied for upkeep.
+    pub(crate) closed: bool,
     /// It gets no new work before this, since it refused a start.
     pub(crate) not_before: Moment,
     pub(crate) health: Health,
@@ -103,6 +105,7 @@
             pending_ends: VecDeque::new(),
             seen_end: 0,
             acknowledged: 0,
+            closed: false,
             not_before: Moment::ZERO,
             health: Health::default(),
         }
@@ -136,6 +139,6 @@
     /// Whether new work may be placed here.
     pub(crate) fn open(&self, now: Moment) -> bool {
         let steady = self.info.as_ref().is_some_and(|info| !info.draining);
-        steady && self.listed && self.stocked && self.unanswered == 0 && now >= self.not_before
+        steady && !self.closed && self.listed && self.stocked && self.unanswered == 0 && now >= self.not_before
     }
 }
--- /dev/null
+++ b/crates/scheduler/src/upkeep.rs
@@ -0,0 +1,287 @@
+//! Waves of upkeep: machines are emptied and handed to the platform, a few at once, until each had its turn.
+//!
+//! The platform answers an upkeep that a machine has had already as if it began, so that an answer that was lost is
+//! made up for by asking again, and a new scheduler by what the store remembers of the wave.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use derive_more::Display;
+use jobs::TaskId;
+use model::{BackendServerId, Duration, Moment};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    Scheduler,
+    live::{GroupId, StopReason},
+};
+
+/// Work that cannot go on elsewhere from a checkpoint may end by itself for so long, but no longer than its share of
+/// the wave's time.
+const EMPTIES_BY_ITSELF: Duration = Duration::from_secs(5);
+/// A machine that was handed over counts as down for so long at most, if nothing shows that it is back: far above
+/// what an upkeep takes (users: 2 s).
+const DOWN_AT_MOST: Duration = Duration::from_secs(30);
+
+/// A machine, whatever backend server lives on it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, Display)]
+#[serde(transparent)]
+pub struct MachineId(Arc<str>);
+
+impl From<&str> for MachineId {
+    fn from(name: &str) -> MachineId {
+        MachineId(Arc::from(name))
+    }
+}
+
+/// A machine as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Machine {
+    /// Its name.
+    pub id: MachineId,
+    /// It runs; not so while it is being moved or has its upkeep.
+    pub up: bool,
+    /// The backend server that lives on it.
+    pub server: Option<BackendServerId>,
+}
+
+/// Upkeep that operators ask for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WaveRequest {
+    /// Its number.
+    pub number: u64,
+    /// Which machines.
+    pub machines: Vec<MachineId>,
+    /// How long the whole wave may take.
+    pub term: Duration,
+    /// How many may be down at once.
+    pub most_at_once: usize,
+}
+
+/// How far a wave has come, as the store remembers it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaveProgress {
+    /// Machines that have begun their upkeep.
+    pub begun: BTreeSet<MachineId>,
+    /// Every machine that remains has.
+    pub succeeded: bool,
+}
+
+/// What the platform answers to an upkeep.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpkeepReply {
+    /// It has begun, now or before.
+    Begun,
+    /// Not now: the machine is not up.
+    Busy,
+    /// Never: there is no such machine, or it is not of the wave.
+    Never,
+    /// No answer: it may have begun.
+    Unknown,
+}
+
+/// A machine that is being emptied, or that was handed over and is not known to be back.
+#[derive(Debug, Clone)]
+struct Turn {
+    since: Moment,
+    /// The backend server that lives on it before its upkeep.
+    server: Option<BackendServerId>,
+}
+
+#[derive(Debug)]
+struct Wave {
+    request: WaveRequest,
+    since: Moment,
+    progress: WaveProgress,
+    /// The store holds `progress` as it is.
+    stored: bool,
+    /// Machines that are being emptied; an upkeep without an answer leaves its machine here, to be asked for again.
+    emptying: BTreeMap<MachineId, Turn>,
+    /// Machines that were handed over.
+    down: BTreeMap<MachineId, Turn>,
+}
+
+/// All waves, and the machines as they were last listed.
+#[derive(Debug, Default)]
+pub(crate) struct Upkeep {
+    waves: BTreeMap<u64, Wave>,
+    machines: BTreeMap<MachineId, Machine>,
+}
+
+impl Wave {
+    /// Takes in what the platform lists: machines that are back, and that are gone.
+    fn look(&mut self, machines: &BTreeMap<MachineId, Machine>, now: Moment) {
+        self.down.retain(|id, down| {
+            let back = machines.get(id).is_none_or(|machine| machine.up && machine.server != down.server);
+            !back && now.since(down.since) < DOWN_AT_MOST
+        });
+        self.emptying.retain(|id, _| machines.contains_key(id));
+        let remaining = |id: &&MachineId| machines.contains_key(*id) && !self.progress.begun.contains(*id);
+        if !self.progress.succeeded && !machines.is_empty() && !self.request.machines.iter().any(|id| remaining(&id)) {
+            self.progress.succeeded = true;
+            self.stored = false;
+        }
+    }
+
+    /// How many machines of the wave are down or about to be, by the list or by what was asked for.
+    fn count_taken(&self, machines: &BTreeMap<MachineId, Machine>) -> usize {
+        let asked = |id: &MachineId| self.down.contains_key(id) || self.emptying.contains_key(id);
+        let taken = |id: &&MachineId| asked(id) || machines.get(*id).is_some_and(|machine| !machine.up);
+        self.request.machines.iter().filter(taken).count()
+    }
+
+    /// How long work may take to end by itself on one machine.
+    fn patience(&self) -> Duration {
+        let turns = self.request.machines.len().div_ceil(self.request.most_at_once.max(1));
+        self.request.term.scaled(0.5 / turns.max(1) as f64).min(EMPTIES_BY_ITSELF)
+    }
+}
+
+impl Scheduler {
+    /// Operators ask for a wave of upkeep; `progress` is what the store remembers of it. Told again, it changes
+    /// nothing.
+    pub fn wave_asked(&mut self, request: WaveRequest, progress: WaveProgress, now: Moment) {
+        log::info!(
+            "event=wave number={} machines={} begun={}",
+            request.number,
+            request.machines.len(),
+            progress.begun.len()
+        );
+        let (emptying, down) = (BTreeMap::new(), BTreeMap::new());
+        let stored = progress.succeeded;
+        let wave = Wave { since: now, progress, stored, emptying, down, request };
+        self.upkeep.waves.entry(wave.request.number).or_insert(wave);
+    }
+
+    /// Whether some wave is not over, so that the platform's machines should be listed.
+    pub fn has_open_waves(&self) -> bool {
+        self.upkeep.waves.values().any(|wave| !wave.progress.succeeded || !wave.stored)
+    }
+
+    /// The platform has listed its machines; machines of waves are chosen and emptied.
+    pub fn machines_listed(&mut self, machines: Vec<Machine>, now: Moment) {
+        self.upkeep.machines = machines.into_iter().map(|machine| (machine.id.clone(), machine)).collect();
+        let Upkeep { waves, machines } = &mut self.upkeep;
+        for wave in waves.values_mut() {
+            wave.look(machines, now);
+        }
+        for number in self.upkeep.waves.keys().copied().collect::<Vec<_>>() {
+            self.choose_machines(number, now);
+        }
+        self.close_emptying();
+    }
+
+    /// Machines that can be handed over now, each with its wave.
+    pub fn due_upkeeps(&mut self, now: Moment) -> Vec<(u64, MachineId)> {
+        let mut due = Vec::new();
+        for (number, id, since, patience) in self.emptying() {
+            let up = self.upkeep.machines.get(&id).is_some_and(|machine| machine.up);
+            if up && self.empties(&id, now.since(since) >= patience, now) {
+                due.push((number, id));
+            }
+        }
+        due
+    }
+
+    /// What came of handing a machine over.
+    pub fn upkeep_replied(&mut self, number: u64, id: &MachineId, reply: UpkeepReply, now: Moment) {
+        log::info!("event=upkeep wave={number} machine={id} fence={} outcome={reply:?}", self.fence);
+        let Some(wave) = self.upkeep.waves.get_mut(&number) else { return };
+        match reply {
+            UpkeepReply::Begun => {
+                let server = wave.emptying.remove(id).and_then(|turn| turn.server);
+                wave.progress.begun.insert(id.clone());
+                wave.stored = false;
+                wave.down.insert(id.clone(), Turn { since: now, server });
+            }
+            UpkeepReply::Never => {
+                wave.emptying.remove(id);
+                wave.request.machines.retain(|other| other != id);
+            }
+            UpkeepReply::Busy | UpkeepReply::Unknown => {}
+        }
+        self.close_emptying();
+    }
+
+    /// Progress of waves that the store does not hold.
+    pub fn unstored_waves(&self) -> Vec<(u64, WaveProgress)> {
+        let unstored = self.upkeep.waves.iter().filter(|(_, wave)| !wave.stored);
+        unstored.map(|(number, wave)| (*number, wave.progress.clone())).collect()
+    }
+
+    /// The store holds the progress of a wave.
+    pub fn wave_stored(&mut self, number: u64, progress: &WaveProgress) {
+        if let Some(wave) = self.upkeep.waves.get_mut(&number) {
+            wave.stored = wave.progress == *progress;
+        }
+    }
+
+    /// Starts emptying as many more machines of a wave as may be down beside those that are: the idlest first.
+    fn choose_machines(&mut self, number: u64, now: Moment) {
+        let Some(wave) = self.upkeep.waves.get(&number) else { return };
+        let machines = &self.upkeep.machines;
+        let taken = wave.count_taken(machines);
+        let waits = |id: &&MachineId| {
+            machines.get(*id).is_some_and(|machine| machine.up)
+                && !wave.progress.begun.contains(*id)
+                && !wave.emptying.contains_key(*id)
+                && !wave.down.contains_key(*id)
+        };
+        let mut waiting: Vec<&MachineId> = wave.request.machines.iter().filter(waits).collect();
+        waiting.sort_by_key(|id| self.members_on(id).len());
+        let chosen: Vec<MachineId> =
+            waiting.into_iter().take(wave.request.most_at_once.saturating_sub(taken)).cloned().collect();
+        let age = now.since(wave.since);
+        for id in chosen {
+            log::info!("event=emptying wave={number} machine={id} wave_age_ms={}", age.millis());
+            let server = self.upkeep.machines.get(&id).and_then(|machine| machine.server.clone());
+            if let Some(wave) = self.upkeep.waves.get_mut(&number) {
+                wave.emptying.insert(id, Turn { since: now, server });
+            }
+        }
+    }
+
+    /// Backend servers on machines that are being emptied get no new work.
+    fn close_emptying(&mut self) {
+        let emptying = |id: &MachineId| self.upkeep.waves.values().any(|wave| wave.emptying.contains_key(id));
+        let closed: BTreeSet<BackendServerId> =
+            self.upkeep.machines.values().filter(|m| emptying(&m.id)).filter_map(|m| m.server.clone()).collect();
+        for (id, server) in &mut self.servers {
+            server.closed = closed.contains(id);
+        }
+    }
+
+    fn emptying(&self) -> Vec<(u64, MachineId, Moment, Duration)> {
+        let of_wave = |(number, wave): (&u64, &Wave)| {
+            let (number, patience) = (*number, wave.patience());
+            let in_turn = |(id, turn): (&MachineId, &Turn)| (number, id.clone(), turn.since, patience);
+            wave.emptying.iter().map(in_turn).collect::<Vec<_>>()
+        };
+        self.upkeep.waves.iter().flat_map(of_wave).collect()
+    }
+
+    /// Moves what runs on a machine, as far as that may be; whether nothing is left there.
+    fn empties(&mut self, id: &MachineId, patience_over: bool, now: Moment) -> bool {
+        let members = self.members_on(id);
+        let empty = members.is_empty();
+        for name in members {
+            let step = self.step(name);
+            let moves_well = step.checkpoints || step.long_running;
+            if (moves_well || patience_over) && self.may_be_absent(name) {
+                self.stop_group(name, StopReason::Evacuated, now);
+            }
+        }
+        empty
+    }
+
+    /// Groups with a member on a machine.
+    fn members_on(&self, id: &MachineId) -> Vec<GroupId> {
+        let server = self.upkeep.machines.get(id).and_then(|machine| machine.server.as_ref());
+        let Some(server) = server.and_then(|id| self.servers.get(id)) else { return Vec::new() };
+        let mut names: Vec<GroupId> = server.members.keys().filter_map(|task: &TaskId| self.group_of(*task)).collect();
+        names.dedup();
+        names
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/upkeep.rs
@@ -0,0 +1,151 @@
+//! Waves of upkeep: how machines are emptied, and how many are down at once.
+
+mod common;
+
+use common::{Fixture, Started, job, server_id, step};
+use jobs::Step;
+use model::Duration;
+use scheduler::{EndKind, Machine, MachineId, UpkeepReply, WaveProgress, WaveRequest};
+
+fn machine_id(i: usize) -> MachineId {
+    MachineId::from(format!("m{i:02}").as_str())
+}
+
+/// A machine, and on it the backend server of the same number; after its upkeep another one.
+fn machine(i: usize) -> Machine {
+    Machine { id: machine_id(i), up: true, server: Some(server_id(i)) }
+}
+
+fn renewed(i: usize) -> Machine {
+    Machine { server: Some(server_id(i + 50)), ..machine(i) }
+}
+
+fn in_upkeep(i: usize) -> Machine {
+    Machine { up: false, server: None, ..machine(i) }
+}
+
+/// As many backend servers as machines, and a wave over all of them.
+fn wave(machines: usize, most_at_once: usize) -> Fixture {
+    let mut fixture = Fixture::new(machines);
+    ask(&mut fixture, machines, most_at_once, WaveProgress::default());
+    fixture
+}
+
+fn ask(fixture: &mut Fixture, machines: usize, most_at_once: usize, progress: WaveProgress) {
+    let machines = (0..machines).map(machine_id).collect();
+    let request = WaveRequest { number: 1, machines, term: Duration::from_secs(20), most_at_once };
+    let now = fixture.now;
+    fixture.scheduler.wave_asked(request, progress, now);
+}
+
+/// The platform lists its machines; gives those that can be handed over.
+fn due(fixture: &mut Fixture, machines: Vec<Machine>) -> Vec<MachineId> {
+    let now = fixture.now;
+    fixture.scheduler.machines_listed(machines, now);
+    fixture.scheduler.due_upkeeps(now).into_iter().map(|(_, id)| id).collect()
+}
+
+fn hand_over(fixture: &mut Fixture, id: &MachineId, reply: UpkeepReply) {
+    let now = fixture.now;
+    fixture.scheduler.upkeep_replied(1, id, reply, now);
+}
+
+fn succeeded(fixture: &Fixture) -> bool {
+    fixture.scheduler.unstored_waves().iter().any(|(_, progress)| progress.succeeded)
+}
+
+#[test]
+fn no_more_machines_are_down_than_may_be_and_all_have_their_turn() {
+    let mut fixture = wave(3, 1);
+    let first = due(&mut fixture, (0..3).map(machine).collect());
+    assert_eq!(first, [machine_id(0)]);
+    hand_over(&mut fixture, &first[0], UpkeepReply::Begun);
+    assert!(due(&mut fixture, (0..3).map(machine).collect()).is_empty(), "the list is older than the upkeep");
+    assert!(due(&mut fixture, vec![in_upkeep(0), machine(1), machine(2)]).is_empty());
+    assert_eq!(due(&mut fixture, vec![renewed(0), machine(1), machine(2)]), [machine_id(1)]);
+    hand_over(&mut fixture, &machine_id(1), UpkeepReply::Begun);
+    assert_eq!(due(&mut fixture, vec![renewed(0), renewed(1), machine(2)]), [machine_id(2)]);
+    assert!(!succeeded(&fixture));
+    hand_over(&mut fixture, &machine_id(2), UpkeepReply::Begun);
+    due(&mut fixture, vec![renewed(0), renewed(1), in_upkeep(2)]);
+    assert!(succeeded(&fixture), "the last has begun");
+}
+
+#[test]
+fn a_machine_that_is_down_for_another_reason_counts() {
+    let mut fixture = wave(3, 1);
+    assert!(due(&mut fixture, vec![in_upkeep(0), machine(1), machine(2)]).is_empty());
+}
+
+#[test]
+fn an_upkeep_without_an_answer_counts_as_begun_for_the_limit_and_is_asked_for_again() {
+    let mut fixture = wave(2, 1);
+    let first = due(&mut fixture, vec![machine(0), machine(1)]);
+    hand_over(&mut fixture, &first[0], UpkeepReply::Unknown);
+    assert!(due(&mut fixture, vec![in_upkeep(0), machine(1)]).is_empty());
+    assert_eq!(due(&mut fixture, vec![renewed(0), machine(1)]), [machine_id(0)], "the platform says whether it had it");
+}
+
+#[test]
+fn machines_that_are_gone_do_not_hold_a_wave_up() {
+    let mut fixture = wave(2, 2);
+    let first = due(&mut fixture, vec![machine(0), machine(1)]);
+    assert_eq!(first.len(), 2);
+    hand_over(&mut fixture, &machine_id(0), UpkeepReply::Begun);
+    hand_over(&mut fixture, &machine_id(1), UpkeepReply::Never);
+    due(&mut fixture, vec![renewed(0)]);
+    assert!(succeeded(&fixture));
+}
+
+#[test]
+fn a_new_scheduler_goes_on_from_what_the_store_remembers() {
+    let mut fixture = Fixture::new(2);
+    let begun = [machine_id(0)].into();
+    ask(&mut fixture, 2, 2, WaveProgress { begun, succeeded: false });
+    assert_eq!(due(&mut fixture, vec![machine(0), machine(1)]), [machine_id(1)]);
+}
+
+/// Work on the first of two backend servers, which is to have its upkeep.
+fn busy(step: Step) -> (Fixture, Vec<Started>) {
+    let mut fixture = Fixture::new(1);
+    fixture.percent = 100;
+    fixture.submit(job(1, vec![step]));
+    let started = fixture.start_all();
+    fixture.add_server(1);
+    fixture.advance(100);
+    ask(&mut fixture, 1, 1, WaveProgress::default());
+    assert!(due(&mut fixture, vec![machine(0), machine(1)]).is_empty(), "something runs there");
+    (fixture, started)
+}
+
+#[test]
+fn checkpointed_work_moves_at_once_and_nothing_new_starts_on_the_machine() {
+    let (mut fixture, started) = busy(Step { checkpoints: true, ..step(1, 4) });
+    fixture.start_all();
+    assert_eq!(fixture.stops.len(), 1);
+    fixture.end_with(&started[0], EndKind::Stopped, Some("half"));
+    let again = fixture.start_all();
+    assert_eq!(again[0].server, server_id(1));
+    assert_eq!(due(&mut fixture, vec![machine(0), machine(1)]), [machine_id(0)]);
+}
+
+#[test]
+fn other_work_may_end_by_itself_for_a_while() {
+    let (mut fixture, _) = busy(step(1, 4));
+    fixture.start_all();
+    assert!(fixture.stops.is_empty());
+    fixture.advance(5100);
+    due(&mut fixture, vec![machine(0), machine(1)]);
+    fixture.start_all();
+    assert_eq!(fixture.stops.len(), 1);
+}
+
+#[test]
+fn tasks_that_may_not_be_absent_stay_until_others_are_back() {
+    let absent = Step { long_running: true, max_absent: Some(0), ..step(1, 4) };
+    let (mut fixture, _) = busy(absent);
+    fixture.advance(9000);
+    assert!(due(&mut fixture, vec![machine(0), machine(1)]).is_empty());
+    fixture.start_all();
+    assert!(fixture.stops.is_empty());
+}
