Write the last lines of a log before a box ends

Cause: the log's thread writes what is queued, and a process that ended took the queue along: the line at a stop was lost now and then.

Now a flush at the end waits until everything logged before is written, 0.3 s at most, so that a reader that has stopped reading holds nothing up.

--- a/crates/logs/src/bounded.rs
+++ b/crates/logs/src/bounded.rs
@@ -24,10 +24,20 @@
 /// The count of a kind starts again after this long.
 const WINDOW: Duration = Duration::from_secs(1);
 
-/// Writes lines to standard output.
+/// A flush waits this long at most for lines to be written: a reader that has stopped reading holds nothing up.
+const FLUSH_LIMIT: Duration = Duration::from_millis(300);
+
+/// What the writing thread gets.
+enum Message {
+    Line(String),
+    /// Everything before this has been written once the token is taken.
+    Flush(SyncSender<()>),
+}
+
+/// Writes lines without holding up whoever logs.
 pub(crate) struct BoundedLines {
     level: LevelFilter,
-    queue: SyncSender<String>,
+    queue: SyncSender<Message>,
     dropped: AtomicU64,
     kinds: Mutex<Kinds>,
 }
@@ -38,9 +48,9 @@
 }
 
 impl BoundedLines {
-    pub(crate) fn new(level: LevelFilter) -> BoundedLines {
-        let (queue, lines) = sync_channel(QUEUE);
-        std::thread::spawn(move || write_lines(&lines));
+    pub(crate) fn new(level: LevelFilter, out: Box<dyn Write + Send>) -> BoundedLines {
+        let (queue, messages) = sync_channel(QUEUE);
+        std::thread::spawn(move || write_lines(&messages, out));
         BoundedLines {
             level,
             queue,
@@ -52,7 +62,7 @@
     fn push(&self, level: log::Level, message: &str) {
         let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let line = format!("{}.{:03} {level} {message}\n", at.as_secs(), at.subsec_millis());
-        if self.queue.try_send(line).is_err() {
+        if self.queue.try_send(Message::Line(line)).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -82,15 +92,23 @@
     }
 }
 
-fn write_lines(lines: &Receiver<String>) {
-    let mut out = std::io::stdout();
-    while let Ok(mut text) = lines.recv() {
+fn write_lines(messages: &Receiver<Message>, mut out: Box<dyn Write + Send>) {
+    while let Ok(first) = messages.recv() {
+        let mut text = String::new();
+        let mut flushed = Vec::new();
         // What has queued up meanwhile goes out in one call.
-        while let Ok(more) = lines.try_recv() {
-            text.push_str(&more);
+        for message in std::iter::once(first).chain(messages.try_iter()) {
+            match message {
+                Message::Line(line) => text.push_str(&line),
+                Message::Flush(token) => flushed.push(token),
+            }
         }
         // Nothing can be done about a log that cannot be written.
         let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+        for token in flushed {
+            // Whoever asked may have given up.
+            let _ = token.try_send(());
+        }
     }
 }
 
@@ -109,7 +127,12 @@
         }
     }
 
-    fn flush(&self) {}
+    fn flush(&self) {
+        let (token, written) = sync_channel(1);
+        if self.queue.try_send(Message::Flush(token)).is_ok() {
+            let _ = written.recv_timeout(FLUSH_LIMIT);
+        }
+    }
 }
 
 impl SharedLogger for BoundedLines {
--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -36,7 +36,12 @@
 /// never blocking. A second call does nothing.
 pub fn init_service(level: LevelFilter) {
     // A logger stands already if the process that embeds this made one.
-    let _ = CombinedLogger::init(vec![Box::new(bounded::BoundedLines::new(level))]);
+    let _ = CombinedLogger::init(vec![service_logger(level, Box::new(std::io::stdout()))]);
+}
+
+/// The logger of a service, writing elsewhere. What was logged is lost if the process ends before it is flushed.
+pub fn service_logger(level: LevelFilter, out: Box<dyn Write + Send>) -> Box<dyn SharedLogger> {
+    Box::new(bounded::BoundedLines::new(level, out))
 }
 
 /// One JSON object a line on standard error.
--- a/crates/martend/src/main.rs
+++ b/crates/martend/src/main.rs
@@ -64,7 +64,9 @@
     }
     logs::init_service(settings.log_level);
     telemetry::init_metrics();
-    match smol::block_on(deployment::run(settings, path)) {
+    let ended = smol::block_on(deployment::run(settings, path));
+    log::logger().flush();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => fail(EXIT_START, &format!("martend cannot run: {e}")),
     }
--- a/crates/martend/tests/deployment.rs
+++ b/crates/martend/tests/deployment.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener},
-    process::{Child, Command, Stdio},
+    process::{Child, Command},
     sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
@@ -20,6 +20,8 @@
 struct BoxProcess {
     child: Child,
     addrs: [SocketAddr; 4],
+    /// What it logs.
+    log: std::path::PathBuf,
 }
 
 impl Drop for BoxProcess {
@@ -27,6 +29,7 @@
         // It may have ended already.
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.log);
     }
 }
 
@@ -51,12 +54,13 @@
 fn start_box(platform: &Platform, name: &str, addrs: [SocketAddr; 4], seeds: &[SocketAddr]) -> BoxProcess {
     let path = std::env::temp_dir().join(format!("martend-{}-{}-{name}.json", std::process::id(), addrs[0].port()));
     std::fs::write(&path, platform.settings(name, &addrs, seeds)).expect("the temporary directory can be written");
+    let log = path.with_extension("log");
     let child = Command::new(env!("CARGO_BIN_EXE_martend"))
         .env("MARTENSCALE_CONFIG", &path)
-        .stdout(Stdio::null())
+        .stdout(std::fs::File::create(&log).expect("the temporary directory can be written"))
         .spawn()
         .expect("the box starts");
-    BoxProcess { child, addrs }
+    BoxProcess { child, addrs, log }
 }
 
 impl World {
@@ -287,3 +291,19 @@
         assert!(platform.machines.most_down() <= 2, "{} were down at once", platform.machines.most_down());
     });
 }
+
+#[test]
+fn the_line_that_a_box_writes_last_is_in_its_log() {
+    smol::block_on(async {
+        let mut world = World::start(6, 1).await;
+        for a_box in &world.boxes {
+            let told = Command::new("kill").args(["-TERM", &a_box.child.id().to_string()]).status();
+            assert!(told.expect("kill can be run").success());
+        }
+        for a_box in &mut world.boxes {
+            assert!(a_box.child.wait().expect("it ends").success());
+            let log = std::fs::read_to_string(&a_box.log).expect("it has logged");
+            assert!(log.lines().last().is_some_and(|line| line.contains("event=ended")), "{log}");
+        }
+    });
+}
