--- a/crates/scheduler/tests/common/events.rs
+++ b/crates/scheduler/tests/common/events.rs
@@ -52,6 +52,14 @@
             }
             Event::Written { leader, batch, result } => self.on_written(leader, batch, result),
             Event::WriteLost { leader } => self.leaders[leader].writing = false,
+            Event::Unlisted { leader, server } => {
+                let now = self.moment();
+                self.leaders[leader].scheduler.server_unlisted(&server, now);
+            }
+            Event::CallFailed { leader, server, how } => {
+                let now = self.moment();
+                self.leaders[leader].scheduler.unanswered(&server, how, now);
+            }
         }
     }
 
--- a/crates/scheduler/tests/common/leading.rs
+++ b/crates/scheduler/tests/common/leading.rs
@@ -46,7 +46,9 @@
                 Some(_) => {
                     leader.holding.remove(&id);
                     leader.reached.remove(&id);
-                    leader.scheduler.unanswered(&id, Unanswered::Silent, moment);
+                    let refused = self.servers[&id].cut_refuses && self.servers[&id].cut_until > now;
+                    let how = if refused { Unanswered::Refused } else { Unanswered::Silent };
+                    leader.scheduler.unanswered(&id, how, moment);
                 }
                 None => {}
             }
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -4,6 +4,7 @@
 mod events;
 mod leading;
 mod oracle;
+mod platform;
 pub(crate) mod server;
 pub(crate) mod world;
 
--- a/crates/scheduler/tests/common/server.rs
+++ b/crates/scheduler/tests/common/server.rs
@@ -35,6 +35,14 @@
     pub(crate) lapsed_after: u64,
     /// Out of reach until then.
     pub(crate) cut_until: u64,
+    /// What cuts it off refuses connections in its name.
+    pub(crate) cut_refuses: bool,
+    /// When it leaves, if it has said so.
+    pub(crate) leaves_at: Option<u64>,
+    /// The platform lists it.
+    pub(crate) listed: bool,
+    /// When the platform last heard of it.
+    pub(crate) last_heartbeat: u64,
 }
 
 impl FakeServer {
@@ -52,6 +60,10 @@
             over: BTreeMap::new(),
             lapsed_after: 0,
             cut_until: 0,
+            cut_refuses: false,
+            leaves_at: None,
+            listed: true,
+            last_heartbeat: 0,
         }
     }
 
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -9,7 +9,7 @@
 
 use jobs::{Fence, Job, JobId, JobState, Need, OccurrenceId, Progress, RunNumber, TaskId};
 use model::{BackendServerId, Duration, Moment, Revision};
-use scheduler::{Batch, EndKind, Listing, Scheduler, StartReply, Timing};
+use scheduler::{Batch, EndKind, Listing, Scheduler, StartReply, Timing, Unanswered};
 
 use super::{
     info, policy,
@@ -80,6 +80,17 @@
     WriteLost {
         leader: usize,
     },
+    /// A scheduler hears that the platform no longer lists a backend server.
+    Unlisted {
+        leader: usize,
+        server: BackendServerId,
+    },
+    /// A scheduler's call finds that a backend server has gone.
+    CallFailed {
+        leader: usize,
+        server: BackendServerId,
+        how: Unanswered,
+    },
 }
 
 /// One elected box.
@@ -168,10 +179,11 @@
         let i = self.next_server;
         self.next_server += 1;
         let rate = if i.is_multiple_of(3) { 0.98 } else { 1.0 };
-        let server = FakeServer::new(server_id(i), info(i % 8), rate);
+        let mut server = FakeServer::new(server_id(i), info(i % 8), rate);
         for leader in &mut self.leaders {
             leader.scheduler.server_listed(server.id.clone(), server.info.clone(), Moment::from_millis(self.now));
         }
+        server.last_heartbeat = self.now;
         self.servers.insert(server.id.clone(), server);
     }
 
@@ -213,7 +225,7 @@
         for id in self.cancelled.keys() {
             scheduler.cancel(*id, now);
         }
-        for server in self.servers.values() {
+        for server in self.servers.values().filter(|server| server.listed) {
             scheduler.server_listed(server.id.clone(), server.info.clone(), now);
         }
         self.leaders.push(Leader {
@@ -250,10 +262,11 @@
         self.add_server();
     }
 
-    pub(crate) fn cut(&mut self, i: usize, ms: u64) {
+    pub(crate) fn cut(&mut self, i: usize, ms: u64, refuses: bool) {
         let id = self.servers.keys().nth(i % self.servers.len()).cloned();
         if let Some(server) = id.and_then(|id| self.servers.get_mut(&id)) {
             server.cut_until = server.cut_until.max(self.now + ms);
+            server.cut_refuses = refuses;
         }
     }
 
@@ -269,6 +282,7 @@
         for _ in 0..ms / STEP_MS {
             self.now += STEP_MS;
             self.run_servers();
+            self.run_platform();
             self.run_events();
             for leader in 0..self.leaders.len() {
                 if self.leaders[leader].alive {
--- a/crates/scheduler/tests/fuzz.rs
+++ b/crates/scheduler/tests/fuzz.rs
@@ -23,6 +23,8 @@
     Cancel(u8),
     Crash(u8),
     Cut(u8, u16),
+    CutRefusing(u8, u16),
+    Leave(u8),
     LoseOrders(u16),
     LoseWrites(u16),
     StoreDown(u16),
@@ -38,6 +40,8 @@
         1 => any::<u8>().prop_map(Action::Cancel),
         1 => any::<u8>().prop_map(Action::Crash),
         2 => (any::<u8>(), 100u16..12_000).prop_map(|(i, ms)| Action::Cut(i, ms)),
+        1 => (any::<u8>(), 100u16..12_000).prop_map(|(i, ms)| Action::CutRefusing(i, ms)),
+        1 => any::<u8>().prop_map(Action::Leave),
         1 => (100u16..4000).prop_map(Action::LoseOrders),
         1 => (100u16..4000).prop_map(Action::LoseWrites),
         1 => (100u16..8000).prop_map(Action::StoreDown),
@@ -78,7 +82,9 @@
             }
         }
         Action::Crash(i) => world.crash(i.into()),
-        Action::Cut(i, ms) => world.cut(i.into(), ms.into()),
+        Action::Cut(i, ms) => world.cut(i.into(), ms.into(), false),
+        Action::CutRefusing(i, ms) => world.cut(i.into(), ms.into(), true),
+        Action::Leave(i) => world.leave(i.into()),
         Action::LoseOrders(ms) => world.lose_orders_until = now + u64::from(ms),
         Action::LoseWrites(ms) => world.lose_writes_until = now + u64::from(ms),
         Action::StoreDown(ms) => world.store_down_until = now + u64::from(ms),
