Take none for left that this scheduler has not heard lately

A backend server had been cut off with refusals before an election, and fell out of the platform's list just after it: the new scheduler's first call failed within 0.3 s of that, as if it had left. The same can happen to a box that stood still while the cut began. Ruled out: the bound of 0.3 s itself (it counts from the first failed call, which says nothing if there was no call before).

Now a backend server counts as left only if this scheduler had an answer of it within 2.5 s before it fell silent; one that is cut off can fall out of the list after 3 s at the earliest. The fuzzer's world no longer lets a backend server that is cut off tell the platform that it leaves, which it cannot.

--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -30,6 +30,7 @@
             server.lease_over = self.timing.lease_over(now);
         }
         server.unanswered = 0;
+        server.silence.heard = Some(now);
         server.silence.since = None;
         server.silence.refused = false;
         self.plan_wanted |= !listing.ended.is_empty();
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -15,6 +15,10 @@
 /// call that it leaves unanswered is found out within 2.5 s.
 const LEAVES_WITHIN: Duration = Duration::from_millis(300);
 
+/// A backend server that answers is heard this often at least: an idle one answers after 2 s. Below the 3 s after which one
+/// that is cut off can fall out of the list.
+const HEARD_WITHIN: Duration = Duration::from_millis(2500);
+
 /// A backend server's account of itself.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServerInfo {
@@ -51,6 +55,8 @@
 /// What tells a backend server that has left from one that is out of reach.
 #[derive(Debug, Default)]
 pub(crate) struct Silence {
+    /// When this scheduler last had an answer of it.
+    pub(crate) heard: Option<Moment>,
     /// When the first of the calls without an answer failed; `None` while it answers.
     pub(crate) since: Option<Moment>,
     /// Nothing listened at its address in that time.
@@ -126,14 +132,17 @@
     ///
     /// A backend server that leaves takes its own entry out of the platform's list at the moment at which its
     /// connections close and its port refuses new ones. One that is cut off falls out of the list only after three
-    /// heartbeats, long after the first call that it left unanswered, also if what cuts it refuses connections.
+    /// heartbeats, long after the first call that it left unanswered, also if what cuts it refuses connections. A
+    /// scheduler that has not heard it lately, since it is new or has stood still, cannot tell the two apart.
     pub(crate) fn has_left(&self) -> bool {
-        let Silence { since: Some(silent), refused: true, unlisted: Some(unlisted) } = self.silence else {
+        let Silence { heard: Some(heard), since: Some(silent), refused: true, unlisted: Some(unlisted) } = self.silence
+        else {
             return false;
         };
+        let heard_lately = silent.since(heard) < HEARD_WITHIN;
         let announced = self.info.as_ref().is_some_and(|info| info.draining);
         let apart = silent.since(unlisted).max(unlisted.since(silent));
-        announced && !self.listed && apart < LEAVES_WITHIN
+        announced && heard_lately && !self.listed && apart < LEAVES_WITHIN
     }
 
     /// Whether new work may be placed here.
--- a/crates/scheduler/tests/common/platform.rs
+++ b/crates/scheduler/tests/common/platform.rs
@@ -18,6 +18,9 @@
     /// A backend server says that it leaves.
     pub(crate) fn leave(&mut self, i: usize) {
         let Some(id) = self.servers.keys().nth(i % self.servers.len()).cloned() else { return };
+        if !self.reachable(&id) {
+            return;
+        }
         let at = self.now + DRAIN_MS + self.rng.u64(..1000);
         let server = self.server_mut(&id);
         if server.leaves_at.is_some() {
--- a/crates/scheduler/tests/leaving.rs
+++ b/crates/scheduler/tests/leaving.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use common::{Fixture, info, job, server_id, step};
-use model::Duration;
+use jobs::{OccurrenceId, Placed, Progress, RunNumber};
+use model::{Duration, Revision};
 use scheduler::{ServerInfo, Unanswered};
 
 /// A task runs on the first of two backend servers, which then says that it leaves.
@@ -90,3 +91,31 @@
     unlisted(&mut fixture);
     assert!(fixture.start_all().is_empty());
 }
+
+#[test]
+fn a_new_scheduler_takes_none_for_left_that_it_has_never_heard() {
+    let mut fixture = Fixture::new(0);
+    let job = job(1, vec![step(1, 4)]);
+    let mut progress = Progress::new(&job);
+    progress.groups[0][0].run = RunNumber(1);
+    progress.groups[0][0].placed = vec![Placed { index: 0, server: server_id(0) }];
+    fixture.submit(job.clone());
+    fixture.scheduler.restore(OccurrenceId { job: job.id, number: 0 }, progress, Revision(5));
+    announce(&mut fixture);
+    fixture.add_server(1);
+    // It was cut off with refusals before the election, and falls out of the list just after it.
+    unanswered(&mut fixture, Unanswered::Refused);
+    pass(&mut fixture, 50);
+    unlisted(&mut fixture);
+    assert!(fixture.start_all().is_empty(), "it may run on until its lease is over");
+}
+
+#[test]
+fn one_that_was_cut_off_while_this_box_stood_still_keeps_its_lease() {
+    let mut fixture = draining();
+    // Both the refusal and the news from the list have waited for the box.
+    pass(&mut fixture, 3500);
+    unanswered(&mut fixture, Unanswered::Refused);
+    unlisted(&mut fixture);
+    assert!(fixture.start_all().is_empty());
+}
