Hold plans to what has changed, by a test

Plans now count what they look at anew; with 1000 jobs waiting, one that ends and one that starts make a plan look at no more than two.

--- a/crates/scheduler/src/ready.rs
+++ b/crates/scheduler/src/ready.rs
@@ -11,7 +11,9 @@
 impl Scheduler {
     /// Looks again at the occurrences that have changed.
     pub(crate) fn refresh_ready(&mut self, now: Moment) {
-        for id in std::mem::take(&mut self.changed) {
+        let changed = std::mem::take(&mut self.changed);
+        self.refreshed += changed.len() as u64;
+        for id in changed {
             let Some(entry) = self.jobs.get_mut(&id.job) else { continue };
             let steps = ready_steps(entry, id, now);
             if steps.is_empty() {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -31,6 +31,8 @@
     pub unheard_servers: usize,
     /// Occurrences with changes that the store does not hold.
     pub unstored: usize,
+    /// Occurrences that plans have looked at anew since the election: as many as have changed.
+    pub refreshed: u64,
 }
 
 /// The state of the active scheduler.
@@ -50,6 +52,8 @@
     pub(crate) changed: BTreeSet<OccurrenceId>,
     /// What could start.
     pub(crate) ready: BTreeMap<OccurrenceId, ReadySteps>,
+    /// How many occurrences plans have looked at anew.
+    pub(crate) refreshed: u64,
     /// Backend servers with ends that wait to be stored.
     pub(crate) with_ends: BTreeSet<BackendServerId>,
     /// Something has happened that may let a group start.
@@ -84,6 +88,7 @@
             cancelled_before: BTreeMap::new(),
             changed: BTreeSet::new(),
             ready: BTreeMap::new(),
+            refreshed: 0,
             with_ends: BTreeSet::new(),
             plan_wanted: false,
             last_look: elected,
@@ -177,6 +182,7 @@
             servers: self.servers.len(),
             unheard_servers: self.servers.values().filter(|server| !server.stocked).count(),
             unstored: self.dirty.len(),
+            refreshed: self.refreshed,
         }
     }
 
--- a/crates/scheduler/tests/plan.rs
+++ b/crates/scheduler/tests/plan.rs
@@ -183,3 +183,19 @@
     fixture.advance(6500);
     assert_eq!(fixture.start_all().len(), 1, "doubt does not last for ever");
 }
+
+#[test]
+fn a_plan_looks_anew_only_at_what_has_changed() {
+    let mut fixture = Fixture::new(4);
+    for id in 1..=1000 {
+        fixture.submit(job(id, vec![gang(1, 8)]));
+    }
+    let started = fixture.start_all();
+    fixture.start_all();
+    let before = fixture.scheduler.counts().refreshed;
+    fixture.end(&started[0], EndKind::Done);
+    fixture.start_all();
+    fixture.start_all();
+    let looked_at = fixture.scheduler.counts().refreshed - before;
+    assert!(looked_at <= 2, "one job ended and one started, and {looked_at} of 1000 were looked at");
+}
