Let some of the soak's work end only when it is cancelled

One job in twelve now is endless, those left over are cancelled before the last checks, and these wait until nothing of a cancelled job runs.

--- a/crates/martend/tests/soak/callers.rs
+++ b/crates/martend/tests/soak/callers.rs
@@ -38,8 +38,15 @@
     }
 }
 
-/// One job in four outlasts a lease (3 s), so that one that is started elsewhere too early is seen.
+/// Work that ends only when it is cancelled, in milliseconds: longer than any run.
+pub(crate) const ENDLESS_MS: u64 = 600_000;
+
+/// One job in four outlasts a lease (3 s), so that one that is started elsewhere too early is seen. One in twelve is
+/// endless, so that a cancellation that stops nothing is seen.
 fn work(rng: &mut Rng) -> Work {
+    if rng.u8(..12) == 0 {
+        return Work { tasks: rng.u32(1..=2), accelerators: 1, work_ms: ENDLESS_MS, gang: false };
+    }
     let work_ms = if rng.u8(..4) == 0 { rng.u64(2500..6000) } else { rng.u64(50..1500) };
     Work { tasks: rng.u32(1..=4), accelerators: rng.u32(1..=4), work_ms, gang: rng.u8(..3) == 0 }
 }
--- a/crates/martend/tests/soak/checks.rs
+++ b/crates/martend/tests/soak/checks.rs
@@ -13,7 +13,7 @@
 use users_platform_standin::Caller;
 
 use crate::{
-    callers::check_state,
+    callers::{ENDLESS_MS, check_state},
     ledger::{Cancelled, Entry, Handed},
     world::{BOXES, KEY, World},
 };
@@ -90,6 +90,7 @@
             smol::Timer::after(LOOK_EVERY).await;
         }
     }
+    cancel_endless(world, &caller).await;
     for (n, (id, entry)) in world.ledger.all().into_iter().enumerate() {
         let addr = world.boxes[n % BOXES].lock().await.addrs[0];
         loop {
@@ -107,10 +108,35 @@
             }
             smol::Timer::after(LOOK_EVERY).await;
         }
+        until_idle(world, id, begun + WELL_WITHIN).await;
         check_end(world, id, &entry);
     }
 }
 
+/// Takes back what would never end, unless it was taken back before.
+async fn cancel_endless(world: &World, caller: &Caller) {
+    let endless = |entry: &Entry| entry.work.work_ms == ENDLESS_MS && !matches!(entry.cancelled, Cancelled::Told(_));
+    let begun = Instant::now();
+    for (id, _) in world.ledger.all().into_iter().filter(|(_, entry)| endless(entry)) {
+        let addr = world.boxes[0].lock().await.addrs[0];
+        while begun.elapsed() < WELL_WITHIN {
+            let answered = caller.cancel(addr, id).await.map(|answer| answer.status);
+            if matches!(answered, Ok(StatusCode::OK | StatusCode::GONE)) {
+                world.ledger.cancelled(id, Cancelled::Told(Instant::now()));
+                break;
+            }
+            smol::Timer::after(LOOK_EVERY).await;
+        }
+    }
+}
+
+/// Waits until nothing of a job runs, which stops take a moment for.
+async fn until_idle(world: &World, id: JobId, limit: Instant) {
+    while world.oracle.running_tasks(id) > 0 && Instant::now() < limit {
+        smol::Timer::after(LOOK_EVERY).await;
+    }
+}
+
 async fn is_ready(world: &World, client: &Client, i: usize) -> bool {
     let addr = world.boxes[i].lock().await.addrs[1];
     let reply = client.call(addr, Method::GET, "/v1/ready", Default::default(), STATUS_LIMIT).await;
