Split the scheduler fuzzer's world by what happens in it

The events stand with what takes them in now (events.rs), and what runs on the backend servers has a file of its own (runs.rs). Nothing was rewritten but the arm for starts, which is a function like its neighbours.

--- a/crates/scheduler/tests/common/events.rs
+++ b/crates/scheduler/tests/common/events.rs
@@ -4,13 +4,85 @@
 
 use jobs::{OccurrenceId, RunNumber, TaskId};
 use model::{BackendServerId, Moment, Revision};
-use scheduler::{Batch, EndKind, Listing, StartReply};
+use scheduler::{Batch, EndKind, Listing, StartReply, Unanswered};
 
-use super::world::{Event, STEP_MS, World};
+use super::world::{STEP_MS, World};
 
 /// After this long a scheduler is told that a start was not answered.
 const UNANSWERED_MS: u64 = 400;
 
+/// Something that arrives somewhere. `leader` is the index of the scheduler that called or hears.
+#[derive(Debug)]
+pub(crate) enum Event {
+    Hold {
+        leader: usize,
+        server: BackendServerId,
+        acknowledged: u64,
+        until: Option<u64>,
+        sent: Moment,
+    },
+    Held {
+        leader: usize,
+        server: BackendServerId,
+        reply: Option<Listing>,
+        clock: u64,
+        sent: Moment,
+    },
+    Start {
+        leader: usize,
+        server: BackendServerId,
+        task: TaskId,
+        run: RunNumber,
+        until: u64,
+        answered: bool,
+        saved: bool,
+    },
+    Started {
+        leader: usize,
+        server: BackendServerId,
+        task: TaskId,
+        run: RunNumber,
+        reply: StartReply,
+    },
+    Stop {
+        leader: usize,
+        server: BackendServerId,
+        task: TaskId,
+        run: RunNumber,
+        answered: bool,
+    },
+    Stopped {
+        leader: usize,
+        server: BackendServerId,
+        task: TaskId,
+        run: RunNumber,
+    },
+    Write {
+        leader: usize,
+        batch: Batch,
+        answered: bool,
+    },
+    Written {
+        leader: usize,
+        batch: Batch,
+        result: Result<Revision, BTreeMap<OccurrenceId, Revision>>,
+    },
+    WriteLost {
+        leader: usize,
+    },
+    /// A scheduler hears that the platform no longer lists a backend server.
+    Unlisted {
+        leader: usize,
+        server: BackendServerId,
+    },
+    /// A scheduler's call finds that a backend server has gone.
+    CallFailed {
+        leader: usize,
+        server: BackendServerId,
+        how: Unanswered,
+    },
+}
+
 impl World {
     pub(crate) fn run_events(&mut self) {
         self.events.sort_by_key(|(at, _)| *at);
@@ -28,11 +100,7 @@
             }
             Event::Held { leader, server, reply, clock, sent } => self.on_held(leader, server, reply, clock, sent),
             Event::Start { leader, server, task, run, until, answered, saved } => {
-                let (delay, reply) = if self.reachable(&server) {
-                    (STEP_MS, self.start(leader, &server, task, run, until, saved))
-                } else {
-                    (UNANSWERED_MS, StartReply::Unknown)
-                };
+                let (delay, reply) = self.on_start(leader, &server, task, run, until, saved);
                 if answered {
                     self.after(delay, Event::Started { leader, server, task, run, reply });
                 }
@@ -93,6 +161,23 @@
         leader.scheduler.listing(&id, &listing, sent, now);
     }
 
+    /// What the scheduler hears of a start, and after how many milliseconds.
+    fn on_start(
+        &mut self,
+        leader: usize,
+        id: &BackendServerId,
+        task: TaskId,
+        run: RunNumber,
+        until: u64,
+        saved: bool,
+    ) -> (u64, StartReply) {
+        if self.reachable(id) {
+            (STEP_MS, self.start(leader, id, task, run, until, saved))
+        } else {
+            (UNANSWERED_MS, StartReply::Unknown)
+        }
+    }
+
     fn on_started(&mut self, leader: usize, id: &BackendServerId, task: TaskId, run: RunNumber, reply: StartReply) {
         let now = self.moment();
         let leader = &mut self.leaders[leader];
--- a/crates/scheduler/tests/common/leading.rs
+++ b/crates/scheduler/tests/common/leading.rs
@@ -5,7 +5,10 @@
 use model::BackendServerId;
 use scheduler::{Order, StartReply, Unanswered};
 
-use super::world::{Event, LEASE_MS, STEP_MS, World};
+use super::{
+    events::Event,
+    world::{LEASE_MS, STEP_MS, World},
+};
 
 impl World {
     pub(crate) fn run_leader(&mut self, i: usize) {
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -5,6 +5,7 @@
 mod leading;
 mod oracle;
 mod platform;
+mod runs;
 pub(crate) mod server;
 pub(crate) mod world;
 
--- a/crates/scheduler/tests/common/platform.rs
+++ b/crates/scheduler/tests/common/platform.rs
@@ -3,7 +3,7 @@
 use model::BackendServerId;
 use scheduler::{ServerInfo, Unanswered};
 
-use super::world::{Event, World};
+use super::{events::Event, world::World};
 
 /// A backend server tells of itself this often (users' settings).
 const HEARTBEAT_MS: u64 = 1500;
--- /dev/null
+++ b/crates/scheduler/tests/common/runs.rs
@@ -0,0 +1,125 @@
+//! Runs on the backend servers: they begin, work, wait for their gang, and end.
+
+use std::collections::BTreeMap;
+
+use jobs::{Need, OccurrenceId, RunNumber, TaskId};
+use model::BackendServerId;
+use scheduler::{EndKind, StartReply};
+
+use super::{
+    server::Run,
+    world::{STEP_MS, World},
+};
+
+/// A member of a gang waits this long for the others (users: 3 s).
+const GANG_WAIT_MS: u64 = 3000;
+
+impl World {
+    pub(crate) fn start(
+        &mut self,
+        leader: usize,
+        id: &BackendServerId,
+        task: TaskId,
+        run: RunNumber,
+        until: u64,
+        saved: bool,
+    ) -> StartReply {
+        let fence = self.leaders[leader].fence;
+        let job = self.jobs[&task.occurrence.job].clone();
+        let step = &job.steps[task.step as usize];
+        let fails = self.now < self.fail_tasks_until && self.rng.u8(..) < 100;
+        let work = if saved { 300 } else { 600 } + self.rng.u64(..800) + self.long_work();
+        let new = Run { run, left: (!step.gang).then_some(work), waited: 0, fails, saved: None };
+        let mut used = Need::default();
+        for other in self.servers[id].running.keys() {
+            used.add(&self.jobs[&other.occurrence.job].steps[other.step as usize].need);
+        }
+        let server = self.server_mut(id);
+        let known = server.running.contains_key(&task);
+        let reply = server.start(task, new, until, fence, &step.need, used);
+        if reply == StartReply::Started && !known {
+            self.check_begin(id, task);
+        }
+        reply
+    }
+
+    /// One run in four outlasts a lease.
+    pub(crate) fn long_work(&mut self) -> u64 {
+        if self.rng.u8(..) < 64 { 8000 } else { 0 }
+    }
+
+    pub(crate) fn run_servers(&mut self) {
+        self.begin_gangs();
+        let ids: Vec<BackendServerId> = self.servers.keys().cloned().collect();
+        for id in ids {
+            let server = self.server_mut(&id);
+            server.clock += STEP_MS as f64 * server.rate;
+            let lapsed = server.lease_until <= server.clock_ms();
+            if lapsed {
+                server.lapsed_after = server.serial;
+            }
+            let tasks: Vec<TaskId> = server.running.keys().copied().collect();
+            for task in tasks {
+                let server = self.server_mut(&id);
+                let Some(run) = server.running.get_mut(&task) else { continue };
+                let kind = match &mut run.left {
+                    _ if lapsed => Some(EndKind::Lapsed),
+                    None => {
+                        run.waited += STEP_MS;
+                        (run.waited >= GANG_WAIT_MS).then_some(EndKind::Alone)
+                    }
+                    Some(left) => {
+                        *left = left.saturating_sub(STEP_MS);
+                        (*left == 0).then_some(if run.fails { EndKind::Failed } else { EndKind::Done })
+                    }
+                };
+                if let Some(kind) = kind {
+                    self.end(&id, task, kind);
+                }
+            }
+        }
+    }
+
+    fn begin_gangs(&mut self) {
+        let mut present: BTreeMap<(OccurrenceId, u32, RunNumber), Vec<(BackendServerId, TaskId)>> = BTreeMap::new();
+        for server in self.servers.values() {
+            for (task, run) in server.running.iter().filter(|(_, run)| run.left.is_none()) {
+                let gang = (task.occurrence, task.step, run.run);
+                present.entry(gang).or_default().push((server.id.clone(), *task));
+            }
+        }
+        for ((occurrence, step, _), members) in present {
+            if members.len() == self.jobs[&occurrence.job].steps[step as usize].count as usize {
+                let work = 600 + self.rng.u64(..800) + self.long_work();
+                for (server, task) in members {
+                    self.server_mut(&server).running.get_mut(&task).expect("it was just seen").left = Some(work);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn end(&mut self, id: &BackendServerId, task: TaskId, kind: EndKind) {
+        let Some(run) = self.server_mut(id).end(task, kind) else { return };
+        if kind == EndKind::Done {
+            self.seen.entry(task).or_default().done_at = Some(self.now);
+        }
+        if !self.jobs[&task.occurrence.job].steps[task.step as usize].gang {
+            return;
+        }
+        // The others of its gang end with it: well, if it ended well.
+        let other = if kind == EndKind::Done { EndKind::Done } else { EndKind::Broken };
+        let members: Vec<(BackendServerId, TaskId)> = self
+            .servers
+            .values()
+            .flat_map(|server| server.running.iter().map(|(task, run)| (server.id.clone(), *task, run.run)))
+            .filter(|(_, t, r)| t.occurrence == task.occurrence && t.step == task.step && *r == run.run)
+            .map(|(server, task, _)| (server, task))
+            .collect();
+        for (server, member) in members {
+            self.server_mut(&server).end(member, other);
+            if other == EndKind::Done {
+                self.seen.entry(member).or_default().done_at = Some(self.now);
+            }
+        }
+    }
+}
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -7,92 +7,16 @@
     sync::Arc,
 };
 
-use jobs::{Fence, Job, JobId, JobState, Need, OccurrenceId, Progress, RunNumber, TaskId};
+use jobs::{Fence, Job, JobId, JobState, OccurrenceId, Progress, TaskId};
 use model::{BackendServerId, Duration, Moment, Revision};
-use scheduler::{Batch, EndKind, Listing, Scheduler, StartReply, Timing, Unanswered};
+use scheduler::{Batch, EndKind, Scheduler, Timing};
 
-use super::{
-    info, policy,
-    server::{FakeServer, Run},
-    server_id,
-};
+use super::{events::Event, info, policy, server::FakeServer, server_id};
 
 pub(crate) const STEP_MS: u64 = 10;
-const GANG_WAIT_MS: u64 = 3000;
 pub(crate) const LEASE_MS: u64 = 6000;
 pub(crate) const ATTEMPTS: usize = 4;
 
-#[derive(Debug)]
-pub(crate) enum Event {
-    Hold {
-        leader: usize,
-        server: BackendServerId,
-        acknowledged: u64,
-        until: Option<u64>,
-        sent: Moment,
-    },
-    Held {
-        leader: usize,
-        server: BackendServerId,
-        reply: Option<Listing>,
-        clock: u64,
-        sent: Moment,
-    },
-    Start {
-        leader: usize,
-        server: BackendServerId,
-        task: TaskId,
-        run: RunNumber,
-        until: u64,
-        answered: bool,
-        saved: bool,
-    },
-    Started {
-        leader: usize,
-        server: BackendServerId,
-        task: TaskId,
-        run: RunNumber,
-        reply: StartReply,
-    },
-    Stop {
-        leader: usize,
-        server: BackendServerId,
-        task: TaskId,
-        run: RunNumber,
-        answered: bool,
-    },
-    Stopped {
-        leader: usize,
-        server: BackendServerId,
-        task: TaskId,
-        run: RunNumber,
-    },
-    Write {
-        leader: usize,
-        batch: Batch,
-        answered: bool,
-    },
-    Written {
-        leader: usize,
-        batch: Batch,
-        result: Result<Revision, BTreeMap<OccurrenceId, Revision>>,
-    },
-    WriteLost {
-        leader: usize,
-    },
-    /// A scheduler hears that the platform no longer lists a backend server.
-    Unlisted {
-        leader: usize,
-        server: BackendServerId,
-    },
-    /// A scheduler's call finds that a backend server has gone.
-    CallFailed {
-        leader: usize,
-        server: BackendServerId,
-        how: Unanswered,
-    },
-}
-
 /// One elected box.
 pub(crate) struct Leader {
     pub(crate) scheduler: Scheduler,
@@ -305,114 +229,6 @@
         Ok(Revision(self.revision))
     }
 
-    pub(crate) fn start(
-        &mut self,
-        leader: usize,
-        id: &BackendServerId,
-        task: TaskId,
-        run: RunNumber,
-        until: u64,
-        saved: bool,
-    ) -> StartReply {
-        let fence = self.leaders[leader].fence;
-        let job = self.jobs[&task.occurrence.job].clone();
-        let step = &job.steps[task.step as usize];
-        let fails = self.now < self.fail_tasks_until && self.rng.u8(..) < 100;
-        let work = if saved { 300 } else { 600 } + self.rng.u64(..800) + self.long_work();
-        let new = Run { run, left: (!step.gang).then_some(work), waited: 0, fails, saved: None };
-        let mut used = Need::default();
-        for other in self.servers[id].running.keys() {
-            used.add(&self.jobs[&other.occurrence.job].steps[other.step as usize].need);
-        }
-        let server = self.server_mut(id);
-        let known = server.running.contains_key(&task);
-        let reply = server.start(task, new, until, fence, &step.need, used);
-        if reply == StartReply::Started && !known {
-            self.check_begin(id, task);
-        }
-        reply
-    }
-
-    /// One run in four outlasts a lease.
-    pub(crate) fn long_work(&mut self) -> u64 {
-        if self.rng.u8(..) < 64 { 8000 } else { 0 }
-    }
-
-    pub(crate) fn run_servers(&mut self) {
-        self.begin_gangs();
-        let ids: Vec<BackendServerId> = self.servers.keys().cloned().collect();
-        for id in ids {
-            let server = self.server_mut(&id);
-            server.clock += STEP_MS as f64 * server.rate;
-            let lapsed = server.lease_until <= server.clock_ms();
-            if lapsed {
-                server.lapsed_after = server.serial;
-            }
-            let tasks: Vec<TaskId> = server.running.keys().copied().collect();
-            for task in tasks {
-                let server = self.server_mut(&id);
-                let Some(run) = server.running.get_mut(&task) else { continue };
-                let kind = match &mut run.left {
-                    _ if lapsed => Some(EndKind::Lapsed),
-                    None => {
-                        run.waited += STEP_MS;
-                        (run.waited >= GANG_WAIT_MS).then_some(EndKind::Alone)
-                    }
-                    Some(left) => {
-                        *left = left.saturating_sub(STEP_MS);
-                        (*left == 0).then_some(if run.fails { EndKind::Failed } else { EndKind::Done })
-                    }
-                };
-                if let Some(kind) = kind {
-                    self.end(&id, task, kind);
-                }
-            }
-        }
-    }
-
-    fn begin_gangs(&mut self) {
-        let mut present: BTreeMap<(OccurrenceId, u32, RunNumber), Vec<(BackendServerId, TaskId)>> = BTreeMap::new();
-        for server in self.servers.values() {
-            for (task, run) in server.running.iter().filter(|(_, run)| run.left.is_none()) {
-                let gang = (task.occurrence, task.step, run.run);
-                present.entry(gang).or_default().push((server.id.clone(), *task));
-            }
-        }
-        for ((occurrence, step, _), members) in present {
-            if members.len() == self.jobs[&occurrence.job].steps[step as usize].count as usize {
-                let work = 600 + self.rng.u64(..800) + self.long_work();
-                for (server, task) in members {
-                    self.server_mut(&server).running.get_mut(&task).expect("it was just seen").left = Some(work);
-                }
-            }
-        }
-    }
-
-    pub(crate) fn end(&mut self, id: &BackendServerId, task: TaskId, kind: EndKind) {
-        let Some(run) = self.server_mut(id).end(task, kind) else { return };
-        if kind == EndKind::Done {
-            self.seen.entry(task).or_default().done_at = Some(self.now);
-        }
-        if !self.jobs[&task.occurrence.job].steps[task.step as usize].gang {
-            return;
-        }
-        // The others of its gang end with it: well, if it ended well.
-        let other = if kind == EndKind::Done { EndKind::Done } else { EndKind::Broken };
-        let members: Vec<(BackendServerId, TaskId)> = self
-            .servers
-            .values()
-            .flat_map(|server| server.running.iter().map(|(task, run)| (server.id.clone(), *task, run.run)))
-            .filter(|(_, t, r)| t.occurrence == task.occurrence && t.step == task.step && *r == run.run)
-            .map(|(server, task, _)| (server, task))
-            .collect();
-        for (server, member) in members {
-            self.server_mut(&server).end(member, other);
-            if other == EndKind::Done {
-                self.seen.entry(member).or_default().done_at = Some(self.now);
-            }
-        }
-    }
-
     pub(crate) fn heal(&mut self) {
         self.store_down_until = 0;
         self.lose_writes_until = 0;
