--- a/crates/jobs/src/id.rs
+++ b/crates/jobs/src/id.rs
@@ -111,6 +111,13 @@
     pub index: u32,
 }
 
+impl TaskId {
+    /// The step that it is a member of.
+    pub fn step_id(self) -> StepId {
+        StepId { occurrence: self.occurrence, step: self.step }
+    }
+}
+
 impl FromStr for TaskId {
     type Err = ParseNameError;
     fn from_str(text: &str) -> Result<TaskId, ParseNameError> {
