Let a start of the fuzzer's world find out itself whether it arrives

The function for the arm of starts had repeated a signature of seven arguments. The start answers that nothing was heard where the backend server is out of reach, in the order of before. In the tests of pacing, a task that serves is called so and no longer a server, which means another thing here.

--- a/crates/scheduler/tests/common/events.rs
+++ b/crates/scheduler/tests/common/events.rs
@@ -100,7 +100,8 @@
             }
             Event::Held { leader, server, reply, clock, sent } => self.on_held(leader, server, reply, clock, sent),
             Event::Start { leader, server, task, run, until, answered, saved } => {
-                let (delay, reply) = self.on_start(leader, &server, task, run, until, saved);
+                let reply = self.start(leader, &server, task, run, until, saved);
+                let delay = if reply == StartReply::Unknown { UNANSWERED_MS } else { STEP_MS };
                 if answered {
                     self.after(delay, Event::Started { leader, server, task, run, reply });
                 }
@@ -161,23 +162,6 @@
         leader.scheduler.listing(&id, &listing, sent, now);
     }
 
-    /// What the scheduler hears of a start, and after how many milliseconds.
-    fn on_start(
-        &mut self,
-        leader: usize,
-        id: &BackendServerId,
-        task: TaskId,
-        run: RunNumber,
-        until: u64,
-        saved: bool,
-    ) -> (u64, StartReply) {
-        if self.reachable(id) {
-            (STEP_MS, self.start(leader, id, task, run, until, saved))
-        } else {
-            (UNANSWERED_MS, StartReply::Unknown)
-        }
-    }
-
     fn on_started(&mut self, leader: usize, id: &BackendServerId, task: TaskId, run: RunNumber, reply: StartReply) {
         let now = self.moment();
         let leader = &mut self.leaders[leader];
--- a/crates/scheduler/tests/common/runs.rs
+++ b/crates/scheduler/tests/common/runs.rs
@@ -15,6 +15,7 @@
 const GANG_WAIT_MS: u64 = 3000;
 
 impl World {
+    /// A start reaches a backend server, unless it is out of reach.
     pub(crate) fn start(
         &mut self,
         leader: usize,
@@ -24,6 +25,9 @@
         until: u64,
         saved: bool,
     ) -> StartReply {
+        if !self.reachable(id) {
+            return StartReply::Unknown;
+        }
         let fence = self.leaders[leader].fence;
         let job = self.jobs[&task.occurrence.job].clone();
         let step = &job.steps[task.step as usize];
--- a/crates/scheduler/tests/pace.rs
+++ b/crates/scheduler/tests/pace.rs
@@ -21,10 +21,10 @@
     let mut fixture = Fixture::new(1);
     fixture.percent = 100;
     fixture.submit(job(1, vec![serving(1)]));
-    let server = fixture.start_all().remove(0);
+    let serving = fixture.start_all().remove(0);
     fixture.submit(job_in("archive", 2, vec![best_effort(1)]));
     let filler = fixture.start_all().remove(0);
-    (fixture, server, filler)
+    (fixture, serving, filler)
 }
 
 /// Listings come every half second and show this tail latency; returns how fast the best-effort task works after each.
@@ -40,25 +40,25 @@
 
 #[test]
 fn a_target_that_is_missed_slows_best_effort_tasks_to_a_halt_within_four_listings() {
-    let (mut fixture, server, filler) = both();
-    let slowed = paces(&mut fixture, &server, &filler, &[150.0; 4]);
+    let (mut fixture, serving, filler) = both();
+    let slowed = paces(&mut fixture, &serving, &filler, &[150.0; 4]);
     assert_eq!(slowed, [40, 16, 0, 0]);
 }
 
 #[test]
 fn best_effort_tasks_go_faster_in_small_steps_once_targets_are_met_with_ease() {
-    let (mut fixture, server, filler) = both();
-    let after = paces(&mut fixture, &server, &filler, &[150.0, 80.0, 50.0, 50.0, 95.0]);
+    let (mut fixture, serving, filler) = both();
+    let after = paces(&mut fixture, &serving, &filler, &[150.0, 80.0, 50.0, 50.0, 95.0]);
     assert_eq!(after, [40, 40, 50, 60, 48]);
 }
 
 #[test]
 fn best_effort_tasks_work_at_full_speed_once_nothing_serves_beside_them() {
-    let (mut fixture, server, filler) = both();
-    paces(&mut fixture, &server, &filler, &[150.0, 150.0]);
+    let (mut fixture, serving, filler) = both();
+    paces(&mut fixture, &serving, &filler, &[150.0, 150.0]);
     let now = fixture.now;
-    fixture.scheduler.cancel(server.task.occurrence.job, now);
-    fixture.end(&server, scheduler::EndKind::Stopped);
+    fixture.scheduler.cancel(serving.task.occurrence.job, now);
+    fixture.end(&serving, scheduler::EndKind::Stopped);
     fixture.advance(700);
     fixture.start_all();
     assert_eq!(fixture.paces[&filler.task], 100);
