Say once how a box of a test gets its addresses, and split the soak's faults

free_addrs stood in the tests of the deployment and in the soak; it is the stand-in's now, beside the settings that want the addresses, which have a type with a name. Tests tell a box to end by one function. The soak's longest function had each fault's steps in one match: pauses, spoilt links and forgotten history are functions of their own, and so is the wait for one job in the end.

--- a/crates/martend/tests/deployment.rs
+++ b/crates/martend/tests/deployment.rs
@@ -1,16 +1,16 @@
 //! Real processes of `martend` on a stand-in for the users' platform, killed, stopped and cut from the store.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::SocketAddr,
+    path::PathBuf,
     process::{Child, Command},
-    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
 use hyper::{Method, StatusCode};
 use jobs::JobId;
 use net::http::Client;
-use users_platform_standin::{Answer, Caller, Platform, Setup, Work};
+use users_platform_standin::{Answer, BoxAddrs, Caller, Platform, Setup, Work, free_addrs};
 
 const KEY: &str = "key-1";
 /// Far above what is needed, so that only a hang reaches it.
@@ -19,9 +19,9 @@
 /// A box's process, killed when dropped.
 struct BoxProcess {
     child: Child,
-    addrs: [SocketAddr; 4],
+    addrs: BoxAddrs,
     /// What it logs.
-    log: std::path::PathBuf,
+    log: PathBuf,
 }
 
 impl Drop for BoxProcess {
@@ -33,6 +33,14 @@
     }
 }
 
+impl BoxProcess {
+    /// Tells the process to end, as the deployment does.
+    fn tell_to_end(&self) {
+        let told = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        assert!(told.expect("kill can be run").success());
+    }
+}
+
 struct World {
     platform: Platform,
     boxes: Vec<BoxProcess>,
@@ -40,18 +48,7 @@
     client: Client,
 }
 
-/// Four addresses for a box. Each box has a loopback address of its own, so that nothing else can take a port
-/// between here and the box's start.
-fn free_addrs() -> [SocketAddr; 4] {
-    static BOXES: AtomicU32 = AtomicU32::new(0);
-    let n = BOXES.fetch_add(1, Ordering::Relaxed);
-    let pid = std::process::id();
-    let ip = Ipv4Addr::new(127, 1 + (pid % 200) as u8, (pid / 200 % 250) as u8, 1 + n as u8);
-    let listeners = [(); 4].map(|()| TcpListener::bind((ip, 0)).expect("a port is free"));
-    listeners.map(|listener| listener.local_addr().expect("it is bound"))
-}
-
-fn start_box(platform: &Platform, name: &str, addrs: [SocketAddr; 4], seeds: &[SocketAddr]) -> BoxProcess {
+fn start_box(platform: &Platform, name: &str, addrs: BoxAddrs, seeds: &[SocketAddr]) -> BoxProcess {
     let path = std::env::temp_dir().join(format!("martend-{}-{}-{name}.json", std::process::id(), addrs[0].port()));
     std::fs::write(&path, platform.settings(name, &addrs, seeds)).expect("the temporary directory can be written");
     let log = path.with_extension("log");
@@ -70,7 +67,7 @@
 
     async fn start_on(boxes: usize, setup: &Setup) -> World {
         let platform = Platform::start(setup).await.expect("loopback can be used");
-        let all: Vec<[SocketAddr; 4]> = (0..boxes).map(|_| free_addrs()).collect();
+        let all: Vec<BoxAddrs> = (0..boxes).map(|_| free_addrs()).collect();
         let seeds: Vec<SocketAddr> = all.iter().map(|addrs| addrs[2]).collect();
         let boxes = all.iter().enumerate().map(|(i, addrs)| start_box(&platform, &format!("box-{i}"), *addrs, &seeds));
         let boxes = boxes.collect();
@@ -228,9 +225,7 @@
         let mut world = World::start(2, 2).await;
         let scheduler = world.scheduler().await;
         world.submit(JobId(1), Work { work_ms: 800, ..WORK }).await;
-        let pid = world.boxes[scheduler].child.id().to_string();
-        let told = Command::new("kill").args(["-TERM", &pid]).status().expect("kill can be run");
-        assert!(told.success());
+        world.boxes[scheduler].tell_to_end();
         // It still answers on new connections until the balancer has taken it out.
         let answer = world.state(scheduler, JobId(1)).await.expect("it is answered");
         assert_ne!(answer.status, StatusCode::GONE);
@@ -297,8 +292,7 @@
     smol::block_on(async {
         let mut world = World::start(6, 1).await;
         for a_box in &world.boxes {
-            let told = Command::new("kill").args(["-TERM", &a_box.child.id().to_string()]).status();
-            assert!(told.expect("kill can be run").success());
+            a_box.tell_to_end();
         }
         for a_box in &mut world.boxes {
             assert!(a_box.child.wait().expect("it ends").success());
--- a/crates/martend/tests/soak/boxes.rs
+++ b/crates/martend/tests/soak/boxes.rs
@@ -2,15 +2,14 @@
 
 use std::{
     fs::File,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
     os::unix::process::ExitStatusExt,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus},
-    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
 use rustix::process::{Pid, Signal, kill_process};
+use users_platform_standin::BoxAddrs;
 
 use crate::proxy::Proxy;
 
@@ -20,8 +19,7 @@
 /// One box: its addresses stay, its processes come and go. The process is killed when this is dropped.
 pub(crate) struct BoxProcess {
     pub(crate) name: String,
-    /// Callers, readiness, peers, metrics.
-    pub(crate) addrs: [SocketAddr; 4],
+    pub(crate) addrs: BoxAddrs,
     /// What callers use.
     pub(crate) front: Proxy,
     /// What the box reaches the store by.
@@ -38,24 +36,8 @@
     }
 }
 
-/// Four addresses on a loopback address of the box's own, so that nothing else takes a port before the box does.
-pub(crate) fn free_addrs() -> [SocketAddr; 4] {
-    static BOXES: AtomicU32 = AtomicU32::new(0);
-    let n = BOXES.fetch_add(1, Ordering::Relaxed);
-    let pid = std::process::id();
-    let ip = Ipv4Addr::new(127, 1 + (pid % 200) as u8, (pid / 200 % 250) as u8, 1 + (n % 250) as u8);
-    let listeners = [(); 4].map(|()| TcpListener::bind((ip, 0)).expect("a port is free"));
-    listeners.map(|listener| listener.local_addr().expect("it is bound"))
-}
-
 impl BoxProcess {
-    pub(crate) fn new(
-        name: String,
-        addrs: [SocketAddr; 4],
-        front: Proxy,
-        store: Proxy,
-        settings: PathBuf,
-    ) -> BoxProcess {
+    pub(crate) fn new(name: String, addrs: BoxAddrs, front: Proxy, store: Proxy, settings: PathBuf) -> BoxProcess {
         BoxProcess { name, addrs, front, store, lives: 0, settings, child: None }
     }
 
--- a/crates/martend/tests/soak/checks.rs
+++ b/crates/martend/tests/soak/checks.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -92,25 +93,29 @@
     }
     for (n, (id, entry)) in world.ledger.all().into_iter().enumerate() {
         let addr = world.boxes[n % BOXES].lock().await.addrs[0];
-        loop {
-            let told = caller.state(addr, id).await.ok();
-            if let Some(answer) = &told {
-                check_state(world, id, answer);
-            }
-            let told = told.map(|answer| (answer.status, answer.state));
-            if told.as_ref().is_some_and(|(status, state)| is_over(&entry, *status, state)) {
-                break;
-            }
-            if begun.elapsed() > WELL_WITHIN {
-                world.oracle.found(format!("{id} is {told:?} in the end, with {entry:?}"));
-                break;
-            }
-            smol::Timer::after(LOOK_EVERY).await;
-        }
+        settle_job(world, &caller, addr, id, &entry, begun).await;
         check_end(world, id, &entry);
     }
 }
 
+/// Asks for a job until it is over. Everything is well since `begun`.
+async fn settle_job(world: &World, caller: &Caller, addr: SocketAddr, id: JobId, entry: &Entry, begun: Instant) {
+    loop {
+        let told = caller.state(addr, id).await.ok();
+        if let Some(answer) = &told {
+            check_state(world, id, answer);
+        }
+        let told = told.map(|answer| (answer.status, answer.state));
+        if told.as_ref().is_some_and(|(status, state)| is_over(entry, *status, state)) {
+            return;
+        }
+        if begun.elapsed() > WELL_WITHIN {
+            return world.oracle.found(format!("{id} is {told:?} in the end, with {entry:?}"));
+        }
+        smol::Timer::after(LOOK_EVERY).await;
+    }
+}
+
 async fn is_ready(world: &World, client: &Client, i: usize) -> bool {
     let addr = world.boxes[i].lock().await.addrs[1];
     let reply = client.call(addr, Method::GET, "/v1/ready", Default::default(), STATUS_LIMIT).await;
--- a/crates/martend/tests/soak/faults.rs
+++ b/crates/martend/tests/soak/faults.rs
@@ -38,7 +38,7 @@
     StopInTurn,
     /// A link is spoilt.
     Spoil(Link, Mode),
-    /// All links of some boxes to the store are.
+    /// The links of all boxes to the store are.
     SpoilStores(Mode),
     /// The store refuses everything.
     StoreDown,
@@ -125,44 +125,21 @@
     match fault {
         Fault::Kill(i) => kill(world, &[i], lasts).await,
         Fault::KillAll => kill(world, &(0..BOXES).collect::<Vec<_>>(), lasts).await,
-        Fault::Pause(i) => {
-            world.paused(i, Instant::now() + lasts);
-            world.boxes[i].lock().await.pause();
-            smol::Timer::after(lasts).await;
-            world.boxes[i].lock().await.resume();
-        }
+        Fault::Pause(i) => pause(world, i, lasts).await,
         Fault::Stop(i) => stop(world, i).await,
         Fault::StopInTurn => {
             for i in 0..BOXES {
                 stop(world, i).await;
             }
         }
-        Fault::Spoil(link, mode) => {
-            set(world, link, mode).await;
-            smol::Timer::after(lasts).await;
-            set(world, link, Mode::Open).await;
-        }
-        Fault::SpoilStores(mode) => {
-            for i in 0..BOXES {
-                set(world, Link::Store(i), mode).await;
-            }
-            smol::Timer::after(lasts).await;
-            for i in 0..BOXES {
-                set(world, Link::Store(i), Mode::Open).await;
-            }
-        }
+        Fault::Spoil(link, mode) => spoil(world, &[link], mode, lasts).await,
+        Fault::SpoilStores(mode) => spoil(world, &(0..BOXES).map(Link::Store).collect::<Vec<_>>(), mode, lasts).await,
         Fault::StoreDown => {
             world.platform.lock().await.set_store_down(true);
             smol::Timer::after(lasts).await;
             world.platform.lock().await.set_store_down(false);
         }
-        Fault::ForgetHistory => {
-            world.platform.lock().await.set_watches_deaf(true);
-            smol::Timer::after(lasts.min(Duration::from_secs(1))).await;
-            let platform = world.platform.lock().await;
-            platform.forget_history();
-            platform.set_watches_deaf(false);
-        }
+        Fault::ForgetHistory => forget_history(world, lasts).await,
         Fault::CrashServer(i) => {
             let crashed = world.platform.lock().await.crash_server(i).await;
             crashed.expect("its address is free again");
@@ -193,6 +170,32 @@
     world.boxes[i].lock().await.start(&world.dir);
 }
 
+async fn pause(world: &World, i: usize, lasts: Duration) {
+    world.note_pause(i, Instant::now() + lasts);
+    world.boxes[i].lock().await.pause();
+    smol::Timer::after(lasts).await;
+    world.boxes[i].lock().await.resume();
+}
+
+async fn spoil(world: &World, links: &[Link], mode: Mode, lasts: Duration) {
+    for &link in links {
+        set(world, link, mode).await;
+    }
+    smol::Timer::after(lasts).await;
+    for &link in links {
+        set(world, link, Mode::Open).await;
+    }
+}
+
+/// Watches hear nothing for a second at most, and then what has changed meanwhile is gone.
+async fn forget_history(world: &World, lasts: Duration) {
+    world.platform.lock().await.set_watches_deaf(true);
+    smol::Timer::after(lasts.min(Duration::from_secs(1))).await;
+    let platform = world.platform.lock().await;
+    platform.forget_history();
+    platform.set_watches_deaf(false);
+}
+
 async fn set(world: &World, link: Link, mode: Mode) {
     match link {
         Link::Front(i) => world.boxes[i].lock().await.front.set(mode),
--- a/crates/martend/tests/soak/world.rs
+++ b/crates/martend/tests/soak/world.rs
@@ -13,18 +13,22 @@
 
 use fastrand::Rng;
 use smol::lock::Mutex;
-use users_platform_standin::{Oracle, Platform, Setup};
+use users_platform_standin::{BoxAddrs, Oracle, Platform, Setup, free_addrs};
 
 use crate::{
-    boxes::{BoxProcess, free_addrs, left_in_order},
+    boxes::{BoxProcess, left_in_order},
     callers, checks, faults,
     ledger::Ledger,
     proxy::{Mode, Proxy},
 };
 
+/// The key that callers use.
 pub(crate) const KEY: &str = "key-1";
+/// Boxes of a run.
 pub(crate) const BOXES: usize = 4;
+/// Backend servers of a run.
 pub(crate) const SERVERS: usize = 6;
+/// Callers of a run.
 const CALLERS: u64 = 4;
 
 /// Everything that takes part in a run.
@@ -95,7 +99,7 @@
             platform.advertise(i, proxy.addr);
             servers.push(proxy);
         }
-        let all: Vec<[SocketAddr; 4]> = (0..BOXES).map(|_| free_addrs()).collect();
+        let all: Vec<BoxAddrs> = (0..BOXES).map(|_| free_addrs()).collect();
         let seeds: Vec<SocketAddr> = all.iter().map(|addrs| addrs[2]).collect();
         let mut boxes = Vec::new();
         for (i, addrs) in all.into_iter().enumerate() {
@@ -143,7 +147,8 @@
         self.paused_until[i].lock().expect("no holder panics").is_some_and(|until| until > told)
     }
 
-    pub(crate) fn paused(&self, i: usize, until: Instant) {
+    /// A box stands still up to then.
+    pub(crate) fn note_pause(&self, i: usize, until: Instant) {
         *self.paused_until[i].lock().expect("no holder panics") = Some(until);
     }
 
