--- a/crates/runtime/src/link_worker.rs
+++ b/crates/runtime/src/link_worker.rs
@@ -56,15 +56,9 @@
                 active.update(|scheduler| scheduler.listing(&id, &listing, sent, now));
                 wait_for_store(&active, &id, &stored).await;
             }
-            Ok(HoldReply::Fenced) => {
-                if active.depose() {
-                    log::info!("event=deposed fence={} why=fenced_by server={id}", active.fence);
-                }
-                return;
-            }
+            Ok(HoldReply::Fenced) => return worker.fenced(&active),
             Ok(HoldReply::Gone) => {
-                let now = worker.now();
-                active.update(|scheduler| scheduler.server_gone(&id, now));
+                worker.gone(&active);
                 break;
             }
             Err(e) => {
@@ -143,6 +137,19 @@
         })
     }
 
+    /// The backend server obeys a later scheduler.
+    fn fenced(&self, active: &Active) {
+        if active.depose() {
+            log::info!("event=deposed fence={} why=fenced_by server={}", active.fence, self.target.id);
+        }
+    }
+
+    /// The backend server's life is over.
+    fn gone(&self, active: &Active) {
+        let now = self.now();
+        active.update(|scheduler| scheduler.server_gone(&self.target.id, now));
+    }
+
     async fn start(&self, active: &Active, start: Start) -> StartReply {
         let (task, run) = (start.task, start.run);
         active.lock().lease_sent(&self.target.id, self.now());
@@ -174,7 +181,7 @@
             Ok(StopReply::Fenced) => {
                 active.depose();
             }
-            Ok(StopReply::Gone) => active.update(|s| s.server_gone(&self.target.id, now)),
+            Ok(StopReply::Gone) => self.gone(active),
             // The scheduler repeats it.
             Err(_) => {}
         }
--- a/crates/scheduler/src/rooms.rs
+++ b/crates/scheduler/src/rooms.rs
@@ -5,7 +5,12 @@
 use jobs::{Need, Step};
 use model::{BackendServerId, Moment};
 
-use crate::{Scheduler, choose::Places, policy::ServiceId};
+use crate::{
+    Scheduler,
+    choose::Places,
+    policy::ServiceId,
+    server::{Server, ServerInfo},
+};
 
 /// Room of one backend server.
 #[derive(Debug, Clone)]
@@ -74,6 +79,7 @@
 }
 
 impl Scheduler {
+    /// Room as it is now, of the backend servers that take work.
     pub(crate) fn rooms(&self, now: Moment) -> Rooms {
         let mut rooms = Rooms::default();
         for (id, server) in &self.servers {
@@ -84,35 +90,38 @@
             if !server.open(now) || server.health.set_aside(now) {
                 continue;
             }
-            let free = server.free();
-            totals.free += free.accelerators;
-            let mut soon = free;
-            let (mut best_effort, mut serving) = (0, 0);
-            for task in server.members.keys() {
-                let Some(name) = self.group_of(*task) else { continue };
-                let step = self.step(name);
-                best_effort += u64::from(step.best_effort);
-                serving += u64::from(step.target.is_some());
-                if self.group(name).stopping.is_some() {
-                    soon.add(&step.counted_need());
-                }
-            }
-            for stray in server.strays.values() {
-                soon.add(&stray.need);
-            }
-            let room = Room {
-                service: info.service.clone(),
-                rack: Arc::clone(&info.rack),
-                labels: info.labels.clone(),
-                capacity: info.capacity,
-                free,
-                soon,
-                best_effort,
-                serving,
-                doubtful: server.health.doubtful(now),
-            };
+            let room = self.room(server, info, now);
+            totals.free += room.free.accelerators;
             rooms.by_server.insert(id.clone(), room);
         }
         rooms
     }
+
+    fn room(&self, server: &Server, info: &ServerInfo, now: Moment) -> Room {
+        let free = server.free();
+        let mut room = Room {
+            service: info.service.clone(),
+            rack: Arc::clone(&info.rack),
+            labels: info.labels.clone(),
+            capacity: info.capacity,
+            free,
+            soon: free,
+            best_effort: 0,
+            serving: 0,
+            doubtful: server.health.doubtful(now),
+        };
+        for task in server.members.keys() {
+            let Some(name) = self.group_of(*task) else { continue };
+            let step = self.step(name);
+            room.best_effort += u64::from(step.best_effort);
+            room.serving += u64::from(step.target.is_some());
+            if self.group(name).stopping.is_some() {
+                room.soon.add(&step.counted_need());
+            }
+        }
+        for stray in server.strays.values() {
+            room.soon.add(&stray.need);
+        }
+        room
+    }
 }
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -15,8 +15,8 @@
 /// call that it leaves unanswered is found out within 2.5 s.
 const LEAVES_WITHIN: Duration = Duration::from_millis(300);
 
-/// A backend server that answers is heard this often at least: an idle one answers after 2 s. Below the 3 s after which one
-/// that is cut off can fall out of the list.
+/// A backend server that answers is heard this often at least: an idle one answers after 2 s. Below the 3 s after
+/// which one that is cut off can fall out of the list.
 const HEARD_WITHIN: Duration = Duration::from_millis(2500);
 
 /// A backend server's account of itself.
