Name what upkeep does to waves and machines

look and empties told neither that they take the platform's list in nor that they stop what runs. The list of machines that are being emptied says whether their time is over, in place of two times to be compared by the caller. A machine's work is counted once for a sort.

--- a/crates/scheduler/src/upkeep.rs
+++ b/crates/scheduler/src/upkeep.rs
@@ -82,7 +82,7 @@
     Unknown,
 }
 
-/// A machine that is being emptied, or that was handed over and is not known to be back.
+/// A machine that is being emptied, or that was handed over and is not known to be back; since when.
 #[derive(Debug, Clone)]
 struct Turn {
     since: Moment,
@@ -90,6 +90,7 @@
     server: Option<BackendServerId>,
 }
 
+/// A wave of upkeep: what operators ask for, and how far it has come.
 #[derive(Debug)]
 struct Wave {
     request: WaveRequest,
@@ -112,7 +113,7 @@
 
 impl Wave {
     /// Takes in what the platform lists: machines that are back, and that are gone.
-    fn look(&mut self, machines: &BTreeMap<MachineId, Machine>, now: Moment) {
+    fn take_list(&mut self, machines: &BTreeMap<MachineId, Machine>, now: Moment) {
         self.down.retain(|id, down| {
             let back = machines.get(id).is_none_or(|machine| machine.up && machine.server != down.server);
             !back && now.since(down.since) < DOWN_AT_MOST
@@ -165,7 +166,7 @@
         self.upkeep.machines = machines.into_iter().map(|machine| (machine.id.clone(), machine)).collect();
         let Upkeep { waves, machines } = &mut self.upkeep;
         for wave in waves.values_mut() {
-            wave.look(machines, now);
+            wave.take_list(machines, now);
         }
         for number in self.upkeep.waves.keys().copied().collect::<Vec<_>>() {
             self.choose_machines(number, now);
@@ -176,9 +177,9 @@
     /// Machines that can be handed over now, each with its wave.
     pub fn due_upkeeps(&mut self, now: Moment) -> Vec<(u64, MachineId)> {
         let mut due = Vec::new();
-        for (number, id, since, patience) in self.emptying() {
+        for (number, id, patience_over) in self.emptying(now) {
             let up = self.upkeep.machines.get(&id).is_some_and(|machine| machine.up);
-            if up && self.empties(&id, now.since(since) >= patience, now) {
+            if up && self.evacuate_machine(&id, patience_over, now) {
                 due.push((number, id));
             }
         }
@@ -230,7 +231,7 @@
                 && !wave.down.contains_key(*id)
         };
         let mut waiting: Vec<&MachineId> = wave.request.machines.iter().filter(waits).collect();
-        waiting.sort_by_key(|id| self.members_on(id).len());
+        waiting.sort_by_cached_key(|id| self.members_on(id).len());
         let chosen: Vec<MachineId> =
             waiting.into_iter().take(wave.request.most_at_once.saturating_sub(taken)).cloned().collect();
         let age = now.since(wave.since);
@@ -253,17 +254,18 @@
         }
     }
 
-    fn emptying(&self) -> Vec<(u64, MachineId, Moment, Duration)> {
+    /// Machines that are being emptied, each with its wave, and whether work there was given its time to end by itself.
+    fn emptying(&self, now: Moment) -> Vec<(u64, MachineId, bool)> {
         let of_wave = |(number, wave): (&u64, &Wave)| {
             let (number, patience) = (*number, wave.patience());
-            let in_turn = |(id, turn): (&MachineId, &Turn)| (number, id.clone(), turn.since, patience);
+            let in_turn = |(id, turn): (&MachineId, &Turn)| (number, id.clone(), now.since(turn.since) >= patience);
             wave.emptying.iter().map(in_turn).collect::<Vec<_>>()
         };
         self.upkeep.waves.iter().flat_map(of_wave).collect()
     }
 
     /// Moves what runs on a machine, as far as that may be; whether nothing is left there.
-    fn empties(&mut self, id: &MachineId, patience_over: bool, now: Moment) -> bool {
+    fn evacuate_machine(&mut self, id: &MachineId, patience_over: bool, now: Moment) -> bool {
         let members = self.members_on(id);
         let empty = members.is_empty();
         for name in members {
