--- a/crates/scheduler/tests/advice.rs
+++ b/crates/scheduler/tests/advice.rs
@@ -34,6 +34,16 @@
     fixture.scheduler.advised(question, &allowed, now);
 }
 
+/// A task that has started with its ticket on the only backend server.
+fn started() -> (Fixture, Started) {
+    let mut fixture = fixture(1);
+    fixture.submit(job(1, vec![step(1, 8)]));
+    let asked = question(&mut fixture);
+    answer(&mut fixture, &asked, &[0]);
+    let started = fixture.start_all().remove(0);
+    (fixture, started)
+}
+
 fn servers(started: &[Started]) -> Vec<BackendServerId> {
     let mut servers: Vec<BackendServerId> = started.iter().map(|s| s.server.clone()).collect();
     servers.sort();
@@ -73,13 +83,9 @@
 
 #[test]
 fn a_ticket_whose_time_is_over_is_asked_for_again() {
-    let mut fixture = fixture(1);
-    fixture.submit(job(1, vec![step(1, 8)]));
-    let asked = question(&mut fixture);
-    answer(&mut fixture, &asked, &[0]);
-    let started = fixture.start_all();
+    let (mut fixture, started) = started();
     fixture.advance(2000);
-    fixture.end(&started[0], EndKind::Stopped);
+    fixture.end(&started, EndKind::Stopped);
     let again = question(&mut fixture);
     assert_eq!(again.servers, [server_id(0)]);
     answer(&mut fixture, &again, &[0]);
@@ -88,13 +94,9 @@
 
 #[test]
 fn a_ticket_that_is_refused_is_asked_for_again_and_the_backend_server_not_blamed() {
-    let mut fixture = fixture(1);
-    fixture.submit(job(1, vec![step(1, 8)]));
-    let asked = question(&mut fixture);
-    answer(&mut fixture, &asked, &[0]);
-    let started = fixture.start_all();
+    let (mut fixture, started) = started();
     let now = fixture.now;
-    fixture.scheduler.start_replied(&started[0].server, started[0].task, started[0].run, StartReply::NoTicket, now);
+    fixture.scheduler.start_replied(&started.server, started.task, started.run, StartReply::NoTicket, now);
     let again = question(&mut fixture);
     answer(&mut fixture, &again, &[0]);
     assert_eq!(fixture.start_all().len(), 1, "at once: the backend server is not paused");
