--- a/crates/scheduler/tests/common/platform.rs
+++ b/crates/scheduler/tests/common/platform.rs
@@ -57,11 +57,7 @@
     /// A backend server ends. Whoever reaches it finds its port closed, unless its machine has gone with it.
     fn depart(&mut self, id: &BackendServerId) {
         let was_reachable = self.reachable(id);
-        let tasks: Vec<_> = self.servers[id].running.keys().copied().collect();
-        for task in tasks {
-            self.end(id, task, scheduler::EndKind::Broken);
-        }
-        self.servers.remove(id);
+        self.end_life(id);
         for leader in self.living_leaders() {
             let how = if was_reachable && self.rng.u8(..) < 200 { Unanswered::Refused } else { Unanswered::Silent };
             let (unlisted, failed) = (self.rng.u64(..HEARD_WITHIN_MS), self.rng.u64(..HEARD_WITHIN_MS));
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -173,12 +173,7 @@
     /// A backend server's life ends; another begins in its place.
     pub(crate) fn crash(&mut self, i: usize) {
         let Some(id) = self.servers.keys().nth(i % self.servers.len()).cloned() else { return };
-        // What runs there dies, and gangs break with it.
-        let tasks: Vec<TaskId> = self.servers[&id].running.keys().copied().collect();
-        for task in tasks {
-            self.end(&id, task, EndKind::Broken);
-        }
-        self.servers.remove(&id);
+        self.end_life(&id);
         let now = self.moment();
         for leader in self.leaders.iter_mut().filter(|leader| leader.alive) {
             leader.scheduler.server_gone(&id, now);
@@ -186,6 +181,15 @@
         self.add_server();
     }
 
+    /// What runs on a backend server dies with it, and gangs break.
+    pub(crate) fn end_life(&mut self, id: &BackendServerId) {
+        let tasks: Vec<TaskId> = self.servers[id].running.keys().copied().collect();
+        for task in tasks {
+            self.end(id, task, EndKind::Broken);
+        }
+        self.servers.remove(id);
+    }
+
     pub(crate) fn cut(&mut self, i: usize, ms: u64, refuses: bool) {
         let id = self.servers.keys().nth(i % self.servers.len()).cloned();
         if let Some(server) = id.and_then(|id| self.servers.get_mut(&id)) {
