Count answered and lost calls by one function

Stops, paces, the list of machines and questions to the adviser each chose between the same two words. Names and values of the metric are as before.

--- a/crates/runtime/src/advice.rs
+++ b/crates/runtime/src/advice.rs
@@ -15,14 +15,14 @@
             continue;
         };
         let sent = parts.view.clock().now();
-        match adviser.advise(question.step, question.servers.clone(), question.takes).await {
+        let answer = adviser.advise(question.step, question.servers.clone(), question.takes).await;
+        measure::server_answer("advise", &answer);
+        match answer {
             Ok(allowed) => {
                 backoff.reset();
-                measure::server_call("advise", "answered");
                 active.update(|scheduler| scheduler.advised(&question, &allowed, sent));
             }
             Err(e) => {
-                measure::server_call("advise", "lost");
                 log::info!("job={} event=advice_failed why={e}", question.step.occurrence.job);
                 backoff.wait().await;
                 active.update(|scheduler| scheduler.not_advised(&question));
--- a/crates/runtime/src/link_worker.rs
+++ b/crates/runtime/src/link_worker.rs
@@ -174,7 +174,7 @@
             self.target.id,
             active.fence
         );
-        measure::server_call("stop", if reply.is_ok() { "answered" } else { "lost" });
+        measure::server_answer("stop", &reply);
         let now = self.now();
         match reply {
             Ok(StopReply::Stopped) => active.update(|s| s.stop_replied(&self.target.id, task, run, now)),
@@ -191,7 +191,7 @@
     async fn pace(&self, active: &Active, task: TaskId, run: RunNumber, percent: u32) {
         let order = PaceOrder { fence: active.fence, task, run, percent };
         let reply = self.parts.servers.pace(self.target.clone(), order).await;
-        measure::server_call("pace", if reply.is_ok() { "answered" } else { "lost" });
+        measure::server_answer("pace", &reply);
         if let Ok(true) = reply {
             active.update(|scheduler| scheduler.pace_replied(&self.target.id, task, run, percent));
         }
--- a/crates/runtime/src/measure.rs
+++ b/crates/runtime/src/measure.rs
@@ -44,6 +44,11 @@
     metrics::counter!("martenscale_server_calls_total", "kind" => kind, "outcome" => outcome).increment(1);
 }
 
+/// Counts a call of which only matters whether it was answered.
+pub(crate) fn server_answer<T, E>(kind: &'static str, reply: &Result<T, E>) {
+    server_call(kind, if reply.is_ok() { "answered" } else { "lost" });
+}
+
 /// The platform's store, with each call counted and timed.
 pub(crate) struct MeasuredStore<S>(pub(crate) S);
 
--- a/crates/runtime/src/upkeep.rs
+++ b/crates/runtime/src/upkeep.rs
@@ -94,7 +94,7 @@
 /// Lists the machines, and hands over those that are due.
 async fn hand_over_due(parts: &Parts, active: &Active, machines: &dyn Machines, box_id: &BoxId) {
     let listed = machines.list().await;
-    measure::server_call("list_machines", if listed.is_ok() { "answered" } else { "lost" });
+    measure::server_answer("list_machines", &listed);
     let listed = match listed {
         Ok(listed) => listed,
         Err(e) => return log::info!("event=machines_not_listed why={e}"),
