--- a/crates/martend/tests/deployment.rs
+++ b/crates/martend/tests/deployment.rs
@@ -1,148 +1,13 @@
 //! Real processes of `martend` on a stand-in for the users' platform, killed, stopped and cut from the store.
 
-use std::{
-    net::{Ipv4Addr, SocketAddr, TcpListener},
-    process::{Child, Command},
-    sync::atomic::{AtomicU32, Ordering},
-    time::{Duration, Instant},
-};
+mod common;
 
-use hyper::{Method, StatusCode};
-use jobs::JobId;
-use net::http::Client;
-use users_platform_standin::{Answer, Caller, Platform, Setup, Work};
-
-const KEY: &str = "key-1";
-/// Far above what is needed, so that only a hang reaches it.
-const PATIENCE: Duration = Duration::from_secs(60);
-
-/// A box's process, killed when dropped.
-struct BoxProcess {
-    child: Child,
-    addrs: [SocketAddr; 4],
-    /// What it logs.
-    log: std::path::PathBuf,
-}
-
-impl Drop for BoxProcess {
-    fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.log);
-    }
-}
-
-struct World {
-    platform: Platform,
-    boxes: Vec<BoxProcess>,
-    caller: Caller,
-    client: Client,
-}
-
-/// Four addresses for a box. Each box has a loopback address of its own, so that nothing else can take a port
-/// between here and the box's start.
-fn free_addrs() -> [SocketAddr; 4] {
-    static BOXES: AtomicU32 = AtomicU32::new(0);
-    let n = BOXES.fetch_add(1, Ordering::Relaxed);
-    let pid = std::process::id();
-    let ip = Ipv4Addr::new(127, 1 + (pid % 200) as u8, (pid / 200 % 250) as u8, 1 + n as u8);
-    let listeners = [(); 4].map(|()| TcpListener::bind((ip, 0)).expect("a port is free"));
-    listeners.map(|listener| listener.local_addr().expect("it is bound"))
-}
-
-fn start_box(platform: &Platform, name: &str, addrs: [SocketAddr; 4], seeds: &[SocketAddr]) -> BoxProcess {
-    let path = std::env::temp_dir().join(format!("martend-{}-{}-{name}.json", std::process::id(), addrs[0].port()));
-    std::fs::write(&path, platform.settings(name, &addrs, seeds)).expect("the temporary directory can be written");
-    let log = path.with_extension("log");
-    let child = Command::new(env!("CARGO_BIN_EXE_martend"))
-        .env("MARTENSCALE_CONFIG", &path)
-        .stdout(std::fs::File::create(&log).expect("the temporary directory can be written"))
-        .spawn()
-        .expect("the box starts");
-    BoxProcess { child, addrs, log }
-}
-
-impl World {
-    async fn start(boxes: usize, servers: usize) -> World {
-        World::start_on(boxes, &Setup { servers, key: KEY.to_owned(), ..Setup::default() }).await
-    }
+use std::time::Duration;
 
-    async fn start_on(boxes: usize, setup: &Setup) -> World {
-        let platform = Platform::start(setup).await.expect("loopback can be used");
-        let all: Vec<[SocketAddr; 4]> = (0..boxes).map(|_| free_addrs()).collect();
-        let seeds: Vec<SocketAddr> = all.iter().map(|addrs| addrs[2]).collect();
-        let boxes = all.iter().enumerate().map(|(i, addrs)| start_box(&platform, &format!("box-{i}"), *addrs, &seeds));
-        let boxes = boxes.collect();
-        let caller = Caller::new(KEY, platform.oracle.clone());
-        let world = World { platform, boxes, caller, client: Client::default() };
-        for i in 0..world.boxes.len() {
-            world.until_ready(i).await;
-        }
-        world
-    }
-
-    async fn until_ready(&self, i: usize) {
-        let addr = self.boxes[i].addrs[1];
-        until("the box is ready", || async {
-            let reply = self.client.call(addr, Method::GET, "/v1/ready", Default::default(), PATIENCE).await;
-            reply.is_ok_and(|reply| reply.status == StatusCode::OK)
-        })
-        .await;
-    }
-
-    /// The box that schedules.
-    async fn scheduler(&self) -> usize {
-        let begun = Instant::now();
-        while begun.elapsed() < PATIENCE {
-            for (i, a_box) in self.boxes.iter().enumerate() {
-                let status = self.client.call(a_box.addrs[3], Method::GET, "/v1/status", Default::default(), PATIENCE);
-                let Ok(reply) = status.await else { continue };
-                let status: serde_json::Value = reply.json().expect("the status is JSON");
-                if !status["schedules_with_fence"].is_null() {
-                    return i;
-                }
-            }
-            smol::Timer::after(Duration::from_millis(20)).await;
-        }
-        panic!("no box schedules");
-    }
-
-    /// Hands a job in at one box after another until it is accepted.
-    async fn submit(&self, id: JobId, work: Work) {
-        let begun = Instant::now();
-        for i in (0..self.boxes.len()).cycle() {
-            let answer = self.caller.submit(self.boxes[i].addrs[0], id, work).await;
-            if answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
-                return;
-            }
-            assert!(begun.elapsed() < PATIENCE, "{id} is not accepted");
-            smol::Timer::after(Duration::from_millis(50)).await;
-        }
-    }
-
-    async fn state(&self, i: usize, id: JobId) -> Option<Answer> {
-        self.caller.state(self.boxes[i].addrs[0], id).await.ok()
-    }
-
-    async fn until_succeeded(&self, i: usize, ids: impl Iterator<Item = u64>, tasks: usize) {
-        for id in ids.map(JobId) {
-            until("the job has succeeded", || async {
-                self.state(i, id).await.is_some_and(|answer| answer.state == "succeeded")
-            })
-            .await;
-            assert_eq!(self.platform.oracle.done_tasks(id), tasks, "{id} is shown as succeeded");
-        }
-    }
-}
-
-async fn until<F: Future<Output = bool>>(what: &str, check: impl Fn() -> F) {
-    let begun = Instant::now();
-    while !check().await {
-        assert!(begun.elapsed() < PATIENCE, "waited for: {what}");
-        smol::Timer::after(Duration::from_millis(20)).await;
-    }
-}
+use common::{KEY, World, start_box, until};
+use hyper::StatusCode;
+use jobs::JobId;
+use users_platform_standin::{Caller, Setup, Work, free_addrs};
 
 const WORK: Work = Work { tasks: 3, accelerators: 2, work_ms: 300, gang: false };
 
@@ -228,9 +93,7 @@
         let mut world = World::start(2, 2).await;
         let scheduler = world.scheduler().await;
         world.submit(JobId(1), Work { work_ms: 800, ..WORK }).await;
-        let pid = world.boxes[scheduler].child.id().to_string();
-        let told = Command::new("kill").args(["-TERM", &pid]).status().expect("kill can be run");
-        assert!(told.success());
+        world.boxes[scheduler].tell_to_end();
         // It still answers on new connections until the balancer has taken it out.
         let answer = world.state(scheduler, JobId(1)).await.expect("it is answered");
         assert_ne!(answer.status, StatusCode::GONE);
@@ -297,8 +160,7 @@
     smol::block_on(async {
         let mut world = World::start(6, 1).await;
         for a_box in &world.boxes {
-            let told = Command::new("kill").args(["-TERM", &a_box.child.id().to_string()]).status();
-            assert!(told.expect("kill can be run").success());
+            a_box.tell_to_end();
         }
         for a_box in &mut world.boxes {
             assert!(a_box.child.wait().expect("it ends").success());
--- a/crates/runtime/src/link_worker.rs
+++ b/crates/runtime/src/link_worker.rs
@@ -56,15 +56,9 @@
                 active.update(|scheduler| scheduler.listing(&id, &listing, sent, now));
                 wait_for_store(&active, &id, &stored).await;
             }
-            Ok(HoldReply::Fenced) => {
-                if active.depose() {
-                    log::info!("event=deposed fence={} why=fenced_by server={id}", active.fence);
-                }
-                return;
-            }
+            Ok(HoldReply::Fenced) => return worker.fenced(&active),
             Ok(HoldReply::Gone) => {
-                let now = worker.now();
-                active.update(|scheduler| scheduler.server_gone(&id, now));
+                worker.gone(&active);
                 break;
             }
             Err(e) => {
@@ -143,6 +137,19 @@
         })
     }
 
+    /// The backend server obeys a later scheduler.
+    fn fenced(&self, active: &Active) {
+        if active.depose() {
+            log::info!("event=deposed fence={} why=fenced_by server={}", active.fence, self.target.id);
+        }
+    }
+
+    /// The backend server's life is over.
+    fn gone(&self, active: &Active) {
+        let now = self.now();
+        active.update(|scheduler| scheduler.server_gone(&self.target.id, now));
+    }
+
     async fn start(&self, active: &Active, start: Start) -> StartReply {
         let (task, run) = (start.task, start.run);
         active.lock().lease_sent(&self.target.id, self.now());
@@ -167,14 +174,14 @@
             self.target.id,
             active.fence
         );
-        measure::server_call("stop", if reply.is_ok() { "answered" } else { "lost" });
+        measure::server_answer("stop", &reply);
         let now = self.now();
         match reply {
             Ok(StopReply::Stopped) => active.update(|s| s.stop_replied(&self.target.id, task, run, now)),
             Ok(StopReply::Fenced) => {
                 active.depose();
             }
-            Ok(StopReply::Gone) => active.update(|s| s.server_gone(&self.target.id, now)),
+            Ok(StopReply::Gone) => self.gone(active),
             // The scheduler repeats it.
             Err(_) => {}
         }
@@ -184,7 +191,7 @@
     async fn pace(&self, active: &Active, task: TaskId, run: RunNumber, percent: u32) {
         let order = PaceOrder { fence: active.fence, task, run, percent };
         let reply = self.parts.servers.pace(self.target.clone(), order).await;
-        measure::server_call("pace", if reply.is_ok() { "answered" } else { "lost" });
+        measure::server_answer("pace", &reply);
         if let Ok(true) = reply {
             active.update(|scheduler| scheduler.pace_replied(&self.target.id, task, run, percent));
         }
