--- a/crates/logs/src/bounded.rs
+++ b/crates/logs/src/bounded.rs
@@ -9,7 +9,7 @@
     sync::{
         Mutex,
         atomic::{AtomicU64, Ordering},
-        mpsc::{Receiver, SyncSender, sync_channel},
+        mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
     },
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -27,6 +27,9 @@
 /// A flush waits this long at most for lines to be written: a reader that has stopped reading holds nothing up.
 const FLUSH_LIMIT: Duration = Duration::from_millis(300);
 
+/// A flush that finds the queue full tries again after this.
+const FLUSH_PAUSE: Duration = Duration::from_millis(2);
+
 /// What the writing thread gets.
 enum Message {
     Line(String),
@@ -97,7 +100,7 @@
         let mut text = String::new();
         let mut flushed = Vec::new();
         // What has queued up meanwhile goes out in one call.
-        for message in std::iter::once(first).chain(messages.try_iter()) {
+        for message in std::iter::once(first).chain(messages.try_iter().take(QUEUE)) {
             match message {
                 Message::Line(line) => text.push_str(&line),
                 Message::Flush(token) => flushed.push(token),
@@ -128,10 +131,18 @@
     }
 
     fn flush(&self) {
+        let begun = Instant::now();
         let (token, written) = sync_channel(1);
-        if self.queue.try_send(Message::Flush(token)).is_ok() {
-            let _ = written.recv_timeout(FLUSH_LIMIT);
+        let mut message = Message::Flush(token);
+        // A full queue is written down meanwhile, unless nobody reads.
+        while let Err(TrySendError::Full(again)) = self.queue.try_send(message) {
+            if begun.elapsed() >= FLUSH_LIMIT {
+                return;
+            }
+            message = again;
+            std::thread::sleep(FLUSH_PAUSE);
         }
+        let _ = written.recv_timeout(FLUSH_LIMIT.saturating_sub(begun.elapsed()));
     }
 }
 
--- a/crates/logs/tests/service.rs
+++ b/crates/logs/tests/service.rs
@@ -59,3 +59,16 @@
     logger.flush();
     assert!(begun.elapsed() < Duration::from_secs(10), "{:?}", begun.elapsed());
 }
+
+#[test]
+fn a_flush_that_finds_the_queue_full_still_writes_what_is_in_it() {
+    let (logger, out) = logger(Duration::from_millis(40));
+    log(&*logger, "event=first");
+    // The thread is at work on the first line; these fill the queue behind it.
+    for n in 0..2048 {
+        log(&*logger, &format!("event=test{} n={n}", n / 300));
+    }
+    logger.flush();
+    let written = String::from_utf8(out.written.lock().expect("no holder panics").clone()).expect("it is text");
+    assert!(written.lines().count() >= 2048, "{} lines", written.lines().count());
+}
--- a/crates/martend/tests/deployment.rs
+++ b/crates/martend/tests/deployment.rs
@@ -169,3 +169,22 @@
         }
     });
 }
+
+#[test]
+fn backend_servers_whose_entries_lapsed_while_the_store_was_away_keep_their_work_and_take_more() {
+    smol::block_on(async {
+        let world = World::start(1, 2).await;
+        world.submit(JobId(1), Work { work_ms: 4000, ..WORK }).await;
+        until("the job runs", || async { world.platform.oracle.begun() == 3 }).await;
+        world.platform.set_store_down(true);
+        smol::Timer::after(Duration::from_millis(500)).await;
+        world.platform.unlist_all();
+        world.platform.set_store_down(false);
+        world.submit(JobId(2), WORK).await;
+        smol::Timer::after(Duration::from_millis(700)).await;
+        world.platform.list_all();
+        world.until_succeeded(0, 1..=2, 3).await;
+        assert_eq!(world.platform.oracle.begun(), 6, "what ran was not started again");
+        assert_eq!(world.platform.oracle.broken(), Vec::<String>::new());
+    });
+}
--- a/crates/scheduler/src/upkeep.rs
+++ b/crates/scheduler/src/upkeep.rs
@@ -144,6 +144,9 @@
     /// Operators ask for a wave of upkeep; `progress` is what the store remembers of it. Told again, it changes
     /// nothing.
     pub fn wave_asked(&mut self, request: WaveRequest, progress: WaveProgress, now: Moment) {
+        if self.upkeep.waves.contains_key(&request.number) {
+            return;
+        }
         log::info!(
             "event=wave number={} machines={} begun={}",
             request.number,
@@ -153,7 +156,7 @@
         let (emptying, down) = (BTreeMap::new(), BTreeMap::new());
         let stored = progress.succeeded;
         let wave = Wave { since: now, progress, stored, emptying, down, request };
-        self.upkeep.waves.entry(wave.request.number).or_insert(wave);
+        self.upkeep.waves.insert(wave.request.number, wave);
     }
 
     /// Whether some wave is not over, so that the platform's machines should be listed.
