Bound what a new scheduler must read, and read it page by page

Change: a read is bound by silence, not by size; pages that arrived are kept and a lost one is asked for by itself; a job that is over leaves the intake for a record of some 100 bytes, which answers questions and keeps a late write from making the job again; a box that cannot begin within 3 s gives the election up, and links count in who stands first; a batch of progress is bound in size; a question for a configuration may take 1 s. Restores are logged and measured.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -3,12 +3,14 @@
 //! A [`Job`] never changes once it is stored. Each of its occurrences (a timed job has several) has
 //! one [`Progress`], which only the active scheduler writes. Nothing here does I/O.
 
+mod ended;
 mod id;
 mod job;
 mod progress;
 mod state;
 
 pub use crate::{
+    ended::{EndedJob, WorkDigest},
     id::{Fence, JobId, OccurrenceId, ParseNameError, QueueId, RunNumber, StepId, TaskId},
     job::{Duration, Job, JobError, Need, RawJob, RawStep, Schedule, Step},
     progress::{GroupProgress, Placed, Progress, Saved},
--- a/crates/martend/src/deployment/settings.rs
+++ b/crates/martend/src/deployment/settings.rs
@@ -49,6 +49,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Share of a core that the box has.
     pub cpu_share: f64,
+    /// What the box's link carries, in Mbit/s.
+    #[serde(default = "wide_link")]
+    pub link_mbps: f64,
     /// The shortest lease of the store, in milliseconds.
     pub shortest_ttl_ms: u64,
     /// The longest lease that a backend server grants, in milliseconds.
@@ -100,6 +103,7 @@
                 peers_address: raw.peers_address,
                 seeds: raw.seeds,
                 cpu_share: raw.cpu_share,
+                link_mbps: raw.link_mbps,
                 election_ttl,
                 watch_wait: WATCH_WAIT,
                 store_silence: STORE_SILENCE,
@@ -128,9 +132,17 @@
     if raw.cpu_share.is_nan() || raw.cpu_share <= 0.0 {
         return Err(CheckError::new(&path.field("cpu_share"), raw.cpu_share, "allowed is more than 0"));
     }
+    if raw.link_mbps.is_nan() || raw.link_mbps <= 0.0 {
+        return Err(CheckError::new(&path.field("link_mbps"), raw.link_mbps, "allowed is more than 0"));
+    }
     Ok(())
 }
 
+/// A link of which the settings tell nothing is taken for one that is wide enough for all.
+fn wide_link() -> f64 {
+    1000.0
+}
+
 /// An address that may be left empty.
 fn optional_address(name: &str, text: &str) -> Result<Option<SocketAddr>, CheckError> {
     if text.is_empty() {
--- a/crates/martend/tests/common/mod.rs
+++ b/crates/martend/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! Boxes as processes on a platform of their own, and a caller of them.
+#![allow(dead_code, reason = "each test file uses a part")]
 
 use std::{
     net::SocketAddr,
@@ -51,8 +52,13 @@
 }
 
 pub(crate) fn start_box(platform: &Platform, name: &str, addrs: BoxAddrs, seeds: &[SocketAddr]) -> BoxProcess {
+    start_box_with(name, addrs, platform.settings(name, &addrs, seeds))
+}
+
+/// Starts a box with settings of its own.
+pub(crate) fn start_box_with(name: &str, addrs: BoxAddrs, settings: String) -> BoxProcess {
     let path = std::env::temp_dir().join(format!("martend-{}-{}-{name}.json", std::process::id(), addrs[0].port()));
-    std::fs::write(&path, platform.settings(name, &addrs, seeds)).expect("the temporary directory can be written");
+    std::fs::write(&path, settings).expect("the temporary directory can be written");
     let log = path.with_extension("log");
     let child = Command::new(env!("CARGO_BIN_EXE_martend"))
         .env("MARTENSCALE_CONFIG", &path)
--- a/crates/martend/tests/deployment.rs
+++ b/crates/martend/tests/deployment.rs
@@ -7,7 +7,7 @@
 use common::{KEY, World, start_box, until};
 use hyper::StatusCode;
 use jobs::JobId;
-use users_platform_standin::{Caller, Setup, Work, free_addrs};
+use users_platform_standin::{Caller, Padding, Setup, Work, free_addrs};
 
 const WORK: Work = Work { tasks: 3, accelerators: 2, work_ms: 300, gang: false };
 
@@ -80,7 +80,11 @@
         world.submit(JobId(2), Work { tasks: 4, accelerators: 2, work_ms: 50, gang: false }).await;
         world.until_succeeded(0, 2..=2, 4).await;
         assert_eq!(world.state(0, JobId(1)).await.map(|answer| answer.state), Some("cancelled".to_owned()));
-        let large = world.caller.submit_padded(addr, JobId(98), WORK, 300_000).await.expect("it is answered");
+        let large = world
+            .caller
+            .submit_padded(addr, JobId(98), WORK, Padding { body: 300_000, text: 0 })
+            .await
+            .expect("it is answered");
         assert_eq!(large.status, StatusCode::PAYLOAD_TOO_LARGE);
         let unknown = world.caller.state(addr, JobId(99)).await.expect("it is answered");
         assert_eq!(unknown.status, StatusCode::GONE);
--- a/crates/martend/tests/soak/world.rs
+++ b/crates/martend/tests/soak/world.rs
@@ -91,7 +91,7 @@
     async fn start(seed: u64) -> std::io::Result<World> {
         let dir = std::env::temp_dir().join(format!("martenscale-soak-{}-{seed}", std::process::id()));
         std::fs::create_dir_all(&dir)?;
-        let setup = Setup { servers: SERVERS, key: KEY.to_owned(), advice: false, slow_clocks: true };
+        let setup = Setup { servers: SERVERS, key: KEY.to_owned(), slow_clocks: true, ..Setup::default() };
         let mut platform = Platform::start(&setup).await?;
         let mut servers = Vec::new();
         for i in 0..SERVERS {
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -51,6 +51,16 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// How long a call that reads may take. A large reply over a slow link takes long and is no fault; a link that has
+/// stopped carrying is one.
+#[derive(Debug, Clone, Copy)]
+pub struct ReadLimits {
+    /// Connecting, sending, and the head of the reply.
+    pub head: Duration,
+    /// From one piece of the reply's body to the next.
+    pub silence: Duration,
+}
+
 /// What a call brought back.
 #[derive(Debug, Clone)]
 pub struct Reply {
@@ -124,6 +134,20 @@
         Ok(reply)
     }
 
+    /// Sends one request without a body, and reads a reply of any size for as long as it keeps coming.
+    pub async fn read(&self, addr: SocketAddr, path: &str, limits: ReadLimits) -> Result<Reply, NetError> {
+        let begun = std::time::Instant::now();
+        let mut sender = within(limits.head, self.sender(addr)).await.map_err(not_connected)?;
+        let req = Request::builder().method(Method::GET).uri(path).body(Bytes::new());
+        let req = addressed(req.map_err(|e| NetError::Unsent { why: e.to_string() })?, &addr.to_string())?;
+        let head_left = limits.head.saturating_sub(begun.elapsed());
+        let res = within(head_left, async { sender.send_request(req).await.map_err(unsent_or_lost) }).await?;
+        let status = res.status();
+        let body = read_while_it_comes(res.into_body(), limits.silence).await?;
+        self.put_back(addr, sender);
+        Ok(Reply { status, body })
+    }
+
     /// Closes the idle connections to an address.
     pub fn forget(&self, addr: SocketAddr) {
         self.idle.lock().expect("no holder panics").remove(&addr);
@@ -174,6 +198,18 @@
     }
 }
 
+/// Reads a body of at most [`MAX_BODY`], each piece of which comes within `silence` of the one before.
+async fn read_while_it_comes(body: Incoming, silence: Duration) -> Result<Bytes, NetError> {
+    let mut body = Limited::new(body, MAX_BODY);
+    let mut read = BytesMut::new();
+    while let Some(frame) = within(silence, async { body.frame().await.transpose().map_err(lost) }).await? {
+        if let Ok(data) = frame.into_data() {
+            read.extend_from_slice(&data);
+        }
+    }
+    Ok(read.freeze())
+}
+
 /// Adds the headers that every request bears.
 fn addressed(req: Request<Bytes>, host: &str) -> Result<Request<Full<Bytes>>, NetError> {
     let host = HeaderValue::from_str(host).map_err(|e| NetError::Unsent { why: e.to_string() })?;
--- a/crates/outside/src/coordination.rs
+++ b/crates/outside/src/coordination.rs
@@ -31,13 +31,15 @@
     },
 }
 
-/// What stood under a prefix.
+/// Some of the items under a prefix, in the order of their keys.
 #[derive(Debug, Clone, Default)]
-pub struct Snapshot {
-    /// In the order of their keys.
+pub struct Page {
+    /// The items.
     pub items: Vec<Item>,
-    /// A watch from here misses nothing.
+    /// The store's revision when the page was read.
     pub at: Revision,
+    /// There are more items after the last of these.
+    pub more: bool,
 }
 
 /// What a watch brought.
@@ -108,8 +110,8 @@
 pub trait CoordinationStore: Send + Sync + 'static {
     /// Reads a key.
     fn get(&self, key: String) -> BoxFuture<'_, Result<Option<Item>, StoreError>>;
-    /// Reads everything under a prefix.
-    fn range(&self, prefix: String) -> BoxFuture<'_, Result<Snapshot, StoreError>>;
+    /// Reads a page of what is under a prefix: from its first key, or from the first key above `after`.
+    fn page(&self, prefix: String, after: Option<String>) -> BoxFuture<'_, Result<Page, StoreError>>;
     /// Waits for changes under a prefix after a revision.
     fn watch(&self, prefix: String, since: Revision, wait: Duration) -> BoxFuture<'_, Result<Watched, StoreError>>;
     /// Writes under conditions, within `limit`.
--- a/crates/outside/src/lib.rs
+++ b/crates/outside/src/lib.rs
@@ -12,9 +12,7 @@
 
 pub use crate::{
     clock::{Clock, SystemClock},
-    coordination::{
-        Change, Committed, CoordinationStore, Item, LeaseId, Put, Snapshot, StoreError, Transaction, Watched,
-    },
+    coordination::{Change, Committed, CoordinationStore, Item, LeaseId, Page, Put, StoreError, Transaction, Watched},
     http::{HttpListing, HttpStore, LISTING_PATH, STORE_PATH},
     listing::{ListedBox, Listing},
     store::{Store, StoreReply, StoreRequest, Versioned},
--- a/crates/runtime/src/active.rs
+++ b/crates/runtime/src/active.rs
@@ -139,8 +139,8 @@
         let scheduler = active.lock();
         match scheduler.job(id) {
             None => StateOutcome::NoSuchJob,
-            Some((_, owner, _)) if !may_see(owner) => StateOutcome::NotYours,
-            Some((state, _, _)) => StateOutcome::Found(state),
+            Some((_, owner)) if !may_see(owner) => StateOutcome::NotYours,
+            Some((state, _)) => StateOutcome::Found(state),
         }
     }
 
--- a/crates/runtime/src/election.rs
+++ b/crates/runtime/src/election.rs
@@ -11,7 +11,7 @@
     active::ActiveSlot,
     follow::{Seen, follow},
     keys,
-    leader::{self, Parts},
+    leader::{self, Finished, Parts},
     settings::Settings,
     view::{Leader, View},
     wait::{Backoff, at_most, pause},
@@ -22,6 +22,15 @@
 /// A candidate waits besides this long over its share of a core, so that a larger box is elected if there is
 /// one: 20 ms at half a core, 83 ms at 0.12 (the smallest and largest boxes of the users' grown sites).
 const STAND_LATER: Duration = Duration::from_millis(10);
+/// A candidate waits besides this long over its link in Mbit/s: what the link takes for 50 KB. 2 ms at 200 Mbit/s, 40 ms
+/// at 10, so that a box with room for what a scheduler reads and sends is elected if there is one.
+const STAND_LATER_BY_LINK: Duration = Duration::from_millis(400);
+/// How long a new scheduler may take to read what it must. 0.1 to 0.5 s on the users' boxes; they ask for recovery
+/// within 12 s. A box that needs longer gives the election up, since another may be quicker; it gets twice as long
+/// the next time, since no other may be.
+const RESTORE_LIMIT: Duration = Duration::from_millis(3000);
+/// A box that has given up stands only if no other does for this long.
+const STAND_AGAIN: Duration = Duration::from_millis(1500);
 /// How long a write of the key may take.
 const WRITE_LIMIT: Duration = Duration::from_millis(1000);
 /// A box without a scheduler looks this often whether it may stand.
@@ -53,6 +62,28 @@
     Deposed,
     /// The box leaves.
     Resigned,
+    /// It cannot read what it must in time.
+    NotRestored,
+}
+
+/// What a box has seen of its own fitness to schedule.
+struct Fitness {
+    /// How long it gives itself to begin.
+    restore_limit: Duration,
+    /// It could not begin in time when it was last elected.
+    gave_up: bool,
+}
+
+impl Fitness {
+    const UNTRIED: Fitness = Fitness { restore_limit: RESTORE_LIMIT, gave_up: false };
+
+    /// A term has ended.
+    fn note(&mut self, ended: Ended) {
+        *self = match ended {
+            Ended::NotRestored => Fitness { restore_limit: self.restore_limit.scaled(2.0), gave_up: true },
+            _ => Fitness::UNTRIED,
+        };
+    }
 }
 
 /// Follows who schedules.
@@ -78,20 +109,27 @@
 
 /// Stands for election whenever there is no scheduler, and schedules while elected.
 pub(crate) async fn run(settings: Settings, parts: Parts, active: ActiveSlot) {
+    let mut fitness = Fitness::UNTRIED;
     loop {
         if may_stand(&parts.view) {
-            let patience = STAND_WITHIN.scaled(fastrand::f64()) + STAND_LATER.scaled(1.0 / settings.cpu_share);
-            pause(patience).await;
+            pause(patience(&settings, fitness.gave_up)).await;
             if may_stand(&parts.view)
                 && let Some(won) = stand(&settings, &parts).await
             {
-                lead(&settings, &parts, &active, won).await;
+                lead(&settings, &parts, &active, won, &mut fitness).await;
             }
         }
         at_most(LOOK_EVERY, parts.view.leader_changed()).await;
     }
 }
 
+/// How long a box leaves the election to others: less, the more of a scheduler's work it can carry.
+fn patience(settings: &Settings, gave_up: bool) -> Duration {
+    let by_size = STAND_LATER.scaled(1.0 / settings.cpu_share) + STAND_LATER_BY_LINK.scaled(1.0 / settings.link_mbps);
+    let after_giving_up = if gave_up { STAND_AGAIN } else { Duration::ZERO };
+    STAND_WITHIN.scaled(fastrand::f64()) + by_size + after_giving_up
+}
+
 fn may_stand(view: &View) -> bool {
     view.leader().is_none() && view.reaches_store() && !view.draining() && view.configuration().is_some()
 }
@@ -136,17 +174,20 @@
 }
 
 /// Schedules for as long as the election holds, then makes way.
-async fn lead(settings: &Settings, parts: &Parts, active: &ActiveSlot, won: Won) {
+async fn lead(settings: &Settings, parts: &Parts, active: &ActiveSlot, won: Won, fitness: &mut Fitness) {
     let (fence, lease) = (won.fence, won.lease);
     let schedule = async {
-        leader::run(settings, parts, active, fence).await;
-        Ended::Deposed
+        match leader::run(settings, parts, active, fence, fitness.restore_limit).await {
+            Finished::Deposed => Ended::Deposed,
+            Finished::NotRestored => Ended::NotRestored,
+        }
     };
     let ended = futures_lite::FutureExt::or(keep(settings, parts, won), schedule).await;
     active.clear();
     parts.view.set_leader(None);
     log::info!("event=stopped_scheduling box={} fence={fence} why={ended}", settings.box_id);
-    if ended == Ended::Resigned
+    fitness.note(ended);
+    if matches!(ended, Ended::Resigned | Ended::NotRestored)
         && let Err(e) = parts.store.end(lease).await
     {
         log::warn!("event=lease_not_ended fence={fence} why={e}");
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -3,7 +3,7 @@
 use model::{Duration, Revision};
 use outside::{Change, CoordinationStore, Item, StoreError, Watched};
 
-use crate::{view::View, wait::Backoff};
+use crate::{pages, view::View, wait::Backoff};
 
 /// What is seen of a prefix.
 pub(crate) enum Seen {
@@ -41,7 +41,7 @@
     let mut backoff = Backoff::new();
     loop {
         let result = match from {
-            None => read(store, prefix, &mut on).await.map(Some),
+            None => Ok(Some(read(store, view, prefix, &mut on).await)),
             Some(at) => watch(store, prefix, at, wait, &mut on).await,
         };
         match result {
@@ -58,10 +58,10 @@
     }
 }
 
-async fn read(store: &dyn CoordinationStore, prefix: &str, on: &mut impl FnMut(Seen)) -> Result<Revision, StoreError> {
-    let snapshot = store.range(prefix.to_owned()).await?;
+async fn read(store: &dyn CoordinationStore, view: &View, prefix: &str, on: &mut impl FnMut(Seen)) -> Revision {
+    let snapshot = pages::read_all(store, view, prefix).await;
     on(Seen::All(snapshot.items));
-    Ok(snapshot.at)
+    snapshot.at
 }
 
 async fn watch(
--- a/crates/runtime/src/intake.rs
+++ b/crates/runtime/src/intake.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use jobs::{Job, JobId, Progress};
+use jobs::{EndedJob, Job, JobId, Progress};
 use model::{Duration, Moment, Revision};
-use outside::{Item, Snapshot};
+use outside::Item;
 use scheduler::Scheduler;
 
 use crate::{
@@ -12,24 +12,35 @@
     follow::{Seen, follow},
     keys::{self, Intake},
     leader::Parts,
-    wait::Backoff,
+    measure, pages,
 };
 
 /// Longest wait of the watch on the intake, which only the scheduler keeps.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 
-/// Reads what the store holds. The returned revision is where the intake is known to.
+/// Reads what the store holds of open jobs. The returned revision is where the intake is known to.
 pub(crate) async fn restore(parts: &Parts, scheduler: &mut Scheduler) -> Revision {
-    let intake = read(parts, keys::INTAKE).await;
+    let begun = parts.view.clock().now();
+    let intake = pages::read_all(&*parts.store, &parts.view, keys::INTAKE).await;
+    let progress = pages::read_all(&*parts.store, &parts.view, keys::PROGRESS).await;
+    let took = parts.view.clock().now().since(begun);
+    let (pages, bytes) = (intake.pages + progress.pages, intake.bytes() + progress.bytes());
+    measure::restored(took, pages, bytes);
+    log::info!("event=restored fence={} pages={pages} bytes={bytes} took_ms={}", scheduler.fence(), took.millis());
+    take_restored(parts, scheduler, &intake.items, progress.items);
+    intake.at
+}
+
+fn take_restored(parts: &Parts, scheduler: &mut Scheduler, intake: &[Item], progress: Vec<Item>) {
     let mut cancelled = Vec::new();
-    for item in &intake.items {
+    for item in intake {
         match keys::intake(&item.key) {
             Some(Intake::Job(id)) => add_job(scheduler, id, item),
             Some(Intake::Cancel(id)) => cancelled.push(id),
             None => log::warn!("event=key_unknown key={}", item.key),
         }
     }
-    for item in read(parts, keys::PROGRESS).await.items {
+    for item in progress {
         let progress: Result<Progress, _> = serde_json::from_slice(&item.value);
         match (keys::occurrence(&item.key), progress) {
             (Some(id), Ok(progress)) => scheduler.restore(id, progress, item.revision),
@@ -40,19 +51,21 @@
     for id in cancelled {
         scheduler.cancel(id, parts.view.clock().now());
     }
-    intake.at
 }
 
-/// Reads a prefix, for as long as it takes: nothing can be scheduled without it.
-async fn read(parts: &Parts, prefix: &str) -> Snapshot {
-    let mut backoff = Backoff::new();
-    loop {
-        match parts.store.range(prefix.to_owned()).await {
-            Ok(snapshot) => return snapshot,
-            Err(e) => {
-                log::info!("event=read_failed prefix={prefix} why={e}");
-                backoff.wait().await;
-            }
+/// Reads the records of jobs that have left the intake, beside all else: nothing waits for them, since callers'
+/// questions are answered from the store until they are known.
+pub(crate) async fn restore_ended(parts: Parts, active: Arc<Active>) {
+    let ended = pages::read_all(&*parts.store, &parts.view, keys::ENDED).await;
+    log::info!("event=records_read fence={} records={} pages={}", active.fence, ended.items.len(), ended.pages);
+    let now = parts.view.clock().now();
+    let mut scheduler = active.lock();
+    for item in &ended.items {
+        let record: Result<EndedJob, _> = serde_json::from_slice(&item.value);
+        match (keys::ended_job(&item.key), record) {
+            (Some(id), Ok(record)) => scheduler.restore_ended(id, record, now),
+            (_, Err(e)) => log::error!("event=record_unreadable key={} why={e}", item.key),
+            (None, _) => log::warn!("event=key_unknown key={}", item.key),
         }
     }
 }
--- a/crates/runtime/src/keys.rs
+++ b/crates/runtime/src/keys.rs
@@ -7,6 +7,8 @@
 pub(crate) const SCHEDULER: &str = "marten/scheduler";
 /// What callers have handed in and cancelled.
 pub(crate) const INTAKE: &str = "marten/in/";
+/// Records of jobs that are over and have left the intake.
+pub(crate) const ENDED: &str = "marten/ended/";
 /// What the scheduler must remember.
 pub(crate) const PROGRESS: &str = "marten/progress/";
 /// The boxes and where they talk to each other.
@@ -41,6 +43,14 @@
     rest.strip_suffix(CANCEL)?.parse().ok().map(Intake::Cancel)
 }
 
+pub(crate) fn ended(id: JobId) -> String {
+    format!("{ENDED}{id}")
+}
+
+pub(crate) fn ended_job(key: &str) -> Option<JobId> {
+    key.strip_prefix(ENDED)?.parse().ok()
+}
+
 pub(crate) fn progress(id: OccurrenceId) -> String {
     format!("{PROGRESS}{id}")
 }
--- a/crates/runtime/src/leader.rs
+++ b/crates/runtime/src/leader.rs
@@ -11,7 +11,7 @@
     active::{Active, ActiveSlot},
     advice,
     border::{Adviser, BackendServers, Decoder, Machines},
-    directory, intake,
+    cleaner, directory, intake,
     links::Links,
     settings::Settings,
     upkeep,
@@ -40,12 +40,32 @@
     pub(crate) view: Arc<View>,
 }
 
-/// Schedules until another is elected, or until it is dropped.
-pub(crate) async fn run(settings: &Settings, parts: &Parts, slot: &ActiveSlot, fence: Fence) {
-    let Some(configuration) = parts.view.configuration() else { return };
+/// How scheduling ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Finished {
+    /// Another is elected.
+    Deposed,
+    /// What must be read first did not come within the time for it.
+    NotRestored,
+}
+
+/// Schedules until another is elected, or until it is dropped; gives up if it cannot begin within `restore_limit`.
+pub(crate) async fn run(
+    settings: &Settings,
+    parts: &Parts,
+    slot: &ActiveSlot,
+    fence: Fence,
+    restore_limit: Duration,
+) -> Finished {
+    let Some(configuration) = parts.view.configuration() else { return Finished::NotRestored };
     let clock = parts.view.clock();
     let mut scheduler = Scheduler::new(fence, clock.now(), settings.timing.clone(), configuration.policy.clone());
-    let known_to = intake::restore(parts, &mut scheduler).await;
+    let restored = async { Some(intake::restore(parts, &mut scheduler).await) };
+    let expired = async {
+        pause(restore_limit).await;
+        None
+    };
+    let Some(known_to) = futures_lite::FutureExt::or(restored, expired).await else { return Finished::NotRestored };
     let links = Links::new(parts.clone(), settings.timing.lease);
     let active = Arc::new(Active::new(scheduler, links));
     log::info!("event=scheduling fence={fence} revision={known_to} {:?}", active.lock().counts());
@@ -53,7 +73,9 @@
     let tasks = [
         smol::spawn(intake::follow_intake(parts.clone(), Arc::clone(&active), known_to)),
         smol::spawn(directory::follow_servers(parts.clone(), Arc::clone(&active))),
+        smol::spawn(intake::restore_ended(parts.clone(), Arc::clone(&active))),
         smol::spawn(writer::run(parts.clone(), Arc::clone(&active))),
+        smol::spawn(cleaner::run(parts.clone(), Arc::clone(&active))),
         smol::spawn(advice::ask(parts.clone(), Arc::clone(&active))),
         smol::spawn(upkeep::follow_waves(parts.clone(), Arc::clone(&active))),
         smol::spawn(upkeep::run(parts.clone(), Arc::clone(&active), settings.box_id.clone())),
@@ -61,6 +83,7 @@
     ];
     active.until_deposed().await;
     drop(tasks);
+    Finished::Deposed
 }
 
 /// Plans whenever something has happened, and now and then; at most a quarter of the time goes into it.
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -8,6 +8,7 @@
 mod active;
 mod advice;
 pub mod border;
+mod cleaner;
 mod configuration;
 mod directory;
 mod election;
@@ -18,6 +19,7 @@
 mod link_worker;
 mod links;
 mod measure;
+mod pages;
 mod relay;
 mod relay_service;
 mod relay_words;
--- a/crates/runtime/src/measure.rs
+++ b/crates/runtime/src/measure.rs
@@ -5,7 +5,7 @@
 use jobs::QueueId;
 use model::{CustomerId, Duration, Revision};
 use net::BoxFuture;
-use outside::{Committed, CoordinationStore, Item, LeaseId, Snapshot, StoreError, Transaction, Watched};
+use outside::{Committed, CoordinationStore, Item, LeaseId, Page, StoreError, Transaction, Watched};
 use scheduler::Observation;
 
 /// Counts what the scheduler has seen.
@@ -33,6 +33,13 @@
     [("customer", customer), ("queue", queue.to_string())]
 }
 
+/// Records what a new scheduler had to read before it could schedule.
+pub(crate) fn restored(took: Duration, pages: usize, bytes: usize) {
+    metrics::histogram!("martenscale_restore_seconds").record(took.secs_f64());
+    metrics::counter!("martenscale_restore_pages_total").increment(pages as u64);
+    metrics::counter!("martenscale_restore_bytes_total").increment(bytes as u64);
+}
+
 /// Counts the outcome of a caller's request.
 pub(crate) fn request(kind: &'static str, outcome: &impl std::fmt::Debug) {
     let outcome = format!("{outcome:?}");
@@ -72,8 +79,8 @@
         Box::pin(measured("get", self.0.get(key)))
     }
 
-    fn range(&self, prefix: String) -> BoxFuture<'_, Result<Snapshot, StoreError>> {
-        Box::pin(measured("range", self.0.range(prefix)))
+    fn page(&self, prefix: String, after: Option<String>) -> BoxFuture<'_, Result<Page, StoreError>> {
+        Box::pin(measured("page", self.0.page(prefix, after)))
     }
 
     fn watch(&self, prefix: String, since: Revision, wait: Duration) -> BoxFuture<'_, Result<Watched, StoreError>> {
--- a/crates/runtime/src/requests/cancel.rs
+++ b/crates/runtime/src/requests/cancel.rs
@@ -1,8 +1,8 @@
 //! Cancellations.
 
-use jobs::{Job, JobId};
+use jobs::{EndedJob, Job, JobId};
 use model::{CustomerId, Duration, Moment, Revision};
-use outside::{Committed, Put, StoreError, Transaction};
+use outside::{Committed, Item, Put, StoreError, Transaction};
 
 use super::{ASK_LIMIT, CancelOutcome, RELAY_LIMIT, Requests, STORE_LIMIT, may_see};
 use crate::{keys, measure, wait::Backoff};
@@ -43,7 +43,7 @@
         let key = keys::cancel(id);
         let put = Put { key: key.clone(), value: Vec::new(), lease: None };
         // A job that is not there may be on its way: the mark keeps it from being made.
-        let mut expect = vec![(key, Revision(0))];
+        let mut expect = vec![(key, Revision(0)), (keys::ended(id), Revision(0))];
         if job.is_none() {
             expect.push((keys::job(id), Revision(0)));
         }
@@ -54,10 +54,8 @@
                 self.active.cancel(id, self.now());
                 if job.is_some() { CancelOutcome::Cancelled } else { CancelOutcome::NoSuchJob }
             }
-            Ok(Committed::Conflict(items)) if items.iter().any(|item| item.key == keys::cancel(id)) => {
-                CancelOutcome::Cancelled
-            }
-            Ok(Committed::Conflict(_) | Committed::LeaseGone) => CancelOutcome::Unknown,
+            Ok(Committed::Conflict(items)) => known_end(id, &items, customer),
+            Ok(Committed::LeaseGone) => CancelOutcome::Unknown,
             Err(StoreError::Refused { .. }) => CancelOutcome::Refused,
             Err(StoreError::Lost { .. }) => CancelOutcome::Unknown,
         }
@@ -75,3 +73,19 @@
         }
     }
 }
+
+/// The outcome if the store's conditions did not hold: it is cancelled already, or over, or was made meanwhile.
+fn known_end(id: JobId, items: &[Item], customer: Option<&CustomerId>) -> CancelOutcome {
+    if items.iter().any(|item| item.key == keys::cancel(id)) {
+        return CancelOutcome::Cancelled;
+    }
+    let Some(item) = items.iter().find(|item| item.key == keys::ended(id)) else { return CancelOutcome::Unknown };
+    match serde_json::from_slice::<EndedJob>(&item.value) {
+        Ok(ended) if may_see(ended.customer.as_ref(), customer) => CancelOutcome::Cancelled,
+        Ok(_) => CancelOutcome::NotYours,
+        Err(e) => {
+            log::error!("job={id} event=job_unreadable why={e}");
+            CancelOutcome::Unknown
+        }
+    }
+}
--- a/crates/runtime/src/requests/state.rs
+++ b/crates/runtime/src/requests/state.rs
@@ -1,11 +1,11 @@
 //! Questions: how a job stands, and how many wait.
 
-use jobs::{Job, JobId, Progress, QueueId};
+use jobs::{EndedJob, Job, JobId, Progress, QueueId};
 use model::{CustomerId, Duration};
 use outside::StoreError;
 
 use super::{ASK_LIMIT, RELAY_LIMIT, Requests, StateOutcome, may_see};
-use crate::{keys, measure};
+use crate::{keys, measure, pages};
 
 impl Requests {
     /// Tells how a job stands, within `limit`.
@@ -65,13 +65,14 @@
     }
 
     async fn read_state(&self, id: JobId, customer: Option<&CustomerId>) -> Result<StateOutcome, StoreError> {
-        let Some(item) = self.store.get(keys::job(id)).await? else { return Ok(StateOutcome::NoSuchJob) };
+        // The job comes last: if it stands there, what was read of it before has not gone with it to the archive.
+        let stored = pages::read_once(&*self.store, &keys::progress_of_job(id)).await?;
+        let cancelled = self.store.get(keys::cancel(id)).await?.is_some();
+        let Some(item) = self.store.get(keys::job(id)).await? else { return self.read_ended(id, customer).await };
         let Ok(job) = serde_json::from_slice::<Job>(&item.value) else { return Ok(StateOutcome::Unavailable) };
         if !may_see(job.customer.as_ref(), customer) {
             return Ok(StateOutcome::NotYours);
         }
-        let cancelled = self.store.get(keys::cancel(id)).await?.is_some();
-        let stored = self.store.range(keys::progress_of_job(id)).await?;
         let mut all = vec![Progress::new(&job); job.occurrences() as usize];
         for item in stored.items {
             let number = keys::occurrence(&item.key).map(|occurrence| occurrence.number as usize);
@@ -83,6 +84,14 @@
         Ok(StateOutcome::Found(Progress::job_state(all.iter(), cancelled)))
     }
 
+    /// Reads the record of a job that has left the intake.
+    async fn read_ended(&self, id: JobId, customer: Option<&CustomerId>) -> Result<StateOutcome, StoreError> {
+        let Some(item) = self.store.get(keys::ended(id)).await? else { return Ok(StateOutcome::NoSuchJob) };
+        let Ok(ended) = serde_json::from_slice::<EndedJob>(&item.value) else { return Ok(StateOutcome::Unavailable) };
+        let seen = may_see(ended.customer.as_ref(), customer);
+        Ok(if seen { StateOutcome::Found(ended.state) } else { StateOutcome::NotYours })
+    }
+
     /// Counts the accepted jobs of a queue that have not begun; `None` if the scheduler cannot be asked.
     pub async fn waiting(&self, queue: &QueueId, limit: Duration) -> Option<u64> {
         if let Some(waiting) = self.waiting_in_memory(queue) {
--- a/crates/runtime/src/requests/submit.rs
+++ b/crates/runtime/src/requests/submit.rs
@@ -1,6 +1,6 @@
 //! Submissions.
 
-use jobs::Job;
+use jobs::{EndedJob, Job};
 use model::{Duration, Revision};
 use outside::{Committed, Item, Put, StoreError, Transaction};
 
@@ -60,8 +60,9 @@
             value: serde_json::to_vec(job).expect("our own types always serialize"),
             lease: None,
         };
-        // A cancellation that came first keeps a late write from making the job after all.
-        let expect = vec![(key.clone(), Revision(0)), (keys::cancel(job.id), Revision(0))];
+        // A cancellation that came first, or the record of the job's end, keeps a late write from making it after all.
+        let absent = [key.clone(), keys::cancel(job.id), keys::ended(job.id)];
+        let expect = absent.map(|key| (key, Revision(0))).to_vec();
         let transaction = Transaction { expect, put: vec![put], remove: Vec::new() };
         match self.commit(transaction, limit).await {
             Ok(Committed::Done(revision)) => {
@@ -70,7 +71,7 @@
                 self.active.add_job(job);
                 SubmitOutcome::Accepted
             }
-            Ok(Committed::Conflict(items)) => known_job(job, &items, &key),
+            Ok(Committed::Conflict(items)) => known_job(job, &items),
             Ok(Committed::LeaseGone) => SubmitOutcome::Refused,
             Err(StoreError::Refused { .. }) => SubmitOutcome::Refused,
             Err(StoreError::Lost { .. }) => SubmitOutcome::Unknown,
@@ -79,14 +80,20 @@
 }
 
 /// The outcome if the store's conditions did not hold: an earlier submission, or a cancellation, came first.
-fn known_job(job: &Job, items: &[Item], key: &str) -> SubmitOutcome {
-    let Some(item) = items.iter().find(|item| item.key == *key) else {
+fn known_job(job: &Job, items: &[Item]) -> SubmitOutcome {
+    let find = |key: String| items.iter().find(|item| item.key == key);
+    let is_same = if let Some(item) = find(keys::job(job.id)) {
+        serde_json::from_slice::<Job>(&item.value).map(|known| known.same_work(job) && known.customer == job.customer)
+    } else if let Some(item) = find(keys::ended(job.id)) {
+        let is_same = |ended: EndedJob| ended.work == job.work_digest() && ended.customer == job.customer;
+        serde_json::from_slice::<EndedJob>(&item.value).map(is_same)
+    } else {
         // Cancelled before it came: it is not made any more.
         return SubmitOutcome::Refused;
     };
-    match serde_json::from_slice::<Job>(&item.value) {
-        Ok(known) if known.same_work(job) && known.customer == job.customer => SubmitOutcome::Accepted,
-        Ok(_) => SubmitOutcome::OtherJob,
+    match is_same {
+        Ok(true) => SubmitOutcome::Accepted,
+        Ok(false) => SubmitOutcome::OtherJob,
         Err(e) => {
             log::error!("job={} event=job_unreadable why={e}", job.id);
             SubmitOutcome::Unknown
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -16,6 +16,7 @@
     keys,
     leader::Parts,
     measure::MeasuredStore,
+    pages,
     relay::Peers,
     relay_service::RelayService,
     requests::Requests,
@@ -28,8 +29,9 @@
 const BOXES_EVERY: Duration = Duration::from_secs(15);
 /// How often a box that does not reach the store asks another for the configuration.
 const ASK_EVERY: Duration = Duration::from_millis(500);
-/// Limit of such a question.
-const ASK_LIMIT: Duration = Duration::from_millis(400);
+/// Limit of such a question, whose answer may be a whole configuration: one of 1,400 queues is 280 KB, which takes
+/// 0.25 s over a link of 10 Mbit/s.
+const ASK_LIMIT: Duration = Duration::from_millis(1000);
 /// Limit of a write that only tells where a box is.
 const WRITE_LIMIT: Duration = Duration::from_secs(1);
 
@@ -188,7 +190,7 @@
 async fn keep_boxes(settings: Settings, parts: Parts) {
     list_this_box(&settings, &parts).await;
     loop {
-        if let Ok(snapshot) = parts.store.range(keys::BOXES.to_owned()).await {
+        if let Ok(snapshot) = pages::read_once(&*parts.store, keys::BOXES).await {
             parts.view.set_boxes(boxes(&snapshot.items));
         }
         pause(BOXES_EVERY).await;
--- a/crates/runtime/src/writer.rs
+++ b/crates/runtime/src/writer.rs
@@ -5,26 +5,15 @@
 use jobs::OccurrenceId;
 use model::{Duration, Revision};
 use outside::{Committed, Item, Put, StoreError, Transaction};
-use scheduler::{Batch, Forgettable};
+use scheduler::Batch;
 
-use crate::{
-    active::Active,
-    keys,
-    leader::Parts,
-    wait::{Backoff, at_most, pause},
-};
+use crate::{active::Active, keys, leader::Parts, wait::Backoff};
 
 /// Most occurrences in one call: each takes a condition and a write, and the scheduler's key a condition, of
 /// the 32 entries that the users' store allows.
 const MOST_ENTRIES: usize = 15;
 /// A write that has no answer by then is made up for by the next. Above a slow store's answer (60 times 4 ms).
 const WRITE_LIMIT: Duration = Duration::from_millis(800);
-/// Jobs that are removed before anything else is looked at again.
-const MOST_FORGOTTEN: usize = 8;
-/// Keys in one removal, beside the condition on the scheduler's key (32 entries in all).
-const MOST_REMOVED: usize = 30;
-/// How often jobs that no one asks for any more are looked for.
-const FORGET_EVERY: Duration = Duration::from_secs(5);
 
 /// Writes until another scheduler is found in the store, or until it is dropped.
 pub(crate) async fn run(parts: Parts, active: Arc<Active>) {
@@ -32,7 +21,7 @@
     loop {
         let batch = active.lock().next_batch(MOST_ENTRIES);
         let Some(batch) = batch else {
-            wait_or_forget(&parts, &active).await;
+            active.changed().await;
             continue;
         };
         let transaction = transaction(&active, &batch);
@@ -83,40 +72,6 @@
     found
 }
 
-/// Waits until something is to be stored; meanwhile removes what no one asks for any more.
-async fn wait_or_forget(parts: &Parts, active: &Active) {
-    let forgotten = active.lock().forgettable(parts.view.clock().now(), MOST_FORGOTTEN);
-    if forgotten.is_empty() {
-        at_most(FORGET_EVERY, active.changed()).await;
-        return;
-    }
-    for old in &forgotten {
-        if let Err(outcome) = remove(parts, active, old).await {
-            log::info!("job={} event=not_forgotten outcome={outcome:?}", old.job);
-            pause(FORGET_EVERY).await;
-            return;
-        }
-        log::info!("job={} event=forgotten", old.job);
-        active.lock().forget(std::slice::from_ref(old));
-    }
-}
-
-/// Removes all that the store holds of a job. The error is the answer to the call that did not.
-async fn remove(parts: &Parts, active: &Active, old: &Forgettable) -> Result<(), Result<Committed, StoreError>> {
-    // The job goes last: a removal that breaks off is taken up again for as long as the job is there.
-    let mut remove: Vec<String> = old.occurrences.iter().map(|id| keys::progress(*id)).collect();
-    remove.extend([keys::cancel(old.job), keys::job(old.job)]);
-    for chunk in remove.chunks(MOST_REMOVED) {
-        let expect = vec![(keys::SCHEDULER.to_owned(), Revision(active.fence.0))];
-        let transaction = Transaction { expect, put: Vec::new(), remove: chunk.to_vec() };
-        match parts.store.commit(transaction, WRITE_LIMIT).await {
-            Ok(Committed::Done(_)) => {}
-            outcome => return Err(outcome),
-        }
-    }
-    Ok(())
-}
-
 /// A batch as a write that only the elected scheduler can make.
 fn transaction(active: &Active, batch: &Batch) -> Transaction {
     let mut transaction = Transaction::default();
--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -27,6 +27,10 @@
     pub entries: Vec<Entry>,
 }
 
+/// Tasks whose progress goes into one batch, unless a single occurrence has more: some 40 KB as the store takes
+/// them, which a link of 10 Mbit/s carries in 35 ms, far within the limit of a write.
+const MOST_TASKS: usize = 500;
+
 impl Scheduler {
     /// Whether something is to be stored.
     pub fn has_unstored(&self) -> bool {
@@ -38,9 +42,16 @@
     /// Only one batch may be under way at a time. The same changes are given again until
     /// [`Scheduler::stored`] is told of them, so that a write without an answer is made up for by the next:
     /// either it took effect, which the next finds by its conflict, or the next makes its condition false.
-    pub fn next_batch(&mut self, most: usize) -> Option<Batch> {
-        let chosen: Vec<OccurrenceId> = self.dirty.iter().take(most).copied().collect();
-        let entries: Vec<Entry> = chosen.iter().filter_map(|&id| self.entry(id)).collect();
+    pub fn next_batch(&self, most: usize) -> Option<Batch> {
+        let mut tasks = 0;
+        let mut entries: Vec<Entry> = Vec::new();
+        for entry in self.dirty.iter().filter_map(|&id| self.entry(id)).take(most) {
+            tasks += entry.progress.groups.iter().map(Vec::len).sum::<usize>();
+            if tasks > MOST_TASKS && !entries.is_empty() {
+                break;
+            }
+            entries.push(entry);
+        }
         if entries.is_empty() { None } else { Some(Batch { entries }) }
     }
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -10,6 +10,7 @@
 //!   ended, absent from a listing that must show it, or past every lease that it can have been given.
 
 mod advice;
+mod archive;
 mod batch;
 mod candidate;
 mod choose;
@@ -41,10 +42,10 @@
 
 pub use crate::{
     advice::{Question, Ticket},
+    archive::Archival,
     batch::{Batch, Entry},
     contact::Unanswered,
     ends::{End, EndKind, Listing, RunningTask},
-    forget::Forgettable,
     observe::Observation,
     orders::{Order, StartReply},
     policy::{Advice, CustomerPolicy, Policy, QueuePolicy, ServiceId},
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -14,7 +14,11 @@
 impl Scheduler {
     /// Progress that the store holds, read by a new scheduler after its jobs.
     pub fn restore(&mut self, id: OccurrenceId, progress: Progress, revision: Revision) {
-        let Some(entry) = self.jobs.get_mut(&id.job) else { return };
+        let Some(entry) = self.jobs.get_mut(&id.job) else {
+            // Its job has left the intake, and the scheduler that saw to that did not come to the end of it.
+            self.orphans.insert(id);
+            return;
+        };
         let job = Arc::clone(&entry.job);
         let Some(occurrence) = entry.occurrences.get_mut(id.number as usize) else { return };
         let shape = |p: &Progress| p.groups.iter().map(Vec::len).collect::<Vec<_>>();
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     advice::AdviceBook,
+    archive::Archived,
     live::{JobEntry, StopReason},
     observe::Observation,
     orders::Order,
@@ -46,6 +47,12 @@
     pub(crate) servers: BTreeMap<BackendServerId, Server>,
     /// Jobs of which something runs or may run.
     pub(crate) open: BTreeSet<JobId>,
+    /// Jobs that are over and stand in the intake still.
+    pub(crate) over: BTreeSet<JobId>,
+    /// Jobs that are over and have left the intake.
+    pub(crate) ended: BTreeMap<JobId, Archived>,
+    /// Progress in the store that belongs to no job any more.
+    pub(crate) orphans: BTreeSet<OccurrenceId>,
     /// Jobs that were cancelled before they came; the store holds a mark that keeps them from coming.
     pub(crate) cancelled_before: BTreeMap<JobId, Moment>,
     /// Occurrences that were touched since the last plan.
@@ -85,6 +92,9 @@
             policy,
             jobs: BTreeMap::new(),
             open: BTreeSet::new(),
+            over: BTreeSet::new(),
+            ended: BTreeMap::new(),
+            orphans: BTreeSet::new(),
             cancelled_before: BTreeMap::new(),
             changed: BTreeSet::new(),
             ready: BTreeMap::new(),
@@ -132,7 +142,7 @@
     /// A job that the store holds. Told again, it changes nothing.
     pub fn add_job(&mut self, job: Job) {
         let id = job.id;
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.ended.contains_key(&id) {
             return;
         }
         let entry = JobEntry::new(job);
@@ -144,6 +154,9 @@
 
     /// The caller does not want the job any more; the store holds that.
     pub fn cancel(&mut self, id: JobId, now: Moment) {
+        if self.ended.contains_key(&id) {
+            return;
+        }
         let Some(entry) = self.jobs.get_mut(&id) else {
             self.cancelled_before.entry(id).or_insert(now);
             return;
@@ -164,9 +177,12 @@
     }
 
     /// What a caller may be told, and whose the job is.
-    pub fn job(&self, id: JobId) -> Option<(JobState, Option<&CustomerId>, &QueueId)> {
-        let entry = self.jobs.get(&id)?;
-        Some((entry.state(), entry.job.customer.as_ref(), &entry.job.queue))
+    pub fn job(&self, id: JobId) -> Option<(JobState, Option<&CustomerId>)> {
+        if let Some(entry) = self.jobs.get(&id) {
+            return Some((entry.state(), entry.job.customer.as_ref()));
+        }
+        let record = &self.ended.get(&id)?.record;
+        Some((record.state, record.customer.as_ref()))
     }
 
     /// How many accepted jobs of a queue have not begun.
