Let the scheduler's mechanisms be set one by one

A setting 'tuning', for measuring only, says how strong each is or switches it off; the defaults are what was built in before.

--- a/crates/martend/src/deployment/settings.rs
+++ b/crates/martend/src/deployment/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use model::{AvailabilityZoneId, BoxId, CheckError, Duration, JsonPath};
-use scheduler::Timing;
+use scheduler::{Timing, Tuning};
 use serde::{Deserialize, Serialize};
 
 /// The lease of an election, unless the store allows none so short: three renewals, of which two may be lost
@@ -60,6 +60,12 @@
     pub far_factor: f64,
     /// How long a box that is told to end may take, in milliseconds.
     pub grace_ms: u64,
+    /// What the scheduler's mechanisms are set to, for measuring what each is worth.
+    #[serde(default, skip_serializing)]
+    pub tuning: Tuning,
+    /// How long a scheduler that can no longer confirm its election goes on renewing leases, in milliseconds.
+    #[serde(default = "unconfirmed_renewal")]
+    pub unconfirmed_renewal_ms: u64,
     /// `error`, `warn`, `info`, `debug` or `trace`.
     pub log_level: log::LevelFilter,
 }
@@ -94,8 +100,13 @@
         let adviser_address = optional_address("adviser_address", &raw.adviser_address)?;
         let machines_address = optional_address("machines_address", &raw.machines_address)?;
         let election_ttl = ELECTION_TTL.max(Duration::from_millis(raw.shortest_ttl_ms));
-        let timing =
-            Timing { lease: Duration::from_millis(raw.lease_ms), far_factor: raw.far_factor, ..Timing::default() };
+        let timing = Timing {
+            lease: Duration::from_millis(raw.lease_ms),
+            far_factor: raw.far_factor,
+            unconfirmed_renewal: Duration::from_millis(raw.unconfirmed_renewal_ms),
+            tuning: raw.tuning,
+            ..Timing::default()
+        };
         Ok(DeploymentSettings {
             runtime: runtime::Settings {
                 box_id: raw.box_id,
@@ -132,12 +143,19 @@
     if raw.cpu_share.is_nan() || raw.cpu_share <= 0.0 {
         return Err(CheckError::new(&path.field("cpu_share"), raw.cpu_share, "allowed is more than 0"));
     }
+    if !(0.0..=1.0).contains(&raw.tuning.headroom) {
+        return Err(CheckError::new(&path.field("tuning").field("headroom"), raw.tuning.headroom, "allowed is 0 to 1"));
+    }
     if raw.link_mbps.is_nan() || raw.link_mbps <= 0.0 {
         return Err(CheckError::new(&path.field("link_mbps"), raw.link_mbps, "allowed is more than 0"));
     }
     Ok(())
 }
 
+fn unconfirmed_renewal() -> u64 {
+    Timing::default().unconfirmed_renewal.millis()
+}
+
 /// A link of which the settings tell nothing is taken for one that is wide enough for all.
 fn wide_link() -> f64 {
     1000.0
--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -110,7 +110,7 @@
             guaranteed: false,
             long_running: entry.job.steps[*step].long_running,
             hopeless: wall_ms > from + objective.scaled(HOPELESSLY_LATE).millis(),
-            deadline_ms: from + objective.millis(),
+            deadline_ms: if self.timing.tuning.deadline_order { from + objective.millis() } else { from },
         };
         steps.iter().map(candidate).collect()
     }
--- a/crates/scheduler/src/choose.rs
+++ b/crates/scheduler/src/choose.rs
@@ -95,7 +95,9 @@
         let count = u64::from(wanted.step.count);
         let slots = slots_by_rack(wanted, &allowed, &part);
         // Work that can wait fills the racks from the first, so that whole racks stay free for what cannot.
-        let rank = |rack: &Arc<str>, n: u64| if wanted.urgent { (n, None) } else { (0, Some(Arc::clone(rack))) };
+        let filling = self.timing.tuning.rack_filling;
+        let rank =
+            |rack: &Arc<str>, n: u64| if wanted.urgent || !filling { (n, None) } else { (0, Some(Arc::clone(rack))) };
         let fits = slots.iter().filter(|(_, n)| **n >= count).min_by_key(|(rack, n)| rank(rack, **n));
         if let Some((rack, _)) = fits {
             return fill(wanted, &allowed, part, |room| (room.rack == **rack).then_some(0));
@@ -110,7 +112,7 @@
 
     /// A task runs longer away from its data: it waits as long as that would cost before it goes there.
     fn far_is_worth_it(&self, candidate: &Candidate, step: &Step, now: Moment) -> bool {
-        let Some(rack) = &step.data_rack else { return true };
+        let Some(rack) = step.data_rack.as_ref().filter(|_| self.timing.tuning.data_rack) else { return true };
         let exists = self.servers.values().filter_map(|server| server.info.as_ref()).any(|info| info.rack == *rack);
         let since = candidate.groups.iter().filter_map(|&group| self.group(candidate.group(group)).ready_since).min();
         let waited = since.map_or(Duration::ZERO, |since| now.since(since));
@@ -121,7 +123,7 @@
     pub(crate) fn avoids(&self, name: GroupId, id: &BackendServerId, now: Moment) -> bool {
         let group = self.group(name);
         let waited = group.ready_since.map_or(Duration::ZERO, |since| now.since(since));
-        group.avoid.contains(id) && waited < AVOID
+        self.timing.tuning.avoidance && group.avoid.contains(id) && waited < AVOID
     }
 }
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -38,6 +38,7 @@
 mod starts;
 mod stops;
 mod timing;
+mod tuning;
 mod upkeep;
 
 pub use crate::{
@@ -52,5 +53,6 @@
     scheduler::{Counts, Scheduler},
     server::ServerInfo,
     timing::Timing,
+    tuning::Tuning,
     upkeep::{Machine, MachineId, UpkeepReply, WaveProgress, WaveRequest},
 };
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -51,6 +51,9 @@
         guarantees: &Guarantees,
         now: Moment,
     ) {
+        if !self.timing.tuning.preemption {
+            return;
+        }
         let victims = self.victims(candidate, count, rooms, guarantees, now);
         if victims.is_empty() {
             return;
--- a/crates/scheduler/src/rooms.rs
+++ b/crates/scheduler/src/rooms.rs
@@ -87,7 +87,7 @@
             let totals = rooms.totals.entry(info.service.clone()).or_default();
             totals.used += server.used.accelerators;
             totals.all += info.capacity.accelerators;
-            if !server.open(now) || server.health.set_aside(now) {
+            if !server.open(now) || self.timing.tuning.set_aside && server.health.set_aside(now) {
                 continue;
             }
             let room = self.room(server, info, now);
@@ -108,7 +108,7 @@
             soon: free,
             best_effort: 0,
             serving: 0,
-            doubtful: server.health.doubtful(now),
+            doubtful: self.timing.tuning.doubt && server.health.doubtful(now),
         };
         for task in server.members.keys() {
             let Some(name) = self.group_of(*task) else { continue };
--- a/crates/scheduler/src/timing.rs
+++ b/crates/scheduler/src/timing.rs
@@ -2,6 +2,8 @@
 
 use model::{Duration, Moment};
 
+use crate::tuning::Tuning;
+
 /// The slowest clock of a backend server runs at this share of true speed (users' protocol page: 2 % slow).
 const SLOWEST_CLOCK: f64 = 0.98;
 
@@ -20,14 +22,14 @@
     pub stop_retry: Duration,
     /// A backend server that refused a start for another reason than room is left alone for this long.
     pub refused_pause: Duration,
-    /// Share of a service's accelerators that is left free for urgent jobs when others start.
-    pub headroom: f64,
     /// How long the tasks of a step run when spread over racks, against one rack.
     pub far_factor: f64,
     /// How much later than due a timed occurrence starts, so that two clocks that differ never make it early.
     pub due_margin: Duration,
     /// How long a job's end can still be asked for.
     pub keep_ended: Duration,
+    /// How strong each mechanism is.
+    pub tuning: Tuning,
 }
 
 impl Default for Timing {
@@ -39,10 +41,10 @@
             start_tries: 3,
             stop_retry: Duration::from_millis(400),
             refused_pause: Duration::from_millis(1000),
-            headroom: 0.35,
             far_factor: 3.0,
             due_margin: Duration::from_millis(30),
             keep_ended: Duration::from_secs(150),
+            tuning: Tuning::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/scheduler/src/tuning.rs
@@ -0,0 +1,41 @@
+//! Mechanisms of the scheduler that can be weighed one by one.
+
+use serde::Deserialize;
+
+/// How strong a mechanism is, or whether it is at work at all. The defaults are what is meant for use; others are for
+/// measuring what a mechanism is worth.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Tuning {
+    /// Share of a service's accelerators that is left free for urgent jobs when others start.
+    pub headroom: f64,
+    /// Work that can wait is stopped for urgent jobs.
+    pub preemption: bool,
+    /// Work that can wait fills the racks from the first.
+    pub rack_filling: bool,
+    /// Tasks wait for room near their data.
+    pub data_rack: bool,
+    /// A group keeps off backend servers where it failed.
+    pub avoidance: bool,
+    /// Backend servers on which something has failed lately are taken last.
+    pub doubt: bool,
+    /// Backend servers on which several jobs have failed take no work for a while.
+    pub set_aside: bool,
+    /// Jobs of one priority go by their deadlines, not in the order in which they came.
+    pub deadline_order: bool,
+}
+
+impl Default for Tuning {
+    fn default() -> Tuning {
+        Tuning {
+            headroom: 0.35,
+            preemption: true,
+            rack_filling: true,
+            data_rack: true,
+            avoidance: true,
+            doubt: true,
+            set_aside: true,
+            deadline_order: true,
+        }
+    }
+}
