--- a/crates/runtime/src/election.rs
+++ b/crates/runtime/src/election.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     active::ActiveSlot,
-    follow::{Seen, follow},
+    follow::{Pace, Seen, follow},
     keys,
     leader::{self, Finished, Parts},
     settings::Settings,
@@ -99,7 +99,7 @@
             }
         }
     };
-    follow(&*store, &view, keys::SCHEDULER, None, WATCH_WAIT, on).await;
+    follow(&*store, &view, keys::SCHEDULER, None, Pace::at_once(WATCH_WAIT), on).await;
 }
 
 fn leader_of(item: &Item) -> Option<Leader> {
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -3,7 +3,11 @@
 use model::{Duration, Revision};
 use outside::{Change, CoordinationStore, Item, StoreError, Watched};
 
-use crate::{pages, view::View, wait::Backoff};
+use crate::{
+    pages,
+    view::View,
+    wait::{Backoff, pause},
+};
 
 /// What is seen of a prefix.
 pub(crate) enum Seen {
@@ -28,14 +32,30 @@
     }
 }
 
-/// Tells `on` everything about a prefix, until it is dropped. A watch waits at most `wait`. Nothing is read
-/// at first if `from` tells up to where the prefix is known.
+/// How a prefix is watched.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Pace {
+    /// A watch waits at most this long for a change.
+    pub(crate) wait: Duration,
+    /// From one answer to the next watch: what changes meanwhile comes in one answer, which costs one call.
+    pub(crate) rest: Duration,
+}
+
+impl Pace {
+    /// Every change is told at once.
+    pub(crate) fn at_once(wait: Duration) -> Pace {
+        Pace { wait, rest: Duration::ZERO }
+    }
+}
+
+/// Tells `on` everything about a prefix, until it is dropped. Nothing is read at first if `from` tells up to where the
+/// prefix is known.
 pub(crate) async fn follow(
     store: &dyn CoordinationStore,
     view: &View,
     prefix: &str,
     mut from: Option<Revision>,
-    wait: Duration,
+    Pace { wait, rest }: Pace,
     mut on: impl FnMut(Seen),
 ) {
     let mut backoff = Backoff::new();
@@ -49,6 +69,7 @@
                 view.store_answered();
                 backoff.reset();
                 from = at;
+                pause(rest).await;
             }
             Err(e) => {
                 log::debug!("event=watch_failed prefix={prefix} why={e}");
--- a/crates/runtime/src/intake.rs
+++ b/crates/runtime/src/intake.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     active::Active,
-    follow::{Seen, follow},
+    follow::{Pace, Seen, follow},
     keys::{self, Intake},
     leader::Parts,
     measure, pages,
@@ -83,7 +83,7 @@
         let items = seen.written();
         active.update(|scheduler| take_intake(scheduler, &items, parts.view.clock().now()));
     };
-    follow(&*parts.store, &parts.view, keys::INTAKE, Some(from), WATCH_WAIT, on).await;
+    follow(&*parts.store, &parts.view, keys::INTAKE, Some(from), Pace::at_once(WATCH_WAIT), on).await;
 }
 
 /// Jobs are taken before cancellations, which may be of them.
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -12,7 +12,7 @@
     active::ActiveSlot,
     border::{Adviser, BackendServers, Decoder, Machines},
     election,
-    follow::{Seen, follow},
+    follow::{Pace, Seen, follow},
     keys,
     leader::Parts,
     measure::MeasuredStore,
@@ -183,7 +183,7 @@
             }
         }
     };
-    follow(&*parts.store, &parts.view, &key, None, wait, on).await;
+    follow(&*parts.store, &parts.view, &key, None, Pace::at_once(wait), on).await;
 }
 
 /// Tells where this box is, and reads where the others are.
