Throw no more work away for an urgent job than it is itself, unless it is guaranteed

Hypothesis: a stop is worth it if less is lost than is won; work that ends within the time of a stop need not be stopped. A guarantee is reclaimed whatever it costs.

Test: plan.rs.

--- a/crates/scheduler/src/headroom.rs
+++ b/crates/scheduler/src/headroom.rs
@@ -35,6 +35,10 @@
         StopTimes { mean_s: UNSEEN.secs_f64() }
     }
 
+    pub(crate) fn mean_s(&self) -> f64 {
+        self.mean_s
+    }
+
     /// A stop has taken so long.
     pub(crate) fn note(&mut self, took: Duration) {
         let took = took.min(LONGEST).secs_f64();
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -54,8 +54,8 @@
         if !self.timing.tuning.preemption {
             return;
         }
-        let victims = self.victims(candidate, count, rooms, guarantees, now);
-        if victims.is_empty() {
+        let (waste, victims) = self.victims(candidate, count, rooms, guarantees, now);
+        if victims.is_empty() || !candidate.guaranteed && waste > self.most_waste(candidate, count) {
             return;
         }
         log::info!(
@@ -88,8 +88,8 @@
         rooms: &Rooms,
         guarantees: &Guarantees,
         now: Moment,
-    ) -> Vec<GroupId> {
-        let Some(wanted) = self.wanted(candidate, now) else { return Vec::new() };
+    ) -> (f64, Vec<GroupId>) {
+        let Some(wanted) = self.wanted(candidate, now) else { return (0.0, Vec::new()) };
         let avoids = |id: &BackendServerId| wanted.step.gang && self.avoids(candidate.group(0), id, now);
         let mut by_rack: BTreeMap<Option<&Arc<str>>, Vec<Vec<Offer>>> = BTreeMap::new();
         for (id, room) in rooms.iter().filter(|(id, room)| wanted.allows(id, room) && !avoids(id)) {
@@ -98,7 +98,7 @@
             by_rack.entry(rack).or_default().push(offers);
         }
         let cheapest = by_rack.values().filter_map(|offers| cheapest(offers, count));
-        cheapest.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, victims)| victims).unwrap_or_default()
+        cheapest.min_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default()
     }
 
     /// What stopping one, two, ... runs of one backend server would make room for, the cheapest first.
@@ -150,11 +150,30 @@
             return None;
         }
         let ran = now.since(group.placed_at).secs_f64();
+        if self.timing.tuning.spare_ending && self.ends_before_a_stop(group, ran) {
+            return None;
+        }
         let lost = if step.checkpoints { ran.min(UNSAVED_S) } else { ran };
         let waste = weight(&step.need) * (group.members.len() as f64) * (lost + RESTART_S);
         Some(Victim { group: name, waste, freed: step.counted_need() })
     }
 
+    /// Whether a run ends sooner than it could be stopped, as far as its progress tells.
+    fn ends_before_a_stop(&self, group: &Group, ran: f64) -> bool {
+        let least = group.members.iter().map(|member| member.percent).min().unwrap_or(0);
+        if least == 0 {
+            return false;
+        }
+        let left = ran * f64::from(100 - least.min(100)) / f64::from(least);
+        left < self.stop_times.mean_s()
+    }
+
+    /// Most core-seconds that are thrown away so that `count` tasks of a candidate without a guarantee can start.
+    fn most_waste(&self, candidate: &Candidate, count: u64) -> f64 {
+        let step = &self.jobs[&candidate.occurrence.job].job.steps[candidate.step];
+        weight(&step.need) * count as f64 * step.estimate.secs_f64() * self.timing.tuning.most_waste
+    }
+
     /// Whether one more task of the step may be away through the system's doing. One that is not at work yet, or is
     /// out of reach, counts as away whatever the cause.
     pub(crate) fn may_be_absent(&self, name: GroupId) -> bool {
--- a/crates/scheduler/src/tuning.rs
+++ b/crates/scheduler/src/tuning.rs
@@ -11,6 +11,10 @@
     pub headroom: Option<f64>,
     /// Work that can wait is stopped for urgent jobs.
     pub preemption: bool,
+    /// Runs that are about to end by themselves are not stopped for others.
+    pub spare_ending: bool,
+    /// Most work that is thrown away for an urgent job without a guarantee, as a multiple of its own.
+    pub most_waste: f64,
     /// Work that can wait fills the racks from the first.
     pub rack_filling: bool,
     /// Tasks wait for room near their data.
@@ -30,6 +34,8 @@
         Tuning {
             headroom: None,
             preemption: true,
+            spare_ending: true,
+            most_waste: 1.0,
             rack_filling: true,
             data_rack: true,
             avoidance: true,
--- a/crates/scheduler/tests/plan.rs
+++ b/crates/scheduler/tests/plan.rs
@@ -199,3 +199,25 @@
     let looked_at = fixture.scheduler.counts().refreshed - before;
     assert!(looked_at <= 2, "one job ended and one started, and {looked_at} of 1000 were looked at");
 }
+
+/// One backend server that is full of work of 2 s each, which has run for some time; and an urgent job that needs half.
+fn urgent_beside_work_that_ran(ms: u64, customer_holds_guarantee: bool) -> Fixture {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(job_in("archive", 1, vec![step(8, 1)]));
+    fixture.start_all();
+    fixture.advance(ms);
+    let mut urgent = job_in("urgent", 2, vec![gang(1, 4)]);
+    if !customer_holds_guarantee {
+        urgent.customer = Some("stranger".parse().expect("it is a valid id"));
+    }
+    fixture.submit(urgent);
+    fixture.start_all();
+    fixture
+}
+
+#[test]
+fn no_more_work_is_thrown_away_for_an_urgent_job_than_its_own_unless_it_is_guaranteed() {
+    assert!(!stopped(&urgent_beside_work_that_ran(500, false)).is_empty(), "half a second's work of four tasks");
+    assert!(stopped(&urgent_beside_work_that_ran(10_000, false)).is_empty(), "ten seconds' work of four tasks");
+    assert!(!stopped(&urgent_beside_work_that_ran(10_000, true)).is_empty(), "a guarantee is always reclaimed");
+}
