--- a/crates/runtime/src/election.rs
+++ b/crates/runtime/src/election.rs
@@ -37,6 +37,9 @@
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 /// Renewals in the life of a lease: two may be lost.
 const RENEWALS: f64 = 3.0;
+/// How long a renewal may take before it is made again: above a slow store's answer (60 times 4 ms), and so short that
+/// one that is lost leaves time for another within a lease of 1 s.
+const RENEWAL_LIMIT: Duration = Duration::from_millis(400);
 /// Longest wait of the watch on the key.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
 
@@ -208,7 +211,7 @@
             return Ended::Resigned;
         }
         let sent = parts.view.clock().now();
-        match parts.view.unless_back(parts.store.keep(won.lease)).await {
+        match parts.view.unless_back(renew(parts, won.lease)).await {
             Ok(true) => {
                 confirmed = sent + settings.election_ttl;
                 last = sent;
@@ -227,6 +230,14 @@
     }
 }
 
+async fn renew(parts: &Parts, lease: LeaseId) -> Result<bool, StoreError> {
+    let late = async {
+        pause(RENEWAL_LIMIT).await;
+        Err(StoreError::Lost { why: format!("nothing came within {RENEWAL_LIMIT}") })
+    };
+    futures_lite::FutureExt::or(parts.store.keep(lease), late).await
+}
+
 /// Waits until the box leaves.
 async fn leaving(view: &View) {
     while !view.draining() {
