Keep the progress of a job that cannot be read

Cause: reading the diff: progress whose job is not known at a restore was removed as left over, also that of a job whose record this version cannot read; a later version would have run it again. Test: recovery.rs, which fails without this.

Also names how a prefix is watched apart from how fast a task works.

--- a/crates/martend/tests/recovery.rs
+++ b/crates/martend/tests/recovery.rs
@@ -150,3 +150,18 @@
         assert_eq!(world.platform.oracle.broken(), Vec::<String>::new());
     });
 }
+
+#[test]
+fn progress_of_a_job_that_cannot_be_read_is_kept_for_a_version_that_can() {
+    smol::block_on(async {
+        let mut world = World::start(0, 1).await;
+        world.platform.write("marten/in/0000000000000007/job", br#"{"steps":"of a later version"}"#);
+        world.platform.write("marten/progress/0000000000000007.0", br#"{"g":[[{"d":true}]]}"#);
+        world.platform.write("marten/progress/0000000000000008.0", br#"{"g":[[{"d":true}]]}"#);
+        let addrs = free_addrs();
+        world.boxes.push(start_box_with("box-0", addrs, world.platform.settings("box-0", &addrs, &[])));
+        let platform = &world.platform;
+        let left = || platform.keys("marten/progress/");
+        until("what belongs to no job has gone", || async { left() == ["marten/progress/0000000000000007.0"] }).await;
+    });
+}
--- a/crates/runtime/src/directory.rs
+++ b/crates/runtime/src/directory.rs
@@ -8,14 +8,14 @@
 use crate::{
     active::Active,
     border::ListedServer,
-    follow::{Pace, Seen, follow},
+    follow::{Seen, WatchPace, follow},
     leader::Parts,
 };
 
 /// How backend servers are watched. Each writes its entry now and then (users: every 1.5 s), so that without a rest a
 /// watch would bring one change at a time: two of three calls to the store on the users' sites of 48 backend servers.
 /// A rest of 0.1 s leaves 10 calls a second; a drain is told 2 s ahead, and one that leaves shows within 0.3 s.
-const WATCH: Pace = Pace { wait: Duration::from_secs(2), rest: Duration::from_millis(100) };
+const WATCH: WatchPace = WatchPace { wait: Duration::from_secs(2), rest: Duration::from_millis(100) };
 
 /// Follows the platform's list of backend servers.
 pub(crate) async fn follow_servers(parts: Parts, active: Arc<Active>) {
--- a/crates/runtime/src/election.rs
+++ b/crates/runtime/src/election.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     active::ActiveSlot,
-    follow::{Pace, Seen, follow},
+    follow::{Seen, WatchPace, follow},
     keys,
     leader::{self, Finished, Parts},
     settings::Settings,
@@ -102,7 +102,7 @@
             }
         }
     };
-    follow(&*store, &view, keys::SCHEDULER, None, Pace::at_once(WATCH_WAIT), on).await;
+    follow(&*store, &view, keys::SCHEDULER, None, WatchPace::at_once(WATCH_WAIT), on).await;
 }
 
 fn leader_of(item: &Item) -> Option<Leader> {
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -34,17 +34,17 @@
 
 /// How a prefix is watched.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Pace {
+pub(crate) struct WatchPace {
     /// A watch waits at most this long for a change.
     pub(crate) wait: Duration,
     /// From one answer to the next watch: what changes meanwhile comes in one answer, which costs one call.
     pub(crate) rest: Duration,
 }
 
-impl Pace {
+impl WatchPace {
     /// Every change is told at once.
-    pub(crate) fn at_once(wait: Duration) -> Pace {
-        Pace { wait, rest: Duration::ZERO }
+    pub(crate) fn at_once(wait: Duration) -> WatchPace {
+        WatchPace { wait, rest: Duration::ZERO }
     }
 }
 
@@ -55,7 +55,7 @@
     view: &View,
     prefix: &str,
     mut from: Option<Revision>,
-    Pace { wait, rest }: Pace,
+    WatchPace { wait, rest }: WatchPace,
     mut on: impl FnMut(Seen),
 ) {
     let mut backoff = Backoff::new();
--- a/crates/runtime/src/intake.rs
+++ b/crates/runtime/src/intake.rs
@@ -1,6 +1,6 @@
 //! What callers have handed in: read once by a new scheduler, and followed from there.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use jobs::{EndedJob, Job, JobId, Progress};
 use model::{Duration, Moment, Revision};
@@ -9,7 +9,7 @@
 
 use crate::{
     active::Active,
-    follow::{Pace, Seen, follow},
+    follow::{Seen, WatchPace, follow},
     keys::{self, Intake},
     leader::Parts,
     measure, pages,
@@ -33,9 +33,14 @@
 
 fn take_restored(parts: &Parts, scheduler: &mut Scheduler, intake: &[Item], progress: Vec<Item>) {
     let mut cancelled = Vec::new();
+    let mut unreadable = BTreeSet::new();
     for item in intake {
         match keys::intake(&item.key) {
-            Some(Intake::Job(id)) => add_job(scheduler, id, item),
+            Some(Intake::Job(id)) => {
+                if !add_job(scheduler, id, item) {
+                    unreadable.insert(id);
+                }
+            }
             Some(Intake::Cancel(id)) => cancelled.push(id),
             None => log::warn!("event=key_unknown key={}", item.key),
         }
@@ -43,6 +48,8 @@
     for item in progress {
         let progress: Result<Progress, _> = serde_json::from_slice(&item.value);
         match (keys::occurrence(&item.key), progress) {
+            // It is no orphan: another version may read the job, and must not run it again.
+            (Some(id), _) if unreadable.contains(&id.job) => {}
             (Some(id), Ok(progress)) => scheduler.restore(id, progress, item.revision),
             (_, Err(e)) => log::error!("event=progress_unreadable key={} why={e}", item.key),
             (None, _) => log::warn!("event=key_unknown key={}", item.key),
@@ -70,10 +77,17 @@
     }
 }
 
-fn add_job(scheduler: &mut Scheduler, id: JobId, item: &Item) {
+/// Returns whether the job could be read.
+fn add_job(scheduler: &mut Scheduler, id: JobId, item: &Item) -> bool {
     match serde_json::from_slice::<Job>(&item.value) {
-        Ok(job) => scheduler.add_job(job),
-        Err(e) => log::error!("job={id} event=job_unreadable why={e}"),
+        Ok(job) => {
+            scheduler.add_job(job);
+            true
+        }
+        Err(e) => {
+            log::error!("job={id} event=job_unreadable why={e}");
+            false
+        }
     }
 }
 
@@ -83,7 +97,7 @@
         let items = seen.written();
         active.update(|scheduler| take_intake(scheduler, &items, parts.view.clock().now()));
     };
-    follow(&*parts.store, &parts.view, keys::INTAKE, Some(from), Pace::at_once(WATCH_WAIT), on).await;
+    follow(&*parts.store, &parts.view, keys::INTAKE, Some(from), WatchPace::at_once(WATCH_WAIT), on).await;
 }
 
 /// Jobs are taken before cancellations, which may be of them.
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -12,7 +12,7 @@
     active::ActiveSlot,
     border::{Adviser, BackendServers, Decoder, Machines},
     election,
-    follow::{Pace, Seen, follow},
+    follow::{Seen, WatchPace, follow},
     keys,
     leader::Parts,
     measure::MeasuredStore,
@@ -184,7 +184,7 @@
             }
         }
     };
-    follow(&*parts.store, &parts.view, &key, None, Pace::at_once(wait), on).await;
+    follow(&*parts.store, &parts.view, &key, None, WatchPace::at_once(wait), on).await;
 }
 
 /// Tells where this box is, and reads where the others are.
--- a/crates/runtime/src/upkeep.rs
+++ b/crates/runtime/src/upkeep.rs
@@ -9,7 +9,7 @@
 use crate::{
     active::Active,
     border::Machines,
-    follow::{Pace, Seen, follow},
+    follow::{Seen, WatchPace, follow},
     keys,
     leader::Parts,
     measure,
@@ -39,7 +39,7 @@
             take_wave(&parts, &active, &item).await;
         }
     };
-    let watch = follow(&*parts.store, &parts.view, &prefix, None, Pace::at_once(WATCH_WAIT), on);
+    let watch = follow(&*parts.store, &parts.view, &prefix, None, WatchPace::at_once(WATCH_WAIT), on);
     futures_lite::FutureExt::or(watch, take).await;
 }
 
