Do not take a task that lasts for one that is about to end

Change: progress spares only tasks that end by themselves. Ruled out: that the test asks too much; an urgent job must get the room of what lasts, within the allowed absences.

--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -150,7 +150,7 @@
             return None;
         }
         let ran = now.since(group.placed_at).secs_f64();
-        if self.timing.tuning.spare_ending && self.ends_before_a_stop(group, ran) {
+        if self.timing.tuning.spare_ending && !step.long_running && self.ends_before_a_stop(group, ran) {
             return None;
         }
         let lost = if step.checkpoints { ran.min(UNSAVED_S) } else { ran };
@@ -158,7 +158,8 @@
         Some(Victim { group: name, waste, freed: step.counted_need() })
     }
 
-    /// Whether a run ends sooner than it could be stopped, as far as its progress tells.
+    /// Whether a run ends sooner than it could be stopped, as far as its progress tells. That of a task that lasts tells
+    /// nothing of its end.
     fn ends_before_a_stop(&self, group: &Group, ran: f64) -> bool {
         let least = group.members.iter().map(|member| member.percent).min().unwrap_or(0);
         if least == 0 {
