--- a/crates/martend/src/deployment/settings.rs
+++ b/crates/martend/src/deployment/settings.rs
@@ -8,7 +8,7 @@
 
 /// The lease of an election, unless the store allows none so short: three renewals, of which two may be lost, also to
 /// a store that is slow (240 ms an answer). Against 1.5 s it buys 0.007 of mean worth (standard error 0.003; 50 days each
-/// on magnolia-gate, tsehay-addis and yonghe-refill): jobs that come while the scheduler is lost start 0.5 s earlier.
+/// on three of the users' sites): jobs that come while the scheduler is lost start 0.5 s earlier.
 const ELECTION_TTL: Duration = Duration::from_millis(1000);
 /// Wait of the watch on the configuration: a watch whose answer is lost is made up for within this and 0.6 s, below the
 /// 3 s after which the users ask for the newest configuration again.
