--- a/crates/scheduler/src/guarantee.rs
+++ b/crates/scheduler/src/guarantee.rs
@@ -20,8 +20,7 @@
         let mut held: BTreeMap<&CustomerId, u64> = BTreeMap::new();
         for id in &scheduler.open {
             let entry = &scheduler.jobs[id];
-            let urgent = scheduler.policy.queues.get(&entry.job.queue).is_some_and(|queue| queue.priority == 0);
-            if let Some(customer) = entry.job.customer.as_ref().filter(|_| urgent) {
+            if let Some(customer) = entry.job.customer.as_ref().filter(|_| entry.priority == 0) {
                 *held.entry(customer).or_insert(0) += accelerators_held(entry);
             }
         }
--- a/crates/scheduler/src/live.rs
+++ b/crates/scheduler/src/live.rs
@@ -159,6 +159,8 @@
     pub(crate) job: Arc<Job>,
     /// Run time of the longest chain of its steps, as declared.
     pub(crate) chain: Duration,
+    /// Of its queue; the highest number while no configuration names the queue.
+    pub(crate) priority: u32,
     pub(crate) cancelled: bool,
     pub(crate) occurrences: Vec<Occurrence>,
     /// When its last task ended or it was cancelled, as far as known.
@@ -166,9 +168,16 @@
 }
 
 impl JobEntry {
-    pub(crate) fn new(job: Job) -> JobEntry {
+    pub(crate) fn new(job: Job, priority: u32) -> JobEntry {
         let occurrences = (0..job.occurrences()).map(|_| Occurrence::new(&job)).collect();
-        JobEntry { chain: longest_chain(&job), job: Arc::new(job), cancelled: false, occurrences, ended: None }
+        JobEntry {
+            chain: longest_chain(&job),
+            job: Arc::new(job),
+            priority,
+            cancelled: false,
+            occurrences,
+            ended: None,
+        }
     }
 
     pub(crate) fn occurrence_ids(&self) -> impl Iterator<Item = OccurrenceId> + use<> {
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -63,3 +63,10 @@
     /// By customer.
     pub customers: BTreeMap<CustomerId, CustomerPolicy>,
 }
+
+impl Policy {
+    /// The priority of a queue's jobs: the lowest while no configuration names it.
+    pub(crate) fn priority(&self, queue: &QueueId) -> u32 {
+        self.queues.get(queue).map_or(u32::MAX, |queue| queue.priority)
+    }
+}
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -32,15 +32,24 @@
 }
 
 /// What making room for some tasks on one backend server takes.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 struct Offer {
     /// Tasks that would fit.
     tasks: u64,
     /// Core-seconds that would be thrown away.
     waste: f64,
+    /// The same for each task that is wanted.
+    rate: f64,
     victims: Vec<GroupId>,
 }
 
+impl Offer {
+    fn of(tasks: u64, waste: f64, wanted: u64) -> Offer {
+        let rate = if tasks == 0 { f64::INFINITY } else { waste / tasks.min(wanted) as f64 };
+        Offer { tasks, waste, rate, victims: Vec::new() }
+    }
+}
+
 impl Scheduler {
     /// Stops the cheapest runs that make room for `count` tasks of a step of priority 0.
     pub(crate) fn preempt_for(
@@ -89,25 +98,26 @@
     ) -> (f64, Vec<GroupId>) {
         let Some(wanted) = self.wanted(candidate, now) else { return (0.0, Vec::new()) };
         let avoids = |id: &BackendServerId| wanted.step.gang && self.avoids(candidate.group(0), id, now);
-        let mut by_rack: BTreeMap<Option<&Arc<str>>, Vec<Vec<Offer>>> = BTreeMap::new();
+        let mut by_rack: BTreeMap<Option<&Arc<str>>, Vec<Offer>> = BTreeMap::new();
         for (_, room) in rooms.iter().filter(|(_, room)| wanted.allows(room) && !avoids(&room.id)) {
             let rack = wanted.step.same_rack.then_some(&room.rack);
-            let offers = self.offers(candidate, &wanted, room, guarantees, now);
-            by_rack.entry(rack).or_default().push(offers);
+            let offer = self.best_offer(candidate, count, &wanted, room, guarantees, now);
+            by_rack.entry(rack).or_default().extend(offer);
         }
-        let cheapest = by_rack.values().filter_map(|offers| cheapest(offers, count));
+        let cheapest = by_rack.into_values().filter_map(|offers| cheapest(offers, count));
         cheapest.min_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default()
     }
 
-    /// What stopping one, two, ... runs of one backend server would make room for, the cheapest first.
-    fn offers(
+    /// What one backend server offers at the least waste for each task: the cheapest of its runs are stopped first.
+    fn best_offer(
         &self,
         candidate: &Candidate,
+        count: u64,
         wanted: &Wanted<'_>,
         room: &Room,
         guarantees: &Guarantees,
         now: Moment,
-    ) -> Vec<Offer> {
+    ) -> Option<Offer> {
         let mut victims: Vec<Victim> = Vec::new();
         for task in self.servers[&room.id].members.keys() {
             let Some(victim) = self.victim(candidate, *task, guarantees, now) else { continue };
@@ -118,32 +128,37 @@
         }
         victims.sort_by(|a, b| a.waste.total_cmp(&b.waste));
         let mut free = room.soon;
-        let mut offer = Offer { tasks: wanted.fitting(&room.id, &free), ..Offer::default() };
-        let mut offers = vec![offer.clone()];
-        for victim in victims {
+        let mut offer = Offer::of(wanted.fitting(&room.id, &free), 0.0, count);
+        let mut stopped = 0;
+        let mut waste = 0.0;
+        for (i, victim) in victims.iter().enumerate() {
             free.add(&victim.freed);
-            offer.waste += victim.waste;
-            offer.victims.push(victim.group);
-            offer.tasks = wanted.fitting(&room.id, &free);
-            offers.push(offer.clone());
+            waste += victim.waste;
+            let more = Offer::of(wanted.fitting(&room.id, &free), waste, count);
+            if more.rate < offer.rate {
+                offer = more;
+                stopped = i + 1;
+            }
         }
-        offers
+        offer.victims = victims[..stopped].iter().map(|victim| victim.group).collect();
+        (offer.tasks > 0).then_some(offer)
     }
 
     /// The run that a task belongs to, if it may be stopped for the candidate.
     fn victim(&self, candidate: &Candidate, task: TaskId, guarantees: &Guarantees, now: Moment) -> Option<Victim> {
-        let name = self.group_of(task)?;
-        let group = self.group(name);
-        if group.stopping.is_some() || name.occurrence.job == candidate.occurrence.job {
+        let job = task.occurrence.job;
+        let entry = self.jobs.get(&job).filter(|_| job != candidate.occurrence.job)?;
+        let step = entry.job.steps.get(task.step as usize)?;
+        let name = GroupId::of(task, step);
+        let group = &entry.occurrences.get(task.occurrence.number as usize)?.groups[name.step][name.group];
+        if group.stopping.is_some() {
             return None;
         }
-        let entry = &self.jobs[&name.occurrence.job];
-        let priority = self.policy.queues.get(&entry.job.queue).map_or(u32::MAX, |queue| queue.priority);
-        let reclaimed = candidate.guaranteed && guarantees.is_beyond(entry.job.customer.as_ref());
-        let step = self.step(name);
         // What lasts must run again soon, so it takes the place of its equals that end by themselves.
-        let outlasted = candidate.long_running && priority == candidate.priority && !step.long_running;
-        if priority <= candidate.priority && !reclaimed && !outlasted || !self.may_be_absent(name) {
+        let outlasted = candidate.long_running && entry.priority == candidate.priority && !step.long_running;
+        let reclaimed = || candidate.guaranteed && guarantees.is_beyond(entry.job.customer.as_ref());
+        let gives_way = entry.priority > candidate.priority || outlasted || reclaimed();
+        if !gives_way || step.max_absent.is_some() && !self.may_be_absent(name) {
             return None;
         }
         let ran = now.since(group.placed_at).secs_f64();
@@ -185,25 +200,17 @@
     }
 }
 
-/// The cheapest runs whose end makes room for `count` tasks.
-fn cheapest(offers: &[Vec<Offer>], count: u64) -> Option<(f64, Vec<GroupId>)> {
-    // By what each further task costs, taking a backend server as a whole at its best rate.
-    let rate = |offer: &Offer| offer.waste / offer.tasks.min(count) as f64;
-    let best = |offers: &'_ Vec<Offer>| -> Option<(f64, usize)> {
-        let useful = offers.iter().enumerate().filter(|(_, offer)| offer.tasks > 0);
-        useful.map(|(i, offer)| (rate(offer), i)).min_by(|a, b| a.0.total_cmp(&b.0))
-    };
-    let mut rated: Vec<(f64, &Offer)> =
-        offers.iter().filter_map(|all| best(all).map(|(rate, i)| (rate, &all[i]))).collect();
-    rated.sort_by(|a, b| a.0.total_cmp(&b.0));
+/// The cheapest runs whose end makes room for `count` tasks, by what each further task costs.
+fn cheapest(mut offers: Vec<Offer>, count: u64) -> Option<(f64, Vec<GroupId>)> {
+    offers.sort_by(|a, b| a.rate.total_cmp(&b.rate));
     let (mut tasks, mut waste, mut victims) = (0, 0.0, Vec::new());
-    for (_, offer) in rated {
+    for offer in offers {
         if tasks >= count {
             break;
         }
         tasks += offer.tasks;
         waste += offer.waste;
-        victims.extend(offer.victims.iter().copied());
+        victims.extend(offer.victims);
     }
     victims.sort();
     victims.dedup();
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -143,6 +143,9 @@
             policy.queues.entry(queue).or_insert(old);
         }
         self.policy = policy;
+        for entry in self.jobs.values_mut() {
+            entry.priority = self.policy.priority(&entry.job.queue);
+        }
         self.plan_wanted = true;
     }
 
@@ -154,10 +157,11 @@
     /// A job that the store holds. Told again, it changes nothing.
     pub fn add_job(&mut self, job: Job) {
         let id = job.id;
+        let priority = self.policy.priority(&job.queue);
         if self.jobs.contains_key(&id) || self.ended.contains_key(&id) {
             return;
         }
-        let entry = JobEntry::new(job);
+        let entry = JobEntry::new(job, priority);
         self.changed.extend(entry.occurrence_ids());
         self.jobs.insert(id, entry);
         self.open.insert(id);
--- a/xtask/src/plans.rs
+++ b/xtask/src/plans.rs
@@ -5,7 +5,7 @@
 use jobs::{Fence, Job, JobId, Need, Step};
 use model::{BackendServerId, Duration, Moment, Revision};
 use scheduler::{
-    Listing, Order, Policy, QueuePolicy, RunningTask, Scheduler, ServerInfo, ServiceId, StartReply, Timing,
+    Listing, Order, Policy, QueuePolicy, RunningTask, Scheduler, ServerInfo, ServiceId, StartReply, Timing, Tuning,
 };
 
 const SERVICE: &str = "service";
@@ -25,18 +25,22 @@
 /// Measures and prints a table.
 pub(crate) fn run() -> Result<String, String> {
     let mut table = format!(
-        "{:>15} {:>15} {:>20} {:>20} {:>20}\n",
-        "backend servers", "groups waiting", "nothing moved, us", "one end, us", "64 placed, us"
+        "{:>15} {:>15} {:>20} {:>20} {:>20} {:>20}\n",
+        "backend servers", "groups waiting", "nothing moved, us", "one end, us", "64 placed, us", "gang makes room, us"
     );
     for servers in [50, 350, 1100, 3000] {
         for waiting in [100, 1000, 10_000] {
-            let mut bed = Bed::new(servers);
+            let mut bed = Bed::new(servers, Tuning::default());
             bed.fill();
             bed.let_wait(waiting);
             let idle = median(|| bed.time_plan());
             let end = median(|| bed.time_end());
             let placed = median(|| bed.time_placing());
-            let _ = writeln!(table, "{servers:>15} {waiting:>15} {idle:>20.1} {end:>20.1} {placed:>20.1}");
+            let preempting = Bed::full(servers, waiting).time_preempting();
+            let _ = writeln!(
+                table,
+                "{servers:>15} {waiting:>15} {idle:>20.1} {end:>20.1} {placed:>20.1} {preempting:>20.1}"
+            );
         }
     }
     Ok(table)
@@ -59,9 +63,9 @@
 }
 
 impl Bed {
-    fn new(servers: usize) -> Bed {
+    fn new(servers: usize, tuning: Tuning) -> Bed {
         let now = Moment::from_millis(1000);
-        let mut scheduler = Scheduler::new(Fence(10), now, Timing::default(), policy());
+        let mut scheduler = Scheduler::new(Fence(10), now, Timing { tuning, ..Timing::default() }, policy());
         for i in 0..servers {
             scheduler.server_listed(id(i), info(i), now);
             scheduler.lease_sent(&id(i), now);
@@ -70,6 +74,27 @@
         Bed { scheduler, now, revision: 1, next_job: 1, servers, serial: 0 }
     }
 
+    /// One whose accelerators are all taken by work that can wait; more of it waits.
+    fn full(servers: usize, waiting: u32) -> Bed {
+        let mut bed = Bed::new(servers, Tuning { headroom: Some(0.0), ..Tuning::default() });
+        let tasks = servers as u64 * ACCELERATORS;
+        for _ in 0..tasks / 50 {
+            bed.submit("batch", 50);
+        }
+        bed.plan();
+        bed.settle();
+        bed.let_wait(waiting);
+        bed
+    }
+
+    /// A plan that makes room for an urgent gang.
+    fn time_preempting(&mut self) -> f64 {
+        let id = self.submit_step("urgent", Step { gang: true, same_rack: true, ..step(8, 8) });
+        let took = self.plan();
+        self.scheduler.cancel(id, self.now);
+        took
+    }
+
     /// Takes most accelerators with tasks that go on.
     fn fill(&mut self) {
         let tasks = self.servers as u64 * ACCELERATORS * USED_PERCENT / 100;
@@ -90,15 +115,13 @@
     }
 
     fn submit(&mut self, queue: &str, count: u32) -> JobId {
+        self.submit_step(queue, step(count, 1))
+    }
+
+    fn submit_step(&mut self, queue: &str, step: Step) -> JobId {
         // Spread over all ids, as callers' are.
         let id = JobId(self.next_job.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         self.next_job += 1;
-        let step = Step {
-            count,
-            need: Need { cpu_milli: 1000, memory_mb: 100, accelerators: 1 },
-            estimate: Duration::from_secs(5),
-            ..Step::default()
-        };
         let (queue, text) = (queue.into(), Arc::from("text"));
         let accepted_ms = self.now.millis();
         self.scheduler.add_job(Job { id, queue, customer: None, text, steps: vec![step], schedule: None, accepted_ms });
@@ -158,6 +181,11 @@
     }
 }
 
+fn step(count: u32, accelerators: u64) -> Step {
+    let need = Need { cpu_milli: 1000 * accelerators, memory_mb: 100, accelerators };
+    Step { count, need, estimate: Duration::from_secs(5), ..Step::default() }
+}
+
 fn id(i: usize) -> BackendServerId {
     format!("i-{:010x}", (i as u64).wrapping_mul(0x9e37_79b9) & 0xff_ffff_ffff).parse().expect("it is a valid id")
 }
@@ -183,6 +211,7 @@
         service: ServiceId::from(SERVICE),
         advice: None,
     };
-    let queues = [("urgent", 0), ("archive", 2)].map(|(name, priority)| (name.into(), queue(priority))).into();
+    let queues =
+        [("urgent", 0), ("batch", 1), ("archive", 2)].map(|(name, priority)| (name.into(), queue(priority))).into();
     Policy { version: 1, queues, ..Policy::default() }
 }
