Let memory count in who stands for election first

Cause: what a scheduler holds grows with the fleet, and boxes differ in memory (160 to 512 MB on the large site); only the share of a core and the link counted. A box waits 4 s over its memory in MB besides: 8 ms at 512 MB, 25 ms at 160. Ruled out: a floor below which a box does not stand: where only small boxes are left, one of them must schedule. Not measured on the sites: boxes with more memory there also have the larger share and the wider link.

--- a/crates/martend/src/deployment/settings.rs
+++ b/crates/martend/src/deployment/settings.rs
@@ -54,6 +54,9 @@
     /// What the box's link carries, in Mbit/s.
     #[serde(default = "wide_link")]
     pub link_mbps: f64,
+    /// Memory that the box's process may take, in MB.
+    #[serde(default = "much_memory")]
+    pub memory_mb: f64,
     /// The shortest lease of the store, in milliseconds.
     pub shortest_ttl_ms: u64,
     /// The longest lease that a backend server grants, in milliseconds.
@@ -117,6 +120,7 @@
                 seeds: raw.seeds,
                 cpu_share: raw.cpu_share,
                 link_mbps: raw.link_mbps,
+                memory_mb: raw.memory_mb,
                 election_ttl,
                 watch_wait: WATCH_WAIT,
                 store_silence: STORE_SILENCE,
@@ -151,6 +155,9 @@
     if raw.link_mbps.is_nan() || raw.link_mbps <= 0.0 {
         return Err(CheckError::new(&path.field("link_mbps"), raw.link_mbps, "allowed is more than 0"));
     }
+    if raw.memory_mb.is_nan() || raw.memory_mb <= 0.0 {
+        return Err(CheckError::new(&path.field("memory_mb"), raw.memory_mb, "allowed is more than 0"));
+    }
     Ok(())
 }
 
@@ -163,6 +170,11 @@
     1000.0
 }
 
+/// Memory of which the settings tell nothing is taken for enough.
+fn much_memory() -> f64 {
+    1024.0
+}
+
 /// An address that may be left empty.
 fn optional_address(name: &str, text: &str) -> Result<Option<SocketAddr>, CheckError> {
     if text.is_empty() {
--- a/crates/martend/tests/memory.rs
+++ b/crates/martend/tests/memory.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::{KEY, World, until};
-use users_platform_standin::Setup;
+use common::{KEY, World, start_box_with, until};
+use users_platform_standin::{Setup, free_addrs};
 
 /// Backend servers: enough that what each costs shows beside what the process itself takes.
 const SERVERS: usize = 300;
@@ -33,3 +33,19 @@
     let each = many.saturating_sub(few) / (SERVERS as u64 - 1);
     assert!(each <= MOST_EACH_KB, "{each} KB for each backend server: {few} KB with one, {many} KB with {SERVERS}");
 }
+
+#[test]
+fn a_box_with_much_memory_is_elected_before_one_with_little() {
+    smol::block_on(async {
+        let mut world = World::start(0, 1).await;
+        for (name, memory_mb) in [("box-small", 4), ("box-large", 512)] {
+            let addrs = free_addrs();
+            let settings = world.platform.settings(name, &addrs, &[]);
+            let known = "\"deployment\":{";
+            assert!(settings.contains(known), "{settings}");
+            let settings = settings.replacen(known, &format!("{known}\"memory_mb\":{memory_mb},"), 1);
+            world.boxes.push(start_box_with(name, addrs, settings));
+        }
+        assert_eq!(world.scheduler().await, 1);
+    });
+}
--- a/crates/runtime/src/election.rs
+++ b/crates/runtime/src/election.rs
@@ -25,6 +25,9 @@
 /// A candidate waits besides this long over its link in Mbit/s: what the link takes for 50 KB. 2 ms at 200 Mbit/s, 40 ms
 /// at 10, so that a box with room for what a scheduler reads and sends is elected if there is one.
 const STAND_LATER_BY_LINK: Duration = Duration::from_millis(400);
+/// A candidate waits besides this long over its memory in MB, as what a scheduler holds grows with the fleet: 8 ms at 512
+/// MB, 25 ms at 160.
+const STAND_LATER_BY_MEMORY: Duration = Duration::from_millis(4000);
 /// How long a new scheduler may take to read what it must. 0.1 to 0.5 s on the users' boxes; they ask for recovery
 /// within 12 s. A box that needs longer gives the election up, since another may be quicker; it gets twice as long
 /// the next time, since no other may be.
@@ -128,7 +131,9 @@
 
 /// How long a box leaves the election to others: less, the more of a scheduler's work it can carry.
 fn patience(settings: &Settings, gave_up: bool) -> Duration {
-    let by_size = STAND_LATER.scaled(1.0 / settings.cpu_share) + STAND_LATER_BY_LINK.scaled(1.0 / settings.link_mbps);
+    let by_size = STAND_LATER.scaled(1.0 / settings.cpu_share)
+        + STAND_LATER_BY_LINK.scaled(1.0 / settings.link_mbps)
+        + STAND_LATER_BY_MEMORY.scaled(1.0 / settings.memory_mb);
     let after_giving_up = if gave_up { STAND_AGAIN } else { Duration::ZERO };
     STAND_WITHIN.scaled(fastrand::f64()) + by_size + after_giving_up
 }
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -20,6 +20,8 @@
     pub cpu_share: f64,
     /// What the box's link carries, in Mbit/s: boxes with wider links stand for election earlier.
     pub link_mbps: f64,
+    /// Memory that the box's process may take, in MB: boxes with more of it stand for election earlier.
+    pub memory_mb: f64,
     /// Lease of the scheduler's key: how long after its death another is elected.
     pub election_ttl: Duration,
     /// Longest wait of a watch that also tells whether the store is reached.
