--- a/crates/scheduler/src/choose.rs
+++ b/crates/scheduler/src/choose.rs
@@ -20,8 +20,15 @@
 /// Where each task of a group goes.
 pub(crate) type Places = Vec<(u32, Slot)>;
 
-/// Rooms in the order in which they are to be filled.
-type Order<'r> = Vec<(Slot, &'r Room)>;
+/// Rooms in the order in which they are to be filled, each with the number of tasks that it may take.
+type Order<'r> = Vec<(Slot, &'r Room, u64)>;
+
+/// Tasks that are being placed.
+struct Filling<'l> {
+    /// Groups that have no place yet.
+    left: &'l mut Vec<usize>,
+    places: Places,
+}
 
 impl Scheduler {
     /// Places tasks that each run by themselves, taking them out of `left`: near their data first, then on trusted
@@ -35,71 +42,63 @@
         left: &mut Vec<usize>,
         now: Moment,
     ) -> Places {
-        let mut places = Places::new();
+        let mut filling = Filling { left, places: Places::new() };
         if !wanted.urgent && !self.leaves_headroom(wanted, 0, 1, rooms) {
-            return places;
+            return filling.places;
         }
         if wanted.step.best_effort || wanted.step.target.is_some() {
-            let order = least_disturbed_first(wanted, rooms, &part);
-            // Best-effort tasks take no processors by their count, so room alone would heap them on one backend server.
-            let most = if wanted.step.best_effort { left.len().div_ceil(order.len().max(1)) } else { usize::MAX };
-            self.fill_with_tasks(candidate, wanted, rooms, order, &part, most as u64, left, &mut places, now);
-            return places;
+            let order = least_disturbed_first(wanted, rooms, &part, filling.left.len());
+            self.fill_with_tasks(candidate, wanted, rooms, order, &mut filling, now);
+            return filling.places;
         }
         let far_is_worth_it = self.far_is_worth_it(candidate, wanted.step, rooms, now);
         for (near, doubtful) in [(true, false), (true, true), (false, false), (false, true)] {
             if !near && (wanted.step.data_rack.is_none() || !far_is_worth_it) {
                 continue;
             }
-            for (name, rack) in rooms.racks() {
-                if left.is_empty() {
-                    return places;
-                }
-                if is_near(wanted.step, name) != near || !rack.may_hold(&wanted.need) {
-                    continue;
+            let racks = rooms.racks().filter(|(name, _)| is_near(wanted.step, name) == near);
+            for (_, rack) in racks.filter(|(_, rack)| rack.may_hold(&wanted.need)) {
+                if filling.left.is_empty() {
+                    return filling.places;
                 }
-                let mut order: Order<'_> = fitting_rooms(wanted, rooms, rack, &part).collect();
-                order.retain(|(_, room)| room.doubtful == doubtful);
+                let mut order = fitting_rooms(wanted, rooms, rack, &part);
+                order.retain(|(_, room, _)| room.doubtful == doubtful);
                 order.sort_by(|a, b| fullest_first(&part, a.1, b.1));
-                self.fill_with_tasks(candidate, wanted, rooms, order, &part, u64::MAX, left, &mut places, now);
+                self.fill_with_tasks(candidate, wanted, rooms, order, &mut filling, now);
             }
         }
-        places
+        filling.places
     }
 
-    /// Fills rooms with tasks in their order, at most `most` into each, for as long as enough stays free.
-    #[expect(clippy::too_many_arguments, reason = "one step of choosing, with what all of them share")]
+    /// Fills rooms with tasks in their order, for as long as enough stays free.
     fn fill_with_tasks(
         &self,
         candidate: &Candidate,
         wanted: &Wanted<'_>,
         rooms: &Rooms,
         order: Order<'_>,
-        part: impl Fn(&Room) -> Need,
-        most: u64,
-        left: &mut Vec<usize>,
-        places: &mut Places,
+        filling: &mut Filling<'_>,
         now: Moment,
     ) {
-        for (slot, room) in order {
-            let mut fitting = wanted.fitting(&room.id, &part(room)).min(most);
+        for (slot, room, mut fitting) in order {
             let mut kept = Vec::new();
-            let mut taken = 0;
-            for &group in left.iter() {
-                let enough = wanted.urgent || self.leaves_headroom(wanted, places.len() as u64, 1, rooms);
+            let mut looked_at = 0;
+            for &group in filling.left.iter() {
+                let placed = filling.places.len() as u64;
+                let enough = wanted.urgent || self.leaves_headroom(wanted, placed, 1, rooms);
                 if fitting == 0 || !enough {
                     break;
                 }
-                taken += 1;
+                looked_at += 1;
                 if self.avoids(candidate.group(group), &room.id, now) {
                     kept.push(group);
                     continue;
                 }
-                places.push((group as u32, slot));
+                filling.places.push((group as u32, slot));
                 fitting -= 1;
             }
-            left.splice(..taken, kept);
-            if left.is_empty() {
+            filling.left.splice(..looked_at, kept);
+            if filling.left.is_empty() {
                 return;
             }
         }
@@ -177,7 +176,7 @@
         let mut places = Places::new();
         let mut indices = 0..wanted.step.count;
         for rack in racks {
-            let mut order: Order<'_> = self.rooms_for_gang(name, wanted, rooms, rack, now).collect();
+            let mut order: Vec<(Slot, &Room)> = self.rooms_for_gang(name, wanted, rooms, rack, now).collect();
             order.sort_by(|a, b| a.1.doubtful.cmp(&b.1.doubtful).then(fullest_first(&part, a.1, b.1)));
             for (slot, room) in order {
                 let n = wanted.fitting(&room.id, &part(room));
@@ -211,13 +210,10 @@
 }
 
 /// Rooms of a rack that one more task of the step fits into.
-fn fitting_rooms<'r>(
-    wanted: &Wanted<'_>,
-    rooms: &'r Rooms,
-    rack: &'r Rack,
-    part: impl Fn(&Room) -> Need,
-) -> impl Iterator<Item = (Slot, &'r Room)> {
-    rooms.in_rack(rack).filter(move |(_, room)| part(room).contains(&wanted.need) && wanted.allows(room))
+fn fitting_rooms<'r>(wanted: &Wanted<'_>, rooms: &'r Rooms, rack: &'r Rack, part: impl Fn(&Room) -> Need) -> Order<'r> {
+    let fits = |room: &Room| part(room).contains(&wanted.need) && wanted.allows(room);
+    let fitting = rooms.in_rack(rack).filter(|(_, room)| fits(room));
+    fitting.map(|(slot, room)| (slot, room, wanted.fitting(&room.id, &part(room)))).collect()
 }
 
 fn fullest_first(part: impl Fn(&Room) -> Need, a: &Room, b: &Room) -> Ordering {
@@ -229,15 +225,26 @@
 }
 
 /// Best-effort tasks and tasks with a latency target keep apart, and the former spread out, since each lives on what the
-/// others leave; beyond that as any other task.
-fn least_disturbed_first<'r>(wanted: &Wanted<'_>, rooms: &'r Rooms, part: impl Fn(&Room) -> Need) -> Order<'r> {
-    let near = |room: &Room| is_near(wanted.step, &room.rack);
+/// others leave; beyond that as any other task. Best-effort tasks take no processors by their count, so room alone would heap
+/// `count` of them on one backend server.
+fn least_disturbed_first<'r>(
+    wanted: &Wanted<'_>,
+    rooms: &'r Rooms,
+    part: impl Fn(&Room) -> Need,
+    count: usize,
+) -> Order<'r> {
+    let best_effort = wanted.step.best_effort;
     let racks = rooms.racks().filter(|(_, rack)| rack.may_hold(&wanted.need));
     let mut order: Order<'r> = racks.flat_map(|(_, rack)| fitting_rooms(wanted, rooms, rack, &part)).collect();
-    order.sort_by_key(|(_, room)| {
+    order.sort_by_key(|(_, room, _)| {
         let free = part(room);
-        let disturbance = if wanted.step.best_effort { room.serving + room.best_effort } else { room.best_effort };
-        (!near(room), room.doubtful, disturbance, &room.rack, free.accelerators, free.cpu_milli)
+        let near = is_near(wanted.step, &room.rack);
+        let disturbance = if best_effort { room.serving + room.best_effort } else { room.best_effort };
+        (!near, room.doubtful, disturbance, &room.rack, free.accelerators, free.cpu_milli)
     });
+    let most = if best_effort { count.div_ceil(order.len().max(1)) as u64 } else { u64::MAX };
+    for (_, _, fitting) in &mut order {
+        *fitting = most.min(*fitting);
+    }
     order
 }
