Count the wait before an election from the moment it is open

Cause: the wait that lets larger boxes stand first was counted from whenever the box first saw no scheduler, and went on through changes: a box that had not read the key yet, or saw a scheduler come and go meanwhile, could stand the moment the key went. Now a change of what a box goes by begins the wait anew.

--- a/crates/martend/tests/election.rs
+++ b/crates/martend/tests/election.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{KEY, World, start_box, until};
+use common::{KEY, World, start_box, start_box_with, until};
 use users_platform_standin::{Setup, free_addrs};
 
 /// A box that may stand waits 32 ms at most by its size, and the store answers at once; a box that looked only now and then
@@ -47,3 +47,40 @@
         }
     });
 }
+
+/// The scheduler's key, and what another box would write there.
+const SCHEDULER: &str = "marten/scheduler";
+const OTHER: &[u8] = br#"{"box":"box-9","addr":"127.0.0.1:1","nonce":1}"#;
+
+/// A box of 4 MB leaves an election to others for a second.
+async fn with_a_small_box_and_another_scheduler() -> World {
+    let mut world = World::start(0, 1).await;
+    world.platform.write(SCHEDULER, OTHER);
+    let addrs = free_addrs();
+    let settings = world.platform.settings("box-0", &addrs, &[]);
+    let known = "\"deployment\":{";
+    assert!(settings.contains(known), "{settings}");
+    let settings = settings.replacen(known, &format!("{known}\"memory_mb\":4,"), 1);
+    world.boxes.push(start_box_with("box-0", addrs, settings));
+    world.until_ready(0).await;
+    world
+}
+
+#[test]
+fn a_small_box_leaves_each_election_to_others_for_its_whole_wait() {
+    smol::block_on(async {
+        let world = with_a_small_box_and_another_scheduler().await;
+        let pause = |ms| smol::Timer::after(Duration::from_millis(ms));
+        pause(300).await;
+        world.platform.erase(SCHEDULER);
+        pause(500).await;
+        world.platform.write(SCHEDULER, OTHER);
+        pause(300).await;
+        world.platform.erase(SCHEDULER);
+        let begun = Instant::now();
+        let platform = &world.platform;
+        until("the small box is elected", || async { !platform.keys(SCHEDULER).is_empty() }).await;
+        let took = begun.elapsed();
+        assert!(took >= Duration::from_millis(900), "{took:?} after the latest scheduler went");
+    });
+}
--- a/crates/runtime/src/election.rs
+++ b/crates/runtime/src/election.rs
@@ -120,7 +120,9 @@
     let mut fitness = Fitness::UNTRIED;
     loop {
         if may_stand(&parts.view) {
-            pause(patience(&settings, fitness.gave_up)).await;
+            if changes_within(&parts.view, patience(&settings, fitness.gave_up)).await {
+                continue;
+            }
             if may_stand(&parts.view)
                 && let Some(won) = stand(&settings, &parts).await
             {
@@ -131,6 +133,22 @@
     }
 }
 
+/// Waits, unless what a box goes by when it stands changes meanwhile; tells whether it has.
+///
+/// The wait lets larger boxes stand first, so it counts from the moment at which all of them learn that there is no
+/// scheduler. Counted from before the latest one was known, it ended at that very moment now and then, and a small box won.
+async fn changes_within(view: &View, wait: Duration) -> bool {
+    let passes = async {
+        pause(wait).await;
+        false
+    };
+    let changes = async {
+        view.leader_changed().await;
+        true
+    };
+    futures_lite::FutureExt::or(changes, passes).await
+}
+
 /// How long a box leaves the election to others: less, the more of a scheduler's work it can carry.
 fn patience(settings: &Settings, gave_up: bool) -> Duration {
     let by_size = STAND_LATER.scaled(1.0 / settings.cpu_share)
