Leave the first election after a start to large boxes for longer

Cause: where all boxes begin anew they do so within half a second of each other, in an order that differs from play to play; a box of 0.12 core waited 0.13 s before it stood, so that it won where the large ones happened to begin late. Now a box that has seen no scheduler since it began waits four times as long: 0.5 s at 0.12 of a core, 0.1 s at half of one. Ruled out: a larger factor always, which would lengthen every election. Test: martend/tests/election.rs: a small box that begins 0.6 s before a large one; with the factor at 1 the small one is elected.

--- a/crates/martend/tests/election.rs
+++ b/crates/martend/tests/election.rs
@@ -56,14 +56,30 @@
 async fn with_a_small_box_and_another_scheduler() -> World {
     let mut world = World::start(0, 1).await;
     world.platform.write(SCHEDULER, OTHER);
+    add_box(&mut world, "box-0", 4);
+    world.until_ready(0).await;
+    world
+}
+
+fn add_box(world: &mut World, name: &str, memory_mb: u64) {
     let addrs = free_addrs();
-    let settings = world.platform.settings("box-0", &addrs, &[]);
+    let settings = world.platform.settings(name, &addrs, &[]);
     let known = "\"deployment\":{";
     assert!(settings.contains(known), "{settings}");
-    let settings = settings.replacen(known, &format!("{known}\"memory_mb\":4,"), 1);
-    world.boxes.push(start_box_with("box-0", addrs, settings));
-    world.until_ready(0).await;
-    world
+    let settings = settings.replacen(known, &format!("{known}\"memory_mb\":{memory_mb},"), 1);
+    world.boxes.push(start_box_with(name, addrs, settings));
+}
+
+#[test]
+fn a_small_box_that_begins_first_leaves_the_first_election_to_a_large_one() {
+    smol::block_on(async {
+        let mut world = World::start(0, 1).await;
+        // It waits 0.4 s for others once it has seen a scheduler, and 1.6 s before.
+        add_box(&mut world, "box-small", 10);
+        smol::Timer::after(Duration::from_millis(600)).await;
+        add_box(&mut world, "box-large", 1024);
+        assert_eq!(world.scheduler().await, 1);
+    });
 }
 
 #[test]
--- a/crates/runtime/src/election.rs
+++ b/crates/runtime/src/election.rs
@@ -28,6 +28,10 @@
 /// A candidate waits besides this long over its memory in MB, as what a scheduler holds grows with the fleet: 8 ms at 512
 /// MB, 25 ms at 160.
 const STAND_LATER_BY_MEMORY: Duration = Duration::from_millis(4000);
+/// A box that has seen no scheduler since it began waits so many times as long: where all boxes begin anew, they do so within
+/// half a second of each other, so that a small one may be ready to stand before any large one has begun. 0.5 s at 0.12 of a core
+/// then, 0.1 s at half a core.
+const COLD_START: f64 = 4.0;
 /// How long a new scheduler may take to read what it must. 0.1 to 0.5 s on the users' boxes; they ask for recovery
 /// within 12 s. A box that needs longer gives the election up, since another may be quicker; it gets twice as long
 /// the next time, since no other may be.
@@ -120,7 +124,8 @@
     let mut fitness = Fitness::UNTRIED;
     loop {
         if may_stand(&parts.view) {
-            if changes_within(&parts.view, patience(&settings, fitness.gave_up)).await {
+            let wait = patience(&settings, fitness.gave_up, parts.view.has_seen_leader());
+            if changes_within(&parts.view, wait).await {
                 continue;
             }
             if may_stand(&parts.view)
@@ -150,10 +155,11 @@
 }
 
 /// How long a box leaves the election to others: less, the more of a scheduler's work it can carry.
-fn patience(settings: &Settings, gave_up: bool) -> Duration {
+fn patience(settings: &Settings, gave_up: bool, seen_leader: bool) -> Duration {
     let by_size = STAND_LATER.scaled(1.0 / settings.cpu_share)
         + STAND_LATER_BY_LINK.scaled(1.0 / settings.link_mbps)
         + STAND_LATER_BY_MEMORY.scaled(1.0 / settings.memory_mb);
+    let by_size = if seen_leader { by_size } else { by_size.scaled(COLD_START) };
     let after_giving_up = if gave_up { STAND_AGAIN } else { Duration::ZERO };
     STAND_WITHIN.scaled(fastrand::f64()) + by_size + after_giving_up
 }
--- a/crates/runtime/src/view.rs
+++ b/crates/runtime/src/view.rs
@@ -26,6 +26,8 @@
 struct Beliefs {
     configuration: Option<Arc<Configuration>>,
     leader: Option<Leader>,
+    /// A scheduler has been known since this box began.
+    leader_seen: bool,
     /// The store answered at this time.
     store_seen: Option<Moment>,
     /// Another box that reaches the store answered at this time.
@@ -87,6 +89,11 @@
         self.lock().leader.clone()
     }
 
+    /// Whether this box has known of a scheduler since it began.
+    pub(crate) fn has_seen_leader(&self) -> bool {
+        self.lock().leader_seen
+    }
+
     pub(crate) fn set_leader(&self, leader: Option<Leader>) {
         let mut beliefs = self.lock();
         if beliefs.leader == leader {
@@ -96,6 +103,7 @@
             Some(new) => log::info!("event=scheduler_known box={} fence={}", new.box_id, new.fence),
             None => log::info!("event=scheduler_unknown"),
         }
+        beliefs.leader_seen |= leader.is_some();
         beliefs.leader = leader;
         drop(beliefs);
         self.tell_change();
