--- a/crates/marten/src/client.rs
+++ b/crates/marten/src/client.rs
@@ -54,6 +54,22 @@
         Err(Failure::Unavailable { why: format!("no box answers; the last one: {last}") })
     }
 
+    /// Makes a call that only the box that schedules can answer: each is asked until one does not point elsewhere.
+    pub(crate) async fn call_scheduler(&self, method: Method, path: &str) -> Result<Reply, Failure> {
+        let mut elsewhere = None;
+        for round in 0..ROUNDS {
+            for addr in &self.addrs {
+                match self.client.call(*addr, method.clone(), path, Default::default(), CALL_LIMIT).await {
+                    Ok(reply) if reply.status == StatusCode::MISDIRECTED_REQUEST => elsewhere = Some(reply),
+                    Ok(reply) => return Ok(reply),
+                    Err(e) => log::info!("{addr}: {e}"),
+                }
+            }
+            smol::Timer::after(Duration::from_millis(PAUSE_MS << round)).await;
+        }
+        elsewhere.ok_or_else(|| Failure::Unavailable { why: "no box answers".to_owned() })
+    }
+
     /// Reads a path as JSON.
     pub(crate) async fn get<T: serde::de::DeserializeOwned>(&self, path: &str) -> Result<T, Failure> {
         let reply = self.call(Method::GET, path, Vec::new(), Duration::ZERO).await?;
--- a/crates/marten/src/exit.rs
+++ b/crates/marten/src/exit.rs
@@ -20,7 +20,7 @@
     /// Exit code 6: the job ended other than done.
     #[display("{why}")]
     JobEnded { why: String },
-    /// Exit code 7: the job is not over yet.
+    /// Exit code 7: the job is not over yet, or something still runs in an evacuated availability zone.
     #[display("{why}")]
     Pending { why: String },
 }
--- a/crates/marten/src/main.rs
+++ b/crates/marten/src/main.rs
@@ -11,6 +11,7 @@
 mod client;
 mod commands;
 mod diff;
+mod evacuate;
 mod exit;
 mod explain;
 mod options;
--- a/crates/marten/src/options.rs
+++ b/crates/marten/src/options.rs
@@ -18,6 +18,8 @@
   submit FILE             hand in the job that FILE describes, and wait for its end
   wait CUSTOMER REQUEST   wait for the end of a job
   cancel CUSTOMER REQUEST take a job back
+  evacuate ZONE           let nothing more start in an availability zone; --take-back ends that, --follow waits until
+                          nothing runs there; --box names boxes' operators' addresses (metrics_address)
   explain JOB [LOG...]    tell a job's life from boxes' logs, or from standard input
   drain FILE SERVER       write into FILE that the backend server SERVER takes no new work
 
@@ -42,6 +44,7 @@
     Wait { customer: String, request: String },
     Cancel { customer: String, request: String },
     Drain { file: String, server: String },
+    Evacuate { zone: String, take_back: bool, follow: bool },
     Explain { job: String, logs: Vec<String> },
 }
 
@@ -68,6 +71,8 @@
     opts.optopt("", "from", "apply: the revision that FILE was edited from; by default the one in force", "REVISION");
     opts.optopt("t", "timeout", "longest time to wait for a job, in seconds (600)", "SECONDS");
     opts.optflag("", "detach", "submit: return as soon as the job is kept by the platform");
+    opts.optflag("", "take-back", "evacuate: work may start there again");
+    opts.optflag("", "follow", "evacuate: show what still runs there until nothing does");
     opts.optopt("", "log", "error, warn (the default), info, debug or trace", "LEVEL");
     opts.optflag("", "log-json", "write log lines as JSON, one object a line");
     opts.optflag("h", "help", "show this text");
@@ -88,7 +93,10 @@
         }
         let free: Vec<&str> = matches.free.iter().map(String::as_str).collect();
         let base = parse_opt(&matches, "from", "a revision")?;
-        let command = command(&free, base.map(Revision), matches.opt_present("detach"))?;
+        let mut command = command(&free, base.map(Revision), matches.opt_present("detach"))?;
+        if let Command::Evacuate { take_back, follow, .. } = &mut command {
+            (*take_back, *follow) = (matches.opt_present("take-back"), matches.opt_present("follow"));
+        }
         let boxes = matches.opt_strs("box");
         let boxes: Result<Vec<SocketAddr>, Failure> = boxes
             .iter()
@@ -121,6 +129,7 @@
         ["wait", customer, request] => Ok(Command::Wait { customer: own(customer), request: own(request) }),
         ["cancel", customer, request] => Ok(Command::Cancel { customer: own(customer), request: own(request) }),
         ["drain", file, server] => Ok(Command::Drain { file: own(file), server: own(server) }),
+        ["evacuate", zone] => Ok(Command::Evacuate { zone: own(zone), take_back: false, follow: false }),
         ["explain", job, logs @ ..] => {
             Ok(Command::Explain { job: own(job), logs: logs.iter().map(|path| own(path)).collect() })
         }
--- a/crates/martend/src/deployment/mod.rs
+++ b/crates/martend/src/deployment/mod.rs
@@ -1,16 +1,13 @@
 //! A box on the users' platform: the runtime joined with the platform's adapter.
 
+mod operators;
 mod settings;
 
 use std::{sync::Arc, time::Duration as StdDuration};
 
 use async_signal::{Signal, Signals};
 use futures_lite::{FutureExt, StreamExt};
-use hyper::StatusCode;
-use net::{
-    BoxFuture,
-    http::{Call, Client, Handler, ServerLimits, json_response, serve, serve_until, text_response},
-};
+use net::http::{Client, ServerLimits, serve, serve_until};
 use outside::{Clock, SystemClock};
 use runtime::{
     Beside, RunningBox,
@@ -26,7 +23,7 @@
     store::Store,
 };
 
-use crate::telemetry;
+use self::operators::OperatorsPages;
 
 pub use settings::{DeploymentSettings, RawDeployment, is_chosen, read};
 
@@ -115,23 +112,3 @@
         Err(why) => log::error!("event=reload_failed why={why:?} outcome=settings_stay"),
     }
 }
-
-/// Serves what operators ask of a box: its metrics in Prometheus's text format, and what it believes.
-struct OperatorsPages {
-    this_box: Arc<RunningBox>,
-}
-
-impl Handler for OperatorsPages {
-    fn handle(&self, call: Call) -> BoxFuture<'_, Option<hyper::Response<http_body_util::Full<bytes::Bytes>>>> {
-        Box::pin(async move {
-            Some(match call.path.as_str() {
-                "/metrics" => {
-                    self.this_box.set_gauges();
-                    text_response(StatusCode::OK, telemetry::render())
-                }
-                "/v1/status" => json_response(StatusCode::OK, &self.this_box.status()),
-                _ => text_response(StatusCode::NOT_FOUND, "there are /metrics and /v1/status\n".to_owned()),
-            })
-        })
-    }
-}
--- /dev/null
+++ b/crates/martend/src/deployment/operators.rs
@@ -0,0 +1,91 @@
+//! What operators ask of a box: metrics, what it believes, and evacuations of availability zones.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Response, StatusCode};
+use model::AvailabilityZoneId;
+use net::{
+    BoxFuture,
+    http::{Call, Handler, json_response, text_response},
+};
+use runtime::{EvacuationOutcome, RunningBox};
+use serde_json::json;
+
+use crate::telemetry;
+
+/// Each evacuation stands under this path, by its availability zone.
+const EVACUATIONS: &str = "/v1/evacuations";
+
+/// Serves operators, over HTTP without keys: the address is theirs alone.
+pub(super) struct OperatorsPages {
+    pub(super) this_box: Arc<RunningBox>,
+}
+
+impl Handler for OperatorsPages {
+    fn handle(&self, call: Call) -> BoxFuture<'_, Option<Response<Full<Bytes>>>> {
+        Box::pin(async move {
+            Some(match call.path.as_str() {
+                "/metrics" => {
+                    self.this_box.set_gauges();
+                    text_response(StatusCode::OK, telemetry::render())
+                }
+                "/v1/status" => json_response(StatusCode::OK, &self.this_box.status()),
+                EVACUATIONS => self.list_evacuations(),
+                path => match path.strip_prefix(EVACUATIONS).and_then(|rest| rest.strip_prefix('/')) {
+                    Some(zone) => self.ask_evacuation(&call.method, zone).await,
+                    None => text_response(
+                        StatusCode::NOT_FOUND,
+                        format!("there are /metrics, /v1/status and {EVACUATIONS}\n"),
+                    ),
+                },
+            })
+        })
+    }
+}
+
+impl OperatorsPages {
+    fn list_evacuations(&self) -> Response<Full<Bytes>> {
+        match self.this_box.evacuations() {
+            Some(evacuations) => json_response(StatusCode::OK, &json!({ "evacuations": evacuations })),
+            None => self.not_here(),
+        }
+    }
+
+    async fn ask_evacuation(&self, method: &Method, zone: &str) -> Response<Full<Bytes>> {
+        let zone: AvailabilityZoneId = match zone.parse() {
+            Ok(zone) => zone,
+            Err(e) => return json_response(StatusCode::BAD_REQUEST, &json!({ "error": format!("{e}") })),
+        };
+        let evacuated = match *method {
+            Method::PUT => true,
+            Method::DELETE => false,
+            _ => {
+                let error = "allowed are PUT (evacuate) and DELETE (take back)";
+                return json_response(StatusCode::METHOD_NOT_ALLOWED, &json!({ "error": error }));
+            }
+        };
+        match self.this_box.ask_evacuation(&zone, evacuated).await {
+            EvacuationOutcome::Done => self.list_evacuations(),
+            EvacuationOutcome::Refused(why) => {
+                json_response(StatusCode::CONFLICT, &json!({ "error": why.to_string() }))
+            }
+            EvacuationOutcome::NotHere => self.not_here(),
+            EvacuationOutcome::Unknown => {
+                let error = "the store gave no answer: it may be in force or not; ask again";
+                json_response(StatusCode::GATEWAY_TIMEOUT, &json!({ "error": error }))
+            }
+        }
+    }
+
+    /// Only the box that schedules knows, and may write.
+    fn not_here(&self) -> Response<Full<Bytes>> {
+        let scheduler = self.this_box.status().scheduler;
+        let error = match &scheduler {
+            Some(id) => format!("this box does not schedule: ask {id}"),
+            None => "this box does not schedule, and knows of none that does: ask again".to_owned(),
+        };
+        json_response(StatusCode::MISDIRECTED_REQUEST, &json!({ "error": error, "scheduler": scheduler }))
+    }
+}
--- a/crates/martend/tests/common/mod.rs
+++ b/crates/martend/tests/common/mod.rs
@@ -113,15 +113,24 @@
         panic!("no box schedules");
     }
 
-    /// Hands a job in at one box after another until it is accepted.
     /// Backend servers that a box has heard as the scheduler; `None` if it does not schedule.
     pub(crate) async fn heard_servers(&self, i: usize) -> Option<u64> {
+        let status = self.status(i).await?;
+        Some(status["servers"].as_u64()? - status["unheard_servers"].as_u64()?)
+    }
+
+    /// Jobs that a box knows as the scheduler and that are not over; `None` if it does not schedule.
+    pub(crate) async fn open_jobs(&self, i: usize) -> Option<u64> {
+        self.status(i).await?["open_jobs"].as_u64()
+    }
+
+    async fn status(&self, i: usize) -> Option<serde_json::Value> {
         let addr = self.boxes[i].addrs[3];
         let reply = self.client.call(addr, Method::GET, "/v1/status", Default::default(), PATIENCE).await.ok()?;
-        let status: serde_json::Value = reply.json().expect("the status is JSON");
-        Some(status["servers"].as_u64()? - status["unheard_servers"].as_u64()?)
+        Some(reply.json().expect("the status is JSON"))
     }
 
+    /// Hands a job in at one box after another until it is accepted.
     pub(crate) async fn submit(&self, id: JobId, work: Work) {
         let begun = Instant::now();
         for i in (0..self.boxes.len()).cycle() {
--- a/crates/martend/tests/soak/checks.rs
+++ b/crates/martend/tests/soak/checks.rs
@@ -30,6 +30,10 @@
 /// (3 s, and 8 s of unconfirmed renewal), all work twice over, and a busy machine.
 const WELL_WITHIN: Duration = Duration::from_secs(60);
 
+/// Nothing begins in an availability zone this long after its evacuation: a box may stand still between the write that
+/// places a run and the order, and a proxy may hold the order, each for the longest fault (5.5 s).
+const EVACUATED_WITHIN: Duration = Duration::from_secs(12);
+
 /// Looks at the promises until it is dropped.
 pub(crate) async fn watch(world: Arc<World>) {
     let client = Client::default();
@@ -91,6 +95,10 @@
             smol::Timer::after(LOOK_EVERY).await;
         }
     }
+    let late = world.oracle.latest_in_evacuated();
+    if late > EVACUATED_WITHIN {
+        world.oracle.found(format!("something began {late:?} after its availability zone was evacuated"));
+    }
     cancel_endless(world, &caller).await;
     for (n, (id, entry)) in world.ledger.all().into_iter().enumerate() {
         let addr = world.boxes[n % BOXES].lock().await.addrs[0];
--- a/crates/martend/tests/soak/faults.rs
+++ b/crates/martend/tests/soak/faults.rs
@@ -48,6 +48,8 @@
     CrashServer(usize),
     /// The operators change the configuration.
     Configure,
+    /// The operators evacuate an availability zone, and take it back.
+    Evacuate(&'static str),
 }
 
 /// What happens, when, and for how long.
@@ -68,15 +70,18 @@
     let mut planned = Vec::new();
     let mut at = Duration::from_millis(rng.u64(GAP_MS));
     while at < length {
-        let lasts = Duration::from_millis(rng.u64(LASTS_MS)).min(length - at);
-        planned.push(Planned { at, lasts, fault: fault(rng) });
+        let drawn = Duration::from_millis(rng.u64(LASTS_MS)).min(length - at);
+        let fault = fault(rng);
+        // An evacuation shows only after the time in which what was under way may still begin.
+        let lasts = if matches!(fault, Fault::Evacuate(_)) { length - at } else { drawn };
+        planned.push(Planned { at, lasts, fault });
         at += Duration::from_millis(rng.u64(GAP_MS));
     }
     planned
 }
 
 fn fault(rng: &mut Rng) -> Fault {
-    match rng.u8(..27) {
+    match rng.u8(..29) {
         0..3 => Fault::Kill(rng.usize(..BOXES)),
         3 => Fault::KillAll,
         4..7 => Fault::Pause(rng.usize(..BOXES)),
@@ -89,7 +94,8 @@
         21 => Fault::StoreDown,
         22 => Fault::ForgetHistory,
         23..26 => Fault::CrashServer(rng.usize(..SERVERS)),
-        _ => Fault::Configure,
+        26 => Fault::Configure,
+        _ => Fault::Evacuate(["az-1", "az-2"][rng.usize(..2)]),
     }
 }
 
@@ -145,6 +151,11 @@
             crashed.expect("its address is free again");
         }
         Fault::Configure => world.configure().await,
+        Fault::Evacuate(zone) => {
+            world.platform.lock().await.evacuate(zone);
+            smol::Timer::after(lasts).await;
+            world.platform.lock().await.take_back(zone);
+        }
     }
 }
 
--- a/crates/runtime/src/active.rs
+++ b/crates/runtime/src/active.rs
@@ -7,7 +7,7 @@
 use scheduler::{Counts, Scheduler};
 use smol::channel::{Receiver, Sender};
 
-use crate::{links::Links, measure, requests::StateOutcome};
+use crate::{evacuation::Known, links::Links, measure, requests::StateOutcome};
 
 /// A channel for one token: a full one holds the news already.
 type Signal = (Sender<()>, Receiver<()>);
@@ -17,6 +17,7 @@
     scheduler: Mutex<Scheduler>,
     pub(crate) fence: Fence,
     pub(crate) links: Links,
+    pub(crate) evacuations: Known,
     /// Holds a token when something may let a group start.
     plan: Signal,
     /// Holds a token when the adviser is to be asked.
@@ -28,11 +29,12 @@
 }
 
 impl Active {
-    pub(crate) fn new(scheduler: Scheduler, links: Links) -> Active {
+    pub(crate) fn new(scheduler: Scheduler, evacuations: Known, links: Links) -> Active {
         Active {
             fence: scheduler.fence(),
             scheduler: Mutex::new(scheduler),
             links,
+            evacuations,
             plan: smol::channel::bounded(1),
             ask: smol::channel::bounded(1),
             write: smol::channel::bounded(1),
@@ -110,7 +112,7 @@
 }
 
 impl ActiveSlot {
-    fn get(&self) -> Option<Arc<Active>> {
+    pub(crate) fn get(&self) -> Option<Arc<Active>> {
         self.active.lock().expect("no holder panics").clone()
     }
 
--- a/crates/runtime/src/border.rs
+++ b/crates/runtime/src/border.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use jobs::{Fence, RunNumber, Saved, StepId, TaskId};
-use model::{BackendServerId, BoxId, Duration};
+use model::{AvailabilityZoneId, BackendServerId, BoxId, Duration};
 use net::{BoxFuture, NetError};
 use outside::Item;
 use scheduler::{Listing, Machine, MachineId, ServerInfo, StartReply, Ticket, UpkeepReply, WaveRequest};
@@ -161,6 +161,12 @@
     fn wave(&self, item: &Item) -> Result<WaveRequest, DecodeError>;
     /// What operators read of a wave: the key, and the value.
     fn wave_status(&self, number: u64, succeeded: bool) -> (String, Vec<u8>);
+    /// While the platform's operators have an availability zone evacuated, it has a key under this prefix.
+    fn evacuations_prefix(&self) -> String;
+    /// That key.
+    fn evacuation_key(&self, zone: &AvailabilityZoneId) -> String;
+    /// Which availability zone such a key names.
+    fn evacuated_zone(&self, key: &str) -> Option<AvailabilityZoneId>;
     /// Which backend server a key under the prefix belongs to.
     fn server_of_key(&self, key: &str) -> Option<BackendServerId>;
 }
--- a/crates/runtime/src/keys.rs
+++ b/crates/runtime/src/keys.rs
@@ -1,7 +1,7 @@
 //! Keys in the platform's store.
 
 use jobs::{JobId, OccurrenceId};
-use model::BoxId;
+use model::{AvailabilityZoneId, BoxId};
 
 /// The elected scheduler; the key's revision is its fence.
 pub(crate) const SCHEDULER: &str = "marten/scheduler";
@@ -14,6 +14,9 @@
 /// The boxes and where they talk to each other.
 pub(crate) const BOXES: &str = "marten/box/";
 
+/// Availability zones that martenscale's own operators have evacuated.
+pub(crate) const EVACUATIONS: &str = "marten/evacuation/";
+
 /// What the scheduler must remember of waves of upkeep.
 const WAVES: &str = "marten/wave/";
 
@@ -67,6 +70,14 @@
     format!("{WAVES}{number}")
 }
 
+pub(crate) fn evacuation(zone: &AvailabilityZoneId) -> String {
+    format!("{EVACUATIONS}{zone}")
+}
+
+pub(crate) fn evacuated_zone(key: &str) -> Option<AvailabilityZoneId> {
+    key.strip_prefix(EVACUATIONS)?.parse().ok()
+}
+
 pub(crate) fn member_box(id: &BoxId) -> String {
     format!("{BOXES}{id}")
 }
--- a/crates/runtime/src/leader.rs
+++ b/crates/runtime/src/leader.rs
@@ -11,7 +11,7 @@
     active::{Active, ActiveSlot},
     advice,
     border::{Adviser, BackendServers, Decoder, Machines},
-    cleaner, directory, intake,
+    cleaner, directory, evacuation, intake,
     links::Links,
     settings::Settings,
     upkeep,
@@ -60,18 +60,25 @@
     let Some(configuration) = parts.view.configuration() else { return Finished::NotRestored };
     let clock = parts.view.clock();
     let mut scheduler = Scheduler::new(fence, clock.now(), settings.timing.clone(), configuration.policy.clone());
-    let restored = async { Some(intake::restore(parts, &mut scheduler).await) };
+    let evacuations = evacuation::Known::default();
+    let restored = async {
+        // Evacuations first: nothing may be placed before they are known.
+        let evacuations_to = evacuation::restore(parts, &evacuations, &mut scheduler).await;
+        Some((evacuations_to, intake::restore(parts, &mut scheduler).await))
+    };
     let expired = async {
         pause(restore_limit).await;
         None
     };
-    let Some(known_to) = futures_lite::FutureExt::or(restored, expired).await else { return Finished::NotRestored };
+    let restored = futures_lite::FutureExt::or(restored, expired).await;
+    let Some((evacuations_to, known_to)) = restored else { return Finished::NotRestored };
     let links = Links::new(parts.clone(), settings.timing.lease);
-    let active = Arc::new(Active::new(scheduler, links));
+    let active = Arc::new(Active::new(scheduler, evacuations, links));
     log::info!("event=scheduling fence={fence} revision={known_to} {:?}", active.lock().counts());
     slot.set(Arc::clone(&active));
     let tasks = [
         smol::spawn(intake::follow_intake(parts.clone(), Arc::clone(&active), known_to)),
+        smol::spawn(evacuation::follow_platforms(parts.clone(), Arc::clone(&active), evacuations_to)),
         smol::spawn(directory::follow_servers(parts.clone(), Arc::clone(&active))),
         smol::spawn(intake::restore_ended(parts.clone(), Arc::clone(&active))),
         smol::spawn(writer::run(parts.clone(), Arc::clone(&active))),
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -12,6 +12,7 @@
 mod configuration;
 mod directory;
 mod election;
+mod evacuation;
 mod follow;
 mod intake;
 mod keys;
@@ -34,6 +35,7 @@
 
 pub use crate::{
     configuration::{Access, CallLimits, Configuration, Denied, Route},
+    evacuation::EvacuationOutcome,
     requests::{CancelOutcome, Requests, StateOutcome, SubmitOutcome},
     running_box::{Beside, RunningBox, Status},
     settings::Settings,
--- a/crates/runtime/src/link_worker.rs
+++ b/crates/runtime/src/link_worker.rs
@@ -94,6 +94,11 @@
         let Some(active) = worker.active.upgrade() else { return };
         match order {
             Order::Start { task, run, text, saved, ticket, .. } => {
+                if !active.lock().may_start(&worker.target.id, task, run) {
+                    let now = worker.now();
+                    active.update(|scheduler| scheduler.start_withdrawn(&worker.target.id, task, run, now));
+                    continue;
+                }
                 let start = Start { fence: active.fence, task, run, text, saved, lease: worker.lease, ticket };
                 if worker.start(&active, start).await == StartReply::Gone {
                     return;
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -2,8 +2,9 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use model::{BoxId, Duration};
+use model::{AvailabilityZoneId, BoxId, Duration};
 use outside::{Clock, CoordinationStore, Item, Put, Transaction};
+use scheduler::EvacuationStatus;
 use serde::Serialize;
 use smol::net::TcpListener;
 use wire::relay::relay_server::RelayServer;
@@ -12,6 +13,7 @@
     active::ActiveSlot,
     border::{Adviser, BackendServers, Decoder, Machines},
     election,
+    evacuation::{self, EvacuationOutcome},
     follow::{Seen, WatchPace, follow},
     keys,
     leader::Parts,
@@ -63,6 +65,8 @@
     pub unheard_servers: Option<usize>,
     /// Occurrences whose progress the store does not hold yet.
     pub unstored: Option<usize>,
+    /// Availability zones where nothing starts.
+    pub evacuations: Option<Vec<EvacuationStatus>>,
 }
 
 /// What a platform may have beside its store and its backend servers.
@@ -81,6 +85,7 @@
     /// What the box believes.
     pub view: Arc<View>,
     active: ActiveSlot,
+    store: Arc<dyn CoordinationStore>,
     box_id: BoxId,
     _tasks: Vec<smol::Task<()>>,
 }
@@ -128,7 +133,7 @@
             smol::spawn(ask_for_configuration(relay, peers)),
             smol::spawn(election::run(settings.clone(), parts, active.clone())),
         ];
-        RunningBox { requests, view, active, box_id: settings.box_id, _tasks: tasks }
+        RunningBox { requests, view, active, store, box_id: settings.box_id, _tasks: tasks }
     }
 
     /// What the box believes, with the age or version of each belief.
@@ -148,9 +153,21 @@
             servers: counts.map(|counts| counts.servers),
             unheard_servers: counts.map(|counts| counts.unheard_servers),
             unstored: counts.map(|counts| counts.unstored),
+            evacuations: self.evacuations(),
         }
     }
 
+    /// How far each evacuation has come; `None` on a box that does not schedule.
+    pub fn evacuations(&self) -> Option<Vec<EvacuationStatus>> {
+        Some(evacuation::status(&*self.active.get()?, self.view.clock().now()))
+    }
+
+    /// Operators want an availability zone evacuated, or take it back. Safe to ask again.
+    pub async fn ask_evacuation(&self, zone: &AvailabilityZoneId, evacuated: bool) -> EvacuationOutcome {
+        let Some(active) = self.active.get() else { return EvacuationOutcome::NotHere };
+        evacuation::ask(&*self.store, &active, zone, evacuated, || self.view.clock().now()).await
+    }
+
     /// Sets the gauges that are read off the box when it is asked.
     pub fn set_gauges(&self) {
         let status = self.status();
@@ -169,6 +186,14 @@
         set("martenscale_servers", Some(number(status.servers).unwrap_or(0.0)));
         set("martenscale_unheard_servers", Some(number(status.unheard_servers).unwrap_or(0.0)));
         set("martenscale_unstored_occurrences", Some(number(status.unstored).unwrap_or(0.0)));
+        let evacuations = status.evacuations.unwrap_or_default();
+        set("martenscale_evacuated_zones", Some(evacuations.len() as f64));
+        set("martenscale_evacuated_running_tasks", Some(evacuations.iter().map(|e| e.running_tasks as f64).sum()));
+        let missing = |e: &EvacuationStatus| e.guaranteed.saturating_sub(e.accelerators_elsewhere);
+        set(
+            "martenscale_guarantees_missing_accelerators",
+            Some(evacuations.iter().map(missing).max().unwrap_or(0) as f64),
+        );
     }
 }
 
--- a/crates/runtime/src/writer.rs
+++ b/crates/runtime/src/writer.rs
@@ -7,11 +7,10 @@
 use outside::{Committed, Item, Put, StoreError, Transaction};
 use scheduler::Batch;
 
-use crate::{active::Active, keys, leader::Parts, wait::Backoff};
+use crate::{active::Active, evacuation, keys, leader::Parts, wait::Backoff};
 
-/// Most occurrences in one call: each takes a condition and a write, and the scheduler's key a condition, of
-/// the 32 entries that the users' store allows.
-const MOST_ENTRIES: usize = 15;
+/// What one call may hold, conditions and writes together (users' store).
+const MOST_IN_A_CALL: usize = 32;
 /// A write that has no answer by then is made up for by the next. Above a slow store's answer (60 times 4 ms).
 const WRITE_LIMIT: Duration = Duration::from_millis(800);
 
@@ -19,12 +18,12 @@
 pub(crate) async fn run(parts: Parts, active: Arc<Active>) {
     let mut backoff = Backoff::new();
     loop {
-        let batch = active.lock().next_batch(MOST_ENTRIES);
+        let batch = next_batch(&active);
         let Some(batch) = batch else {
             active.changed().await;
             continue;
         };
-        let transaction = transaction(&active, &batch);
+        let transaction = transaction(&parts, &active, &batch);
         match parts.view.unless_back(parts.store.commit(transaction, WRITE_LIMIT)).await {
             Ok(Committed::Done(revision)) => {
                 backoff.reset();
@@ -38,6 +37,7 @@
                     active.depose();
                     return;
                 }
+                evacuation::take_found(&parts, &active, &batch.places_in, &items);
                 active.lock().found_in_store(&revisions_found(&batch, &items));
             }
             Ok(Committed::LeaseGone) => backoff.wait().await,
@@ -54,6 +54,14 @@
     }
 }
 
+/// As many occurrences as fit in one call: each takes a condition and a write, beside one condition for the scheduler's
+/// key and one for each availability zone.
+fn next_batch(active: &Active) -> Option<Batch> {
+    let scheduler = active.lock();
+    let conditions = 1 + scheduler.availability_zones();
+    scheduler.next_batch((MOST_IN_A_CALL.saturating_sub(conditions) / 2).max(1))
+}
+
 /// Whether the scheduler's key stands as this scheduler wrote it.
 fn holds_key(active: &Active, items: &[Item]) -> bool {
     let holder = items.iter().find(|item| item.key == keys::SCHEDULER);
@@ -73,9 +81,10 @@
 }
 
 /// A batch as a write that only the elected scheduler can make.
-fn transaction(active: &Active, batch: &Batch) -> Transaction {
+fn transaction(parts: &Parts, active: &Active, batch: &Batch) -> Transaction {
     let mut transaction = Transaction::default();
     transaction.expect.push((keys::SCHEDULER.to_owned(), Revision(active.fence.0)));
+    transaction.expect.extend(evacuation::conditions(&*parts.decoder, &active.evacuations, &batch.places_in));
     for entry in &batch.entries {
         let key = keys::progress(entry.occurrence);
         transaction.expect.push((key.clone(), entry.replaces));
--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -1,11 +1,11 @@
 //! Writes of progress to the store, many in one call.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use jobs::{OccurrenceId, Progress};
-use model::{BackendServerId, Revision};
+use model::{AvailabilityZoneId, BackendServerId, Revision};
 
-use crate::Scheduler;
+use crate::{Scheduler, live::Phase};
 
 /// One occurrence's progress as it is to be stored.
 #[derive(Debug, Clone)]
@@ -25,6 +25,9 @@
 pub struct Batch {
     /// At least one.
     pub entries: Vec<Entry>,
+    /// Availability zones where the batch places runs that were not ordered yet: it is worth nothing if one of them has
+    /// been evacuated meanwhile.
+    pub places_in: BTreeSet<AvailabilityZoneId>,
 }
 
 /// Tasks whose progress goes into one batch, unless a single occurrence has more: some 40 KB as the store takes
@@ -52,7 +55,19 @@
             }
             entries.push(entry);
         }
-        if entries.is_empty() { None } else { Some(Batch { entries }) }
+        if entries.is_empty() {
+            return None;
+        }
+        let places_in = entries.iter().flat_map(|entry| self.places_in(entry.occurrence)).collect();
+        Some(Batch { entries, places_in })
+    }
+
+    /// Where an occurrence has members that were not ordered yet.
+    fn places_in(&self, id: OccurrenceId) -> impl Iterator<Item = AvailabilityZoneId> {
+        let members = self.occurrence(id).groups.iter().flatten().flat_map(|group| &group.members);
+        let planned = members.filter(|member| member.phase == Phase::Planned);
+        let zone = |id: &BackendServerId| Some(self.servers.get(id)?.info.as_ref()?.availability_zone.clone());
+        planned.filter_map(move |member| zone(&member.server))
     }
 
     fn entry(&self, id: OccurrenceId) -> Option<Entry> {
--- a/crates/scheduler/src/contact.rs
+++ b/crates/scheduler/src/contact.rs
@@ -21,16 +21,18 @@
     pub fn server_listed(&mut self, id: BackendServerId, info: ServerInfo, now: Moment) {
         let earlier = self.timing.earlier_leases_over(self.elected);
         let draining = info.draining;
+        let evacuated = self.evacuations.holds(&info.availability_zone);
         self.servers.entry(id.clone()).or_insert_with(|| Server::new(None, earlier));
         let server = self.server_mut(&id).expect("it was just added");
         let was_draining = server.info.as_ref().is_some_and(|old| old.draining);
         server.info = Some(info);
         server.listed = true;
+        server.evacuated = evacuated;
         server.silence.unlisted = None;
         self.plan_wanted = true;
         if draining && !was_draining {
             log::info!("server={id} event=draining fence={}", self.fence);
-            self.evacuate(&id, now);
+            self.leave_in_time(&id, now);
         }
     }
 
--- a/crates/scheduler/src/leaving.rs
+++ b/crates/scheduler/src/leaving.rs
@@ -1,4 +1,8 @@
-//! Runs leave a backend server that is leaving, unless they end there in time.
+//! Whether a backend server takes new work, and what becomes of what it runs once it takes none.
+//!
+//! It takes none while it leaves at short notice or is drained, while its machine is being emptied for upkeep, and while its
+//! availability zone is evacuated. What it runs ends there if it can; what cannot, or should not, goes on elsewhere, a
+//! gang as a whole.
 
 use jobs::{Duration, TaskId};
 use model::{BackendServerId, Moment};
@@ -6,24 +10,40 @@
 use crate::{
     Scheduler,
     live::{GroupId, StopReason},
+    server::Server,
 };
 
+impl Server {
+    /// Whether new work may be placed here.
+    pub(crate) fn open(&self, now: Moment) -> bool {
+        let steady = self.info.as_ref().is_some_and(|info| !info.draining);
+        let stays = steady && !self.closed && !self.evacuated;
+        stays && self.listed && self.stocked && self.unanswered == 0 && now >= self.not_before
+    }
+}
+
 impl Scheduler {
     /// Moves what cannot end before its backend server leaves.
-    pub(crate) fn evacuate(&mut self, id: &BackendServerId, now: Moment) {
+    pub(crate) fn leave_in_time(&mut self, id: &BackendServerId, now: Moment) {
         let Some(server) = self.servers.get(id) else { return };
         let Some(remaining) = server.info.as_ref().and_then(|info| info.remaining) else { return };
-        let tasks: Vec<TaskId> = server.members.keys().copied().collect();
-        for task in tasks {
-            let Some(name) = self.group_of(task) else { continue };
+        for name in self.groups_on(id) {
             if self.time_left(name, now) > remaining {
-                self.stop_group(name, StopReason::Evacuated, now);
+                self.stop_group(name, StopReason::ServerLeaving, now);
             }
         }
     }
 
+    /// Groups with a member on a backend server, each once.
+    pub(crate) fn groups_on(&self, id: &BackendServerId) -> Vec<GroupId> {
+        let Some(server) = self.servers.get(id) else { return Vec::new() };
+        let mut names: Vec<GroupId> = server.members.keys().filter_map(|task: &TaskId| self.group_of(*task)).collect();
+        names.dedup();
+        names
+    }
+
     /// How long a group's run has left, by what was declared and how far it has come.
-    fn time_left(&self, name: GroupId, now: Moment) -> Duration {
+    pub(crate) fn time_left(&self, name: GroupId, now: Moment) -> Duration {
         let group = self.group(name);
         let declared = self.step(name).estimate;
         let ran = now.since(group.placed_at);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -17,11 +17,12 @@
 mod choose;
 mod contact;
 mod ends;
-mod evacuate;
+mod evacuation;
 mod forget;
 mod guarantee;
 mod headroom;
 mod health;
+mod leaving;
 mod listing;
 mod live;
 mod observe;
@@ -50,6 +51,7 @@
     batch::{Batch, Entry},
     contact::Unanswered,
     ends::{End, EndKind, Listing, RunningTask},
+    evacuation::{EvacuatedBy, EvacuationRefused, EvacuationStatus},
     observe::Observation,
     orders::{Order, StartReply},
     policy::{Advice, CustomerPolicy, Policy, QueuePolicy, ServiceId},
--- a/crates/scheduler/src/live.rs
+++ b/crates/scheduler/src/live.rs
@@ -78,8 +78,10 @@
     Preempted,
     /// An earlier run of it was done after all.
     AlreadyDone,
-    /// Its backend server is leaving.
-    Evacuated,
+    /// Its backend server leaves, or its machine is being emptied for upkeep.
+    ServerLeaving,
+    /// Its availability zone is evacuated.
+    ZoneEvacuated,
 }
 
 /// Tasks that start and end together.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -8,6 +8,7 @@
 use crate::{
     advice::AdviceBook,
     archive::Archived,
+    evacuation::Evacuations,
     headroom::StopTimes,
     live::{JobEntry, StopReason},
     observe::Observation,
@@ -83,6 +84,8 @@
     pub(crate) orders: Vec<Order>,
     /// Waves of upkeep that operators have asked for.
     pub(crate) upkeep: Upkeep,
+    /// Availability zones where nothing starts.
+    pub(crate) evacuations: Evacuations,
     /// What the adviser has said, and what it is to be asked.
     pub(crate) advice: AdviceBook,
     pub(crate) observations: Vec<Observation>,
@@ -119,6 +122,7 @@
             unsent: BTreeSet::new(),
             orders: Vec::new(),
             upkeep: Upkeep::default(),
+            evacuations: Evacuations::default(),
             advice: AdviceBook::default(),
             observations: Vec::new(),
             wall: (elected, 0),
@@ -242,6 +246,7 @@
                 self.remove_server(&id);
             }
         }
+        self.move_lasting(now);
         self.repeat_stops(now);
     }
 }
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -6,7 +6,7 @@
 };
 
 use jobs::{Need, OccurrenceId, RunNumber, TaskId};
-use model::{Duration, Moment};
+use model::{AvailabilityZoneId, Duration, Moment};
 
 use crate::{health::Health, policy::ServiceId};
 
@@ -24,6 +24,8 @@
 pub struct ServerInfo {
     /// The service that it runs.
     pub service: ServiceId,
+    /// Where it is.
+    pub availability_zone: AvailabilityZoneId,
     /// Its rack; one of its labels.
     pub rack: Arc<str>,
     /// What it can be chosen by.
@@ -91,6 +93,8 @@
     pub(crate) acknowledged: u64,
     /// It is being emptied for upkeep.
     pub(crate) closed: bool,
+    /// Its availability zone is evacuated.
+    pub(crate) evacuated: bool,
     /// It gets no new work before this, since it refused a start.
     pub(crate) not_before: Moment,
     pub(crate) health: Health,
@@ -114,6 +118,7 @@
             seen_end: 0,
             acknowledged: 0,
             closed: false,
+            evacuated: false,
             not_before: Moment::ZERO,
             health: Health::default(),
             touched: false,
@@ -158,9 +163,8 @@
         now < self.not_before || self.health.changes_with_time(now)
     }
 
-    /// Whether new work may be placed here.
-    pub(crate) fn open(&self, now: Moment) -> bool {
-        let steady = self.info.as_ref().is_some_and(|info| !info.draining);
-        steady && !self.closed && self.listed && self.stocked && self.unanswered == 0 && now >= self.not_before
+    /// Whether it is in an availability zone, as far as it is known.
+    pub(crate) fn is_in(&self, zone: &AvailabilityZoneId) -> bool {
+        self.info.as_ref().is_some_and(|info| info.availability_zone == *zone)
     }
 }
--- a/crates/scheduler/src/starts.rs
+++ b/crates/scheduler/src/starts.rs
@@ -58,6 +58,20 @@
         }
     }
 
+    /// A start was not sent, since [`Scheduler::may_start`] no longer held. An earlier order for it may have been.
+    pub fn start_withdrawn(&mut self, server: &BackendServerId, task: TaskId, run: RunNumber, now: Moment) {
+        let Some(name) = self.group_of(task) else { return };
+        if self.progress_of(name).run != run || self.group(name).stopping.is_some() {
+            return;
+        }
+        let Some(member) = self.member_mut(name, task.index, server) else { return };
+        log::info!("job={} event=start_withdrawn task={task} server={server}", task.occurrence.job);
+        if member.phase == (Phase::Sent { tries: 1 }) {
+            self.remove_member(name, task.index, None, now);
+        }
+        self.stop_group(name, StopReason::ZoneEvacuated, now);
+    }
+
     fn start_refused(&mut self, name: GroupId, task: TaskId, server: &BackendServerId, reply: StartReply, now: Moment) {
         log::info!("job={} event=start_refused task={task} server={server} why={reply:?}", task.occurrence.job);
         if reply == StartReply::NoTicket {
@@ -71,7 +85,9 @@
 
     /// Sent again, since a start takes effect once only; given up after some tries.
     fn start_unanswered(&mut self, name: GroupId, index: u32, server: &BackendServerId, now: Moment) {
-        let most = self.timing.start_tries;
+        // An order to an evacuated availability zone is not given twice: the first may have come to nothing.
+        let closed = self.servers.get(server).is_none_or(|server| server.evacuated);
+        let most = if closed { 0 } else { self.timing.start_tries };
         let stopping = self.group(name).stopping.is_some();
         let Some(member) = self.member_mut(name, index, server) else { return };
         let Phase::Sent { tries } = member.phase else { return };
--- a/crates/scheduler/src/upkeep.rs
+++ b/crates/scheduler/src/upkeep.rs
@@ -9,7 +9,6 @@
 };
 
 use derive_more::Display;
-use jobs::TaskId;
 use model::{BackendServerId, Duration, Moment};
 use serde::{Deserialize, Serialize};
 
@@ -182,7 +181,7 @@
         let mut due = Vec::new();
         for (number, id, patience_over) in self.emptying(now) {
             let up = self.upkeep.machines.get(&id).is_some_and(|machine| machine.up);
-            if up && self.evacuate_machine(&id, patience_over, now) {
+            if up && self.empty_machine(&id, patience_over, now) {
                 due.push((number, id));
             }
         }
@@ -270,14 +269,14 @@
     }
 
     /// Moves what runs on a machine, as far as that may be; whether nothing is left there.
-    fn evacuate_machine(&mut self, id: &MachineId, patience_over: bool, now: Moment) -> bool {
+    fn empty_machine(&mut self, id: &MachineId, patience_over: bool, now: Moment) -> bool {
         let members = self.members_on(id);
         let empty = members.is_empty();
         for name in members {
             let step = self.step(name);
             let moves_well = step.checkpoints || step.long_running;
             if (moves_well || patience_over) && self.may_be_absent(name) {
-                self.stop_group(name, StopReason::Evacuated, now);
+                self.stop_group(name, StopReason::ServerLeaving, now);
             }
         }
         empty
@@ -286,9 +285,6 @@
     /// Groups with a member on a machine.
     fn members_on(&self, id: &MachineId) -> Vec<GroupId> {
         let server = self.upkeep.machines.get(id).and_then(|machine| machine.server.as_ref());
-        let Some(server) = server.and_then(|id| self.servers.get(id)) else { return Vec::new() };
-        let mut names: Vec<GroupId> = server.members.keys().filter_map(|task: &TaskId| self.group_of(*task)).collect();
-        names.dedup();
-        names
+        server.map(|id| self.groups_on(id)).unwrap_or_default()
     }
 }
--- a/crates/scheduler/tests/common/events.rs
+++ b/crates/scheduler/tests/common/events.rs
@@ -1,15 +1,15 @@
 //! Calls between schedulers, backend servers and the store, as they arrive and are answered.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use jobs::{OccurrenceId, RunNumber, TaskId};
-use model::{BackendServerId, Moment, Revision};
-use scheduler::{Batch, EndKind, Listing, StartReply, Unanswered};
+use model::{AvailabilityZoneId, BackendServerId, Moment, Revision};
+use scheduler::{Batch, EndKind, EvacuatedBy, Listing, StartReply, Unanswered};
 
 use super::world::{STEP_MS, World};
 
 /// After this long a scheduler is told that a start was not answered.
-const UNANSWERED_MS: u64 = 400;
+pub(crate) const UNANSWERED_MS: u64 = 400;
 
 /// Something that arrives somewhere. `leader` is the index of the scheduler that called or hears.
 #[derive(Debug)]
@@ -75,6 +75,10 @@
         leader: usize,
         server: BackendServerId,
     },
+    /// A scheduler hears how the evacuations stand by then.
+    EvacuationsTold {
+        leader: usize,
+    },
     /// A scheduler's call finds that a backend server has gone.
     CallFailed {
         leader: usize,
@@ -100,6 +104,9 @@
             }
             Event::Held { leader, server, reply, clock, sent } => self.on_held(leader, server, reply, clock, sent),
             Event::Start { leader, server, task, run, until, answered, saved } => {
+                if answered {
+                    self.check_evacuated(&server, task);
+                }
                 let reply = self.start(leader, &server, task, run, until, saved);
                 let delay = if reply == StartReply::Unknown { UNANSWERED_MS } else { STEP_MS };
                 if answered {
@@ -125,6 +132,7 @@
                 let now = self.moment();
                 self.leaders[leader].scheduler.server_unlisted(&server, now);
             }
+            Event::EvacuationsTold { leader } => self.on_evacuations_told(leader),
             Event::CallFailed { leader, server, how } => {
                 let now = self.moment();
                 self.leaders[leader].scheduler.unanswered(&server, how, now);
@@ -193,14 +201,25 @@
         }
     }
 
-    fn on_written(&mut self, leader: usize, batch: Batch, result: Result<Revision, BTreeMap<OccurrenceId, Revision>>) {
+    fn on_evacuations_told(&mut self, leader: usize) {
+        let now = self.moment();
+        let zones: BTreeSet<AvailabilityZoneId> = self.evacuated.keys().cloned().collect();
         let leader = &mut self.leaders[leader];
+        leader.scheduler.set_evacuated(EvacuatedBy::Platform, &zones, now);
+        leader.evacuated = zones;
+    }
+
+    fn on_written(&mut self, index: usize, batch: Batch, result: Result<Revision, BTreeMap<OccurrenceId, Revision>>) {
+        let leader = &mut self.leaders[index];
         leader.writing = false;
         match result {
             Ok(revision) => {
                 leader.scheduler.stored(batch, revision);
             }
-            Err(found) if leader.fence == self.holder => leader.scheduler.found_in_store(&found),
+            Err(found) if leader.fence == self.holder => {
+                leader.scheduler.found_in_store(&found);
+                self.on_evacuations_told(index);
+            }
             Err(_) => leader.alive = false,
         }
     }
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -12,7 +12,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use jobs::{Fence, Job, JobId, JobState, Need, RunNumber, Step, TaskId};
-use model::{BackendServerId, CustomerId, Duration, Moment, Revision};
+use model::{AvailabilityZoneId, BackendServerId, CustomerId, Duration, Moment, Revision};
 use scheduler::{
     Advice, CustomerPolicy, End, EndKind, Listing, Order, Policy, QueuePolicy, RunningTask, Scheduler, ServerInfo,
     ServiceId, StartReply, Timing, Unanswered,
@@ -67,10 +67,16 @@
     format!("s{i:02}").parse().expect("it is a valid id")
 }
 
+/// The availability zone of a rack: every other one is in the same.
+pub(crate) fn zone(rack: usize) -> AvailabilityZoneId {
+    format!("az-{}", rack % 2 + 1).parse().expect("it is a valid id")
+}
+
 pub(crate) fn info(i: usize) -> ServerInfo {
     let rack: Arc<str> = Arc::from(format!("r1-{}", i / 4));
     ServerInfo {
         service: ServiceId::from(SERVICE),
+        availability_zone: zone(i / 4),
         labels: vec![Arc::clone(&rack), Arc::from("a")],
         rack,
         capacity: Need { cpu_milli: 32_000, memory_mb: 64_000, accelerators: 8 },
--- a/crates/scheduler/tests/common/oracle.rs
+++ b/crates/scheduler/tests/common/oracle.rs
@@ -4,7 +4,14 @@
 use model::BackendServerId;
 use scheduler::EndKind;
 
-use super::world::{ATTEMPTS, World};
+use super::{
+    events::UNANSWERED_MS,
+    world::{ATTEMPTS, World},
+};
+
+/// A write that was under way and the order that follows, which a scheduler that has not heard of the evacuation gives
+/// twice more if it gets no answer.
+const UNDER_WAY_MS: u64 = 3 * UNANSWERED_MS;
 
 impl World {
     /// A backend server that obeys the fence forgets these ends: they are taken note of.
@@ -51,6 +58,18 @@
         }
     }
 
+    /// An order that arrives at once starts nothing where an evacuation holds; one that was under way may.
+    pub(crate) fn check_evacuated(&self, id: &BackendServerId, task: TaskId) {
+        let Some(server) = self.servers.get(id) else { return };
+        if let Some(since) = self.evacuated.get(&server.info.availability_zone) {
+            let late = self.now - since;
+            assert!(
+                late <= UNDER_WAY_MS,
+                "{task} was ordered on {id} {late} ms after its availability zone was evacuated"
+            );
+        }
+    }
+
     pub(crate) fn check_succeeded(&self, id: JobId) {
         let job = &self.jobs[&id];
         for (s, step) in job.steps.iter().enumerate() {
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -8,8 +8,8 @@
 };
 
 use jobs::{Fence, Job, JobId, JobState, OccurrenceId, Progress, TaskId};
-use model::{BackendServerId, Duration, Moment, Revision};
-use scheduler::{Batch, EndKind, Scheduler, Timing};
+use model::{AvailabilityZoneId, BackendServerId, Duration, Moment, Revision};
+use scheduler::{Batch, EndKind, EvacuatedBy, Scheduler, Timing};
 
 use super::{events::Event, info, policy, server::FakeServer, server_id};
 
@@ -23,6 +23,8 @@
     pub(crate) fence: Fence,
     pub(crate) alive: bool,
     pub(crate) writing: bool,
+    /// Availability zones that it knows to be evacuated.
+    pub(crate) evacuated: BTreeSet<AvailabilityZoneId>,
     /// Renews no more from here on: its election cannot be confirmed.
     pub(crate) renews_until: u64,
     /// What a backend server's clock showed, and when.
@@ -50,6 +52,8 @@
     pub(crate) holder: Fence,
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) cancelled: BTreeMap<JobId, u64>,
+    /// Availability zones that are evacuated, and since when.
+    pub(crate) evacuated: BTreeMap<AvailabilityZoneId, u64>,
     pub(crate) store_down_until: u64,
     pub(crate) lose_writes_until: u64,
     pub(crate) lose_orders_until: u64,
@@ -72,6 +76,7 @@
             holder: Fence(0),
             jobs: BTreeMap::new(),
             cancelled: BTreeMap::new(),
+            evacuated: BTreeMap::new(),
             store_down_until: 0,
             lose_writes_until: 0,
             lose_orders_until: 0,
@@ -140,6 +145,8 @@
         }
         let now = self.moment();
         let mut scheduler = Scheduler::new(self.holder, now, World::timing(), policy());
+        let evacuated: BTreeSet<AvailabilityZoneId> = self.evacuated.keys().cloned().collect();
+        scheduler.set_evacuated(EvacuatedBy::Platform, &evacuated, now);
         for job in self.jobs.values() {
             scheduler.add_job(job.clone());
         }
@@ -157,6 +164,7 @@
             fence: self.holder,
             alive: true,
             writing: false,
+            evacuated,
             renews_until: u64::MAX,
             clocks: BTreeMap::new(),
             holding: BTreeMap::new(),
@@ -164,6 +172,23 @@
         });
     }
 
+    /// Operators evacuate an availability zone, or take it back. Those that schedule hear of it after a while, if at all:
+    /// an evacuation that is not told is found by the next write that places a run there.
+    pub(crate) fn set_evacuated(&mut self, zone: AvailabilityZoneId, evacuated: bool) {
+        if self.now < self.store_down_until {
+            return;
+        }
+        if evacuated {
+            self.evacuated.entry(zone).or_insert(self.now);
+        } else {
+            self.evacuated.remove(&zone);
+        }
+        for leader in 0..self.leaders.len() {
+            let late = if self.rng.u8(..) < 60 { 8000 } else { self.rng.u64(..100) };
+            self.after(late, Event::EvacuationsTold { leader });
+        }
+    }
+
     pub(crate) fn kill_leaders(&mut self) {
         for leader in &mut self.leaders {
             leader.alive = false;
@@ -222,7 +247,9 @@
 
     pub(crate) fn write(&mut self, leader: usize, batch: &Batch) -> Result<Revision, BTreeMap<OccurrenceId, Revision>> {
         let found = |id: OccurrenceId| self.stored.get(&id).map_or(Revision(0), |(_, revision)| *revision);
-        let fits = batch.entries.iter().all(|entry| found(entry.occurrence) == entry.replaces);
+        let as_known = |zone| self.leaders[leader].evacuated.contains(zone) == self.evacuated.contains_key(zone);
+        let fits = batch.places_in.iter().all(as_known)
+            && batch.entries.iter().all(|entry| found(entry.occurrence) == entry.replaces);
         if self.leaders[leader].fence != self.holder || !fits {
             return Err(batch.entries.iter().map(|entry| (entry.occurrence, found(entry.occurrence))).collect());
         }
--- /dev/null
+++ b/crates/scheduler/tests/evacuation.rs
@@ -0,0 +1,246 @@
+//! Availability zones that are evacuated, and taken back.
+//!
+//! Backend servers 0 to 3 are in `az-1`, 4 to 7 in `az-2`, and so on by turns of four.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::{Fixture, gang, job, job_in, run_of, server_id, step, zone};
+use jobs::{JobState, OccurrenceId, Placed, Progress, RunNumber, Step};
+use model::{AvailabilityZoneId, Duration, Revision};
+use scheduler::{EndKind, EvacuatedBy, EvacuationRefused, Order, StartReply};
+
+fn evacuate(fixture: &mut Fixture, rack: usize) {
+    let now = fixture.now;
+    fixture.scheduler.evacuate(&zone(rack), EvacuatedBy::Platform, now);
+}
+
+fn take_back(fixture: &mut Fixture, rack: usize) {
+    fixture.scheduler.take_back(&zone(rack), EvacuatedBy::Platform);
+}
+
+fn lasting() -> Step {
+    Step { long_running: true, ..step(2, 8) }
+}
+
+#[test]
+fn nothing_starts_there_until_it_is_taken_back() {
+    let mut fixture = Fixture::new(4);
+    evacuate(&mut fixture, 0);
+    fixture.submit(job_in("urgent", 1, vec![step(2, 4)]));
+    assert!(fixture.start_all().is_empty());
+    take_back(&mut fixture, 0);
+    assert_eq!(fixture.start_all().len(), 2);
+}
+
+#[test]
+fn work_goes_where_no_evacuation_is() {
+    let mut fixture = Fixture::new(8);
+    evacuate(&mut fixture, 0);
+    fixture.submit(job_in("urgent", 1, vec![gang(4, 8)]));
+    let started = fixture.start_all();
+    assert_eq!(started.len(), 4);
+    assert!(started.iter().all(|started| started.server >= server_id(4)), "{started:?}");
+}
+
+#[test]
+fn what_runs_there_ends_there() {
+    let mut fixture = Fixture::new(8);
+    fixture.submit(job(1, vec![Step { checkpoints: true, ..step(1, 8) }]));
+    let started = fixture.start_all();
+    evacuate(&mut fixture, 0);
+    fixture.advance(1000);
+    assert!(fixture.start_all().is_empty());
+    assert!(fixture.stops.is_empty(), "it would lose what it has done since its checkpoint");
+    fixture.end(&started[0], EndKind::Done);
+    fixture.store_all();
+    assert_eq!(fixture.state(1), Some(JobState::Succeeded));
+}
+
+#[test]
+fn what_was_placed_and_not_ordered_is_placed_anew() {
+    let mut fixture = Fixture::new(8);
+    fixture.submit(job_in("urgent", 1, vec![gang(4, 8)]));
+    let now = fixture.now;
+    fixture.scheduler.plan(now, now.millis());
+    let batch = fixture.scheduler.next_batch(8).expect("a run was placed");
+    assert_eq!(batch.places_in, BTreeSet::from([zone(0)]));
+    evacuate(&mut fixture, 0);
+    // The write was under way, and took effect before the evacuation.
+    fixture.scheduler.stored(batch, Revision(50));
+    assert!(fixture.scheduler.take_orders().is_empty());
+    let started = fixture.start_all();
+    assert_eq!(started.len(), 4);
+    assert!(started.iter().all(|started| started.server >= server_id(4) && run_of(started) == 2), "{started:?}");
+}
+
+#[test]
+fn an_order_that_waits_in_a_queue_is_not_sent_any_more() {
+    let mut fixture = Fixture::new(8);
+    fixture.submit(job_in("urgent", 1, vec![step(1, 8)]));
+    let now = fixture.now;
+    fixture.scheduler.plan(now, now.millis());
+    fixture.store_all();
+    let orders = fixture.scheduler.take_orders();
+    let [Order::Start { server, task, run, .. }] = &orders[..] else { panic!("{orders:?}") };
+    assert!(fixture.scheduler.may_start(server, *task, *run));
+    evacuate(&mut fixture, 0);
+    assert!(!fixture.scheduler.may_start(server, *task, *run));
+    fixture.scheduler.start_withdrawn(server, *task, *run, now);
+    let started = fixture.start_all();
+    assert_eq!(started.len(), 1, "it was never sent, so nothing of it can run");
+    assert!(started[0].server >= server_id(4));
+}
+
+#[test]
+fn an_order_without_an_answer_is_not_repeated_there() {
+    let mut fixture = Fixture::new(8);
+    fixture.submit(job_in("urgent", 1, vec![step(1, 8)]));
+    let now = fixture.now;
+    fixture.scheduler.plan(now, now.millis());
+    fixture.store_all();
+    let orders = fixture.scheduler.take_orders();
+    let [Order::Start { server, task, run, .. }] = &orders[..] else { panic!("{orders:?}") };
+    evacuate(&mut fixture, 0);
+    fixture.scheduler.start_replied(server, *task, *run, StartReply::Unknown, now);
+    let orders = fixture.scheduler.take_orders();
+    assert!(matches!(&orders[..], [Order::Stop { .. }]), "it may run, or may yet: {orders:?}");
+    assert!(fixture.start_all().is_empty(), "only once it is known not to run is it placed anew");
+}
+
+#[test]
+fn tasks_that_last_leave_as_their_step_allows() {
+    let mut fixture = Fixture::new(8);
+    fixture.percent = 100;
+    fixture.submit(job(1, vec![Step { max_absent: Some(1), ..lasting() }]));
+    let started = fixture.start_all();
+    assert!(started.iter().all(|started| started.server < server_id(4)));
+    fixture.advance(100);
+    evacuate(&mut fixture, 0);
+    fixture.start_all();
+    assert_eq!(fixture.stops.len(), 1, "one may be absent at a time");
+    let stopped = fixture.stops[0].subject().1;
+    let first = started.iter().find(|started| started.task == stopped).expect("it was started");
+    fixture.end(first, EndKind::Stopped);
+    assert_eq!(fixture.start_all().len(), 1);
+    fixture.advance(100);
+    fixture.start_all();
+    assert_eq!(fixture.stops.len(), 2, "the first is at work again elsewhere");
+}
+
+#[test]
+fn an_evacuation_that_two_have_asked_for_is_over_when_both_have_taken_it_back() {
+    let mut fixture = Fixture::new(4);
+    let now = fixture.now;
+    evacuate(&mut fixture, 0);
+    evacuate(&mut fixture, 0);
+    fixture.scheduler.evacuate(&zone(0), EvacuatedBy::Operators, now);
+    fixture.submit(job_in("urgent", 1, vec![step(1, 4)]));
+    take_back(&mut fixture, 0);
+    assert!(fixture.start_all().is_empty());
+    fixture.scheduler.take_back(&zone(0), EvacuatedBy::Operators);
+    assert_eq!(fixture.start_all().len(), 1);
+}
+
+#[test]
+fn two_evacuations_overlap() {
+    let mut fixture = Fixture::new(8);
+    evacuate(&mut fixture, 0);
+    evacuate(&mut fixture, 1);
+    fixture.submit(job_in("urgent", 1, vec![gang(4, 8)]));
+    assert!(fixture.start_all().is_empty(), "the platform's operators are obeyed even if nothing is left");
+    take_back(&mut fixture, 0);
+    evacuate(&mut fixture, 1);
+    assert!(fixture.start_all().iter().all(|started| started.server < server_id(4)));
+    assert_eq!(fixture.scheduler.evacuations(fixture.now).len(), 1);
+}
+
+#[test]
+fn one_that_is_taken_back_within_a_second_and_asked_for_again_holds() {
+    let mut fixture = Fixture::new(4);
+    evacuate(&mut fixture, 0);
+    fixture.advance(900);
+    take_back(&mut fixture, 0);
+    evacuate(&mut fixture, 0);
+    fixture.submit(job_in("urgent", 1, vec![step(1, 4)]));
+    assert!(fixture.start_all().is_empty());
+}
+
+#[test]
+fn the_whole_list_takes_back_what_it_does_not_hold() {
+    let mut fixture = Fixture::new(8);
+    let now = fixture.now;
+    evacuate(&mut fixture, 0);
+    // History was lost, and the list read anew.
+    fixture.scheduler.set_evacuated(EvacuatedBy::Platform, &BTreeSet::from([zone(1)]), now);
+    fixture.submit(job_in("urgent", 1, vec![gang(4, 8)]));
+    let started = fixture.start_all();
+    assert!(started.len() == 4 && started.iter().all(|started| started.server < server_id(4)), "{started:?}");
+}
+
+#[test]
+fn a_backend_server_that_comes_during_an_evacuation_takes_nothing() {
+    let mut fixture = Fixture::new(0);
+    evacuate(&mut fixture, 0);
+    fixture.add_server(0);
+    fixture.submit(job_in("urgent", 1, vec![step(1, 4)]));
+    assert!(fixture.start_all().is_empty());
+    take_back(&mut fixture, 0);
+    assert_eq!(fixture.start_all().len(), 1);
+}
+
+#[test]
+fn a_new_scheduler_lets_run_what_it_finds_there_and_starts_nothing() {
+    let mut fixture = Fixture::new(0);
+    let now = fixture.now;
+    fixture.scheduler.set_evacuated(EvacuatedBy::Platform, &BTreeSet::from([zone(0)]), now);
+    let job = job_in("urgent", 1, vec![step(2, 4)]);
+    let mut progress = Progress::new(&job);
+    progress.groups[0][0].run = RunNumber(1);
+    progress.groups[0][0].placed = vec![Placed { index: 0, server: server_id(0) }];
+    fixture.submit(job.clone());
+    fixture.scheduler.restore(OccurrenceId { job: job.id, number: 0 }, progress, Revision(5));
+    fixture.add_server(0);
+    assert!(fixture.start_all().is_empty());
+    assert!(fixture.stops.is_empty());
+    fixture.add_server(4);
+    assert_eq!(fixture.start_all()[0].server, server_id(4));
+}
+
+#[test]
+fn status_tells_what_still_runs_there_and_for_how_long() {
+    let mut fixture = Fixture::new(8);
+    fixture.submit(job(1, vec![step(3, 4)]));
+    fixture.start_all();
+    fixture.now = fixture.now + Duration::from_millis(500);
+    evacuate(&mut fixture, 0);
+    fixture.now = fixture.now + Duration::from_millis(500);
+    let status = fixture.scheduler.evacuations(fixture.now);
+    assert_eq!(status.len(), 1);
+    assert_eq!(status[0].availability_zone, zone(0));
+    assert_eq!((status[0].running_tasks, status[0].known_ms, status[0].longest_left_ms), (3, 500, 1000));
+    assert_eq!((status[0].guaranteed, status[0].accelerators_elsewhere), (16, 32));
+}
+
+#[test]
+fn operators_are_refused_what_would_break_a_guarantee() {
+    // One backend server in az-1, four in az-2; 16 accelerators are guaranteed.
+    let mut fixture = Fixture::new(0);
+    for i in [0, 4, 5, 6, 7] {
+        fixture.add_server(i);
+    }
+    let refused = |fixture: &Fixture, zone: AvailabilityZoneId| fixture.scheduler.check_evacuation(&zone).unwrap_err();
+    assert_eq!(fixture.scheduler.check_evacuation(&zone(0)), Ok(()));
+    let why = refused(&fixture, zone(1));
+    assert_eq!(why, EvacuationRefused::Guarantees { zone: zone(1), left: 8, guaranteed: 16 });
+    assert_eq!(why.to_string(), "without az-2 8 accelerators are left, and customers are guaranteed 16: 8 too few");
+    let unknown = refused(&fixture, "az-9".parse().expect("it is a valid id"));
+    assert_eq!(unknown.to_string(), "no backend server is in availability zone az-9; allowed are az-1, az-2");
+    evacuate(&mut fixture, 0);
+    assert_eq!(refused(&fixture, zone(1)), EvacuationRefused::LastZone { zone: zone(1) });
+    // The platform's operators are obeyed all the same, and status says what is missing.
+    evacuate(&mut fixture, 1);
+    let status = fixture.scheduler.evacuations(fixture.now);
+    assert_eq!((status[0].guaranteed, status[0].accelerators_elsewhere), (16, 0));
+}
--- a/crates/scheduler/tests/fuzz.rs
+++ b/crates/scheduler/tests/fuzz.rs
@@ -4,7 +4,7 @@
 
 mod common;
 
-use common::{gang, job_in, step, world::World};
+use common::{gang, job_in, step, world::World, zone};
 use jobs::{JobId, JobState, Step};
 use proptest::{
     prelude::*,
@@ -29,6 +29,8 @@
     LoseWrites(u16),
     StoreDown(u16),
     FailTasks(u16),
+    Evacuate(u8),
+    TakeBack(u8),
     Elect,
     KillAndElect,
     KillAll,
@@ -46,6 +48,8 @@
         1 => (100u16..4000).prop_map(Action::LoseWrites),
         1 => (100u16..8000).prop_map(Action::StoreDown),
         1 => (100u16..2000).prop_map(Action::FailTasks),
+        1 => any::<u8>().prop_map(Action::Evacuate),
+        1 => any::<u8>().prop_map(Action::TakeBack),
         1 => Just(Action::Elect),
         1 => Just(Action::KillAndElect),
         1 => Just(Action::KillAll),
@@ -89,6 +93,8 @@
         Action::LoseWrites(ms) => world.lose_writes_until = now + u64::from(ms),
         Action::StoreDown(ms) => world.store_down_until = now + u64::from(ms),
         Action::FailTasks(ms) => world.fail_tasks_until = now + u64::from(ms),
+        Action::Evacuate(i) => world.set_evacuated(zone(usize::from(i)), true),
+        Action::TakeBack(i) => world.set_evacuated(zone(usize::from(i)), false),
         Action::Elect => world.elect(),
         Action::KillAndElect => {
             world.kill_leaders();
@@ -105,6 +111,9 @@
         world.advance(u64::from(*gap));
     }
     world.heal();
+    for rack in 0..2 {
+        world.set_evacuated(zone(rack), false);
+    }
     let until = world.now + SETTLE_MS;
     let open = |world: &World| world.jobs.keys().any(|id| !world.state(*id).is_some_and(JobState::is_final));
     while world.now < until && (open(&world) || world.unacknowledged() > 0) {
--- a/xtask/src/plans.rs
+++ b/xtask/src/plans.rs
@@ -194,6 +194,7 @@
     let rack: Arc<str> = Arc::from(format!("r{}-{}", i % 5, i / IN_RACK / 5));
     ServerInfo {
         service: ServiceId::from(SERVICE),
+        availability_zone: format!("az-{}", i % 5).parse().expect("it is a valid id"),
         labels: vec![Arc::clone(&rack), Arc::from("a")],
         rack,
         capacity: Need { cpu_milli: 32_000, memory_mb: 64_000, accelerators: ACCELERATORS },
