--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A scheduler with backend servers and a store that do as they are told.
 #![allow(dead_code, reason = "each test file uses a part")]
 
-mod events;
+pub(crate) mod events;
 mod leading;
 mod oracle;
 mod platform;
--- a/crates/scheduler/tests/common/runs.rs
+++ b/crates/scheduler/tests/common/runs.rs
@@ -32,7 +32,7 @@
         let job = self.jobs[&task.occurrence.job].clone();
         let step = &job.steps[task.step as usize];
         let fails = self.now < self.fail_tasks_until && self.rng.u8(..) < 100;
-        let work = if saved { 300 } else { 600 } + self.rng.u64(..800) + self.long_work();
+        let work = self.work(if saved { 300 } else { 600 });
         let new = Run { run, left: (!step.gang).then_some(work), waited: 0, fails, saved: None };
         let mut used = Need::default();
         for other in self.servers[id].running.keys() {
@@ -47,9 +47,10 @@
         reply
     }
 
-    /// One run in four outlasts a lease.
-    pub(crate) fn long_work(&mut self) -> u64 {
-        if self.rng.u8(..) < 64 { 8000 } else { 0 }
+    /// What a run takes, in milliseconds. One in four outlasts a lease.
+    fn work(&mut self, least: u64) -> u64 {
+        let drawn = least + self.rng.u64(..800) + if self.rng.u8(..) < 64 { 8000 } else { 0 };
+        self.work_ms.unwrap_or(drawn)
     }
 
     pub(crate) fn run_servers(&mut self) {
@@ -94,7 +95,7 @@
         }
         for ((occurrence, step, _), members) in present {
             if members.len() == self.jobs[&occurrence.job].steps[step as usize].count as usize {
-                let work = 600 + self.rng.u64(..800) + self.long_work();
+                let work = self.work(600);
                 for (server, task) in members {
                     self.server_mut(&server).running.get_mut(&task).expect("it was just seen").left = Some(work);
                 }
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -58,6 +58,8 @@
     pub(crate) lose_writes_until: u64,
     pub(crate) lose_orders_until: u64,
     pub(crate) fail_tasks_until: u64,
+    /// What every run takes, if it is not drawn.
+    pub(crate) work_ms: Option<u64>,
     pub(crate) seen: BTreeMap<TaskId, Seen>,
     pub(crate) rng: fastrand::Rng,
     pub(crate) begun: usize,
@@ -81,6 +83,7 @@
             lose_writes_until: 0,
             lose_orders_until: 0,
             fail_tasks_until: 0,
+            work_ms: None,
             seen: BTreeMap::new(),
             rng: fastrand::Rng::with_seed(seed),
             begun: 0,
