Tell the scheduler of jobs and cancellations ahead of its watch

The scheduler learnt of new jobs by its watch alone.

Ruled out: shorter waits of the watch (it answers nothing while it is deaf); reading the intake again and again (its pages are the dearest reads that a scheduler makes).

Change: the box that has a job or a cancellation stored tells the scheduler at once, by a call between boxes whose answer nobody waits for. Only what the store took after the scheduler's election is taken in, so that nothing that is long over runs again.

Test, failing first (the job never began): jobs_and_cancellations_reach_the_scheduler_though_watches_hear_nothing.

--- a/crates/martend/tests/deployment.rs
+++ b/crates/martend/tests/deployment.rs
@@ -192,3 +192,31 @@
         assert_eq!(world.platform.oracle.broken(), Vec::<String>::new());
     });
 }
+
+/// Nothing that callers hand in waits for a watch: this is far below the seconds for which one may hear nothing (users'
+/// kinds: changes that a watch hears nothing of for a second and more, before their history is dropped).
+const WITHOUT_A_WATCH: Duration = Duration::from_secs(3);
+
+#[test]
+fn jobs_and_cancellations_reach_the_scheduler_though_watches_hear_nothing() {
+    smol::block_on(async {
+        let world = World::start(3, 4).await;
+        let scheduler = world.scheduler().await;
+        let other = (scheduler + 1) % 3;
+        world.platform.set_watches_deaf(true);
+        let begun = std::time::Instant::now();
+        let addr = world.boxes[other].addrs[0];
+        let accepted = world.caller.submit(addr, JobId(1), Work { work_ms: 30_000, ..WORK }).await;
+        assert_eq!(accepted.expect("it is answered").status, StatusCode::OK);
+        until("the job runs", || async { world.platform.oracle.running_tasks(JobId(1)) == 3 }).await;
+        let cancelled = world.caller.cancel(addr, JobId(1)).await.expect("it is answered");
+        assert_eq!(cancelled.status, StatusCode::OK);
+        until("nothing of it runs", || async { world.platform.oracle.running_tasks(JobId(1)) == 0 }).await;
+        assert!(begun.elapsed() < WITHOUT_A_WATCH, "it took {:?}", begun.elapsed());
+        world.platform.set_watches_deaf(false);
+        world.submit(JobId(2), WORK).await;
+        world.until_succeeded(other, 2..=2, 3).await;
+        assert_eq!(world.platform.oracle.begun(), 6, "nothing was run twice");
+        assert_eq!(world.platform.oracle.broken(), Vec::<String>::new());
+    });
+}
--- a/crates/runtime/src/active.rs
+++ b/crates/runtime/src/active.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use jobs::{Fence, Job, JobId, QueueId};
-use model::{CustomerId, Moment};
+use model::{CustomerId, Moment, Revision};
 use scheduler::{Counts, Scheduler};
 use smol::channel::{Receiver, Sender};
 
@@ -73,6 +73,11 @@
         result
     }
 
+    /// Whether what the store took at a revision is told by this scheduler's watch, and not by what it has read before.
+    fn watches(&self, revision: Revision) -> bool {
+        revision.0 > self.fence.0
+    }
+
     /// Another scheduler has been elected.
     /// Returns whether that is news.
     pub(crate) fn depose(&self) -> bool {
@@ -124,14 +129,16 @@
         self.active.lock().expect("no holder panics").take();
     }
 
-    pub(crate) fn add_job(&self, job: &Job) {
-        if let Some(active) = self.get() {
+    /// The store holds a job since a revision. A scheduler that was elected later has read it, or what has become of it.
+    pub(crate) fn add_job(&self, job: &Job, since: Revision) {
+        if let Some(active) = self.get().filter(|active| active.watches(since)) {
             active.update(|scheduler| scheduler.add_job(job.clone()));
         }
     }
 
-    pub(crate) fn cancel(&self, id: JobId, now: Moment) {
-        if let Some(active) = self.get() {
+    /// The store holds since a revision that a job is cancelled.
+    pub(crate) fn cancel(&self, id: JobId, since: Revision, now: Moment) {
+        if let Some(active) = self.get().filter(|active| active.watches(since)) {
             active.update(|scheduler| scheduler.cancel(id, now));
         }
     }
--- a/crates/runtime/src/relay.rs
+++ b/crates/runtime/src/relay.rs
@@ -3,13 +3,13 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Mutex};
 
 use jobs::{Job, JobId, QueueId};
-use model::{CustomerId, Duration};
+use model::{CustomerId, Duration, Revision};
 use net::grpc::Channel;
 use tonic::{Response, Status};
-use wire::relay::{self, relay_client::RelayClient};
+use wire::relay::{self, relay_client::RelayClient, taken_request::What};
 
 use crate::{
-    requests::{CancelOutcome, StateOutcome, SubmitOutcome},
+    requests::{CancelOutcome, StateOutcome, SubmitOutcome, Taken},
     wait::pause,
 };
 
@@ -90,6 +90,22 @@
         (!reply.unavailable).then_some(reply.waiting)
     }
 
+    /// Tells the scheduler what the store has taken since a revision.
+    pub(crate) async fn taken(
+        &self,
+        addr: SocketAddr,
+        taken: &Taken,
+        since: Revision,
+        limit: Duration,
+    ) -> Result<(), Status> {
+        let what = match taken {
+            Taken::Job(job) => What::Job(serde_json::to_vec(job).expect("our own types always serialize")),
+            Taken::Cancelled(id) => What::Cancelled(id.to_string()),
+        };
+        let mut client = self.client(addr);
+        within(limit, client.taken(relay::TakenRequest { revision: since.0, what: Some(what) })).await.map(|_| ())
+    }
+
     /// Asks another box for a configuration above a version, as the operators wrote it.
     pub(crate) async fn configuration(&self, addr: SocketAddr, above: u64, limit: Duration) -> Option<Vec<u8>> {
         let mut client = self.client(addr);
--- a/crates/runtime/src/relay_service.rs
+++ b/crates/runtime/src/relay_service.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 
 use jobs::{Job, QueueId};
-use model::{CustomerId, Duration};
+use model::{CustomerId, Duration, Revision};
 use tonic::{Request, Response, Status};
-use wire::relay::{self, cancel_reply, relay_server::Relay, state_reply, submit_reply};
+use wire::relay::{self, cancel_reply, relay_server::Relay, state_reply, submit_reply, taken_request::What};
 
 use crate::{
     border::Decoder,
-    requests::{Requests, StateOutcome},
+    requests::{Requests, StateOutcome, Taken},
     view::View,
 };
 
@@ -72,6 +72,19 @@
         });
         Ok(Response::new(reply))
     }
+
+    async fn taken(&self, req: Request<relay::TakenRequest>) -> Result<Response<relay::TakenReply>, Status> {
+        let req = req.into_inner();
+        let taken = match req.what {
+            Some(What::Job(job)) => {
+                Taken::Job(serde_json::from_slice(&job).map_err(|e| Status::invalid_argument(e.to_string()))?)
+            }
+            Some(What::Cancelled(id)) => Taken::Cancelled(parse(&id)?),
+            None => return Err(Status::invalid_argument("what: allowed are job and cancelled")),
+        };
+        self.requests.take(&taken, Revision(req.revision));
+        Ok(Response::new(relay::TakenReply {}))
+    }
 }
 
 impl RelayService {
--- a/crates/runtime/src/requests/cancel.rs
+++ b/crates/runtime/src/requests/cancel.rs
@@ -4,7 +4,7 @@
 use model::{CustomerId, Duration, Moment, Revision};
 use outside::{Committed, Item, Put, StoreError, Transaction};
 
-use super::{ASK_LIMIT, CancelOutcome, RELAY_LIMIT, Requests, STORE_LIMIT, may_see};
+use super::{ASK_LIMIT, CancelOutcome, RELAY_LIMIT, Requests, STORE_LIMIT, may_see, taken::Taken};
 use crate::{keys, measure, wait::Backoff};
 
 impl Requests {
@@ -50,8 +50,8 @@
         let transaction = Transaction { expect, put: vec![put], remove: Vec::new() };
         let left = until.since(self.now());
         match self.commit(transaction, left).await {
-            Ok(Committed::Done(_)) => {
-                self.active.cancel(id, self.now());
+            Ok(Committed::Done(revision)) => {
+                self.tell_scheduler(Taken::Cancelled(id), revision);
                 if job.is_some() { CancelOutcome::Cancelled } else { CancelOutcome::NoSuchJob }
             }
             Ok(Committed::Conflict(items)) => known_end(id, &items, customer),
--- a/crates/runtime/src/requests/mod.rs
+++ b/crates/runtime/src/requests/mod.rs
@@ -4,6 +4,7 @@
 mod outcome;
 mod state;
 mod submit;
+mod taken;
 
 use std::{
     collections::HashMap,
@@ -17,6 +18,7 @@
 use crate::{active::ActiveSlot, relay::Peers, view::View, wait::Backoff};
 
 pub use outcome::{CancelOutcome, StateOutcome, SubmitOutcome};
+pub(crate) use taken::Taken;
 
 /// One try of a write: above what a slow store takes (60 times its 4 ms).
 const WRITE_LIMIT: Duration = Duration::from_millis(450);
--- a/crates/runtime/src/requests/submit.rs
+++ b/crates/runtime/src/requests/submit.rs
@@ -4,7 +4,7 @@
 use model::{Duration, Revision};
 use outside::{Committed, Item, Put, StoreError, Transaction};
 
-use super::{ASK_LIMIT, RELAY_LIMIT, Requests, STORE_LIMIT, SubmitOutcome};
+use super::{ASK_LIMIT, RELAY_LIMIT, Requests, STORE_LIMIT, SubmitOutcome, taken::Taken};
 use crate::{keys, measure};
 
 impl Requests {
@@ -68,7 +68,7 @@
             Ok(Committed::Done(revision)) => {
                 let config = self.view.configuration().map_or(0, |known| known.version);
                 log::info!("job={} event=accepted revision={revision} queue={} config={config}", job.id, job.queue);
-                self.active.add_job(job);
+                self.tell_scheduler(Taken::Job(job.clone()), revision);
                 SubmitOutcome::Accepted
             }
             Ok(Committed::Conflict(items)) => known_job(job, &items),
--- /dev/null
+++ b/crates/runtime/src/requests/taken.rs
@@ -0,0 +1,56 @@
+//! What the store has just taken is told to the scheduler by the box that had it stored, ahead of the scheduler's watch.
+//!
+//! A watch may hear nothing for seconds while the store takes writes as ever (users' kinds: before its history is dropped).
+//! Jobs that were handed in meanwhile would wait for it: on a day of the users with one such gap of 3.2 s, 70 of 578 urgent jobs
+//! did, and were late. The watch stays what the scheduler relies on; what is told here and lost costs nothing but time.
+//!
+//! Nothing is taken for new that is long over: the scheduler takes in only what the store took after its election, of which it
+//! has seen the end itself if there was one, and it remembers ends for longer than [`TOLD_WITHIN`].
+
+use jobs::{Job, JobId};
+use model::{Duration, Revision};
+
+use super::Requests;
+
+/// How long the scheduler may take to answer; it is told once.
+const TELL_LIMIT: Duration = Duration::from_millis(800);
+/// A job that was accepted longer ago, by boxes' clocks, is left to the watch: a message may be held up on its way. Far below
+/// the time for which ends are remembered, and far above what clocks differ by (users: clocks jump by 2 s).
+const TOLD_WITHIN: Duration = Duration::from_secs(30);
+
+/// Something that callers have handed in and the store holds.
+#[derive(Debug, Clone)]
+pub(crate) enum Taken {
+    /// A job.
+    Job(Job),
+    /// A job is not wanted any more.
+    Cancelled(JobId),
+}
+
+impl Requests {
+    /// Tells the scheduler, here or on another box, without waiting for its answer.
+    pub(super) fn tell_scheduler(&self, taken: Taken, since: Revision) {
+        let leader = self.view.leader().filter(|leader| leader.addr != self.here);
+        let Some(leader) = leader else { return self.take(&taken, since) };
+        let peers = std::sync::Arc::clone(&self.peers);
+        smol::spawn(async move {
+            if let Err(status) = peers.taken(leader.addr, &taken, since, TELL_LIMIT).await {
+                log::debug!("event=scheduler_not_told box={} why={status}", leader.box_id);
+            }
+        })
+        .detach();
+    }
+
+    /// Takes in what another box, or this one, has had stored; nothing happens on a box that does not schedule.
+    pub(crate) fn take(&self, taken: &Taken, since: Revision) {
+        match taken {
+            Taken::Job(job) if self.is_recent(job.accepted_ms) => self.active.add_job(job, since),
+            Taken::Job(job) => log::info!("job={} event=told_late", job.id),
+            Taken::Cancelled(id) => self.active.cancel(*id, since, self.now()),
+        }
+    }
+
+    fn is_recent(&self, accepted_ms: u64) -> bool {
+        self.view.clock().wall_ms().saturating_sub(accepted_ms) < TOLD_WITHIN.millis()
+    }
+}
