Reckon what a run has left from when it last told

Cause (by reading): how far a run has come is told with each renewal, up to a second ago, but was set against the time that it had run by now: half of a run of 2 s seemed to be a quarter of one of 4 s. So runs that would have ended in time were moved when their backend server gave notice, and runs about to end were stopped for urgent ones.

Change: one estimate for both, from the moment at which it was told; the slowest member of a gang counts.

Test, failing first: what_ends_in_time_by_what_was_told_of_it_ends_where_it_runs.

--- a/crates/scheduler/src/leaving.rs
+++ b/crates/scheduler/src/leaving.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Scheduler,
-    live::{GroupId, StopReason},
+    live::{GroupId, Member, StopReason},
     server::Server,
 };
 
@@ -42,15 +42,26 @@
         names
     }
 
-    /// How long a group's run has left, by what was declared and how far it has come.
+    /// How long a group's run has left: by how far its slowest member had come when it last told, or by what was declared
+    /// while one of them has told nothing.
     pub(crate) fn time_left(&self, name: GroupId, now: Moment) -> Duration {
         let group = self.group(name);
-        let declared = self.step(name).estimate;
-        let ran = now.since(group.placed_at);
-        let percent = group.members.iter().map(|member| member.percent).min().unwrap_or(0);
-        if percent == 0 {
-            return Duration::from_millis(declared.millis().saturating_sub(ran.millis()));
+        let left: Option<Vec<f64>> = group.members.iter().map(|member| member.left_s(group.placed_at, now)).collect();
+        let declared = || self.step(name).estimate.secs_f64() - now.since(group.placed_at).secs_f64();
+        let left_s = left.map_or_else(declared, |left| left.into_iter().fold(0.0, f64::max));
+        Duration::from_millis((left_s.max(0.0) * 1000.0) as u64)
+    }
+}
+
+impl Member {
+    /// Seconds that a run has left by how far it had come when it last told; `None` if it has told nothing. What it told may
+    /// be as old as a renewal: taken for news, half of a run of 2 s seemed to be a quarter.
+    fn left_s(&self, begun: Moment, now: Moment) -> Option<f64> {
+        if self.percent == 0 {
+            return None;
         }
-        ran.scaled(f64::from(100 - percent.min(100)) / f64::from(percent))
+        let worked = self.percent_at.since(begun).secs_f64();
+        let left_then = worked * f64::from(100 - self.percent.min(100)) / f64::from(self.percent);
+        Some(left_then - now.since(self.percent_at).secs_f64())
     }
 }
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -62,6 +62,7 @@
         }
         let Some(member) = self.member_mut(name, running.task.index, id) else { return };
         member.percent = running.percent;
+        member.percent_at = now;
         member.latency_ms = running.latency_ms;
         if running.saved.is_some() {
             member.saved = running.saved.clone();
--- a/crates/scheduler/src/live.rs
+++ b/crates/scheduler/src/live.rs
@@ -37,6 +37,8 @@
     pub(crate) saved: Option<Saved>,
     /// How far it says that it has come, from 0 to 100.
     pub(crate) percent: u32,
+    /// When it said so.
+    pub(crate) percent_at: Moment,
     /// See [`crate::RunningTask::latency_ms`].
     pub(crate) latency_ms: Option<f64>,
     pub(crate) pace: Pace,
@@ -53,6 +55,7 @@
             stop_sent: None,
             saved: None,
             percent: 0,
+            percent_at: Moment::ZERO,
             latency_ms: None,
             pace: Pace::full(),
         }
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -162,7 +162,7 @@
             return None;
         }
         let ran = now.since(group.placed_at).secs_f64();
-        if self.timing.tuning.spare_ending && !step.long_running && self.ends_before_a_stop(group, ran) {
+        if self.timing.tuning.spare_ending && !step.long_running && self.ends_before_a_stop(name, now) {
             return None;
         }
         let lost = if step.checkpoints { ran.min(UNSAVED_S) } else { ran };
@@ -170,15 +170,10 @@
         Some(Victim { group: name, waste, freed: step.counted_need() })
     }
 
-    /// Whether a run ends sooner than it could be stopped, as far as its progress tells. That of a task that lasts tells
-    /// nothing of its end.
-    fn ends_before_a_stop(&self, group: &Group, ran: f64) -> bool {
-        let least = group.members.iter().map(|member| member.percent).min().unwrap_or(0);
-        if least == 0 {
-            return false;
-        }
-        let left = ran * f64::from(100 - least.min(100)) / f64::from(least);
-        left < self.stop_times.mean_s()
+    /// Whether a run ends sooner than it could be stopped, as far as its progress tells.
+    fn ends_before_a_stop(&self, name: GroupId, now: Moment) -> bool {
+        let told = self.group(name).members.iter().all(|member| member.percent > 0);
+        told && self.time_left(name, now).secs_f64() < self.stop_times.mean_s()
     }
 
     /// Most core-seconds that are thrown away so that `count` tasks of a candidate without a guarantee can start.
--- a/crates/scheduler/tests/leaving.rs
+++ b/crates/scheduler/tests/leaving.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Fixture, info, job, server_id, step};
+use common::{Fixture, gang, info, job, server_id, step};
 use jobs::{OccurrenceId, Placed, Progress, RunNumber};
 use model::{Duration, Revision};
 use scheduler::{ServerInfo, Unanswered};
@@ -119,3 +119,28 @@
     unlisted(&mut fixture);
     assert!(fixture.start_all().is_empty());
 }
+
+/// A gang of two that takes 2 s has run for 1 s; its backend servers last told of it after 0.5 s, at a quarter. One of them
+/// is about to leave.
+fn leaves_in(remaining_ms: u64) -> Fixture {
+    let mut fixture = Fixture::new(2);
+    fixture.submit(job(1, vec![gang(2, 8)]));
+    assert_eq!(fixture.start_all().len(), 2);
+    fixture.percent = 25;
+    fixture.advance(500);
+    pass(&mut fixture, 500);
+    let (now, remaining) = (fixture.now, Some(Duration::from_millis(remaining_ms)));
+    fixture.scheduler.server_listed(server_id(0), ServerInfo { draining: true, remaining, ..info(0) }, now);
+    fixture.start_all();
+    fixture
+}
+
+#[test]
+fn what_ends_in_time_by_what_was_told_of_it_ends_where_it_runs() {
+    assert!(leaves_in(1200).stops.is_empty());
+}
+
+#[test]
+fn what_does_not_end_in_time_by_what_was_told_of_it_goes_elsewhere() {
+    assert_eq!(leaves_in(800).stops.len(), 2);
+}
