--- a/crates/martend/tests/evacuation.rs
+++ b/crates/martend/tests/evacuation.rs
@@ -2,27 +2,34 @@
 
 mod common;
 
-use std::process::{Command, Output};
+use std::time::Duration;
 
 use common::{World, until};
+use hyper::{Method, StatusCode};
 use jobs::JobId;
+use net::http::Client;
+use serde_json::{Value, json};
 use users_platform_standin::Work;
 
 /// Each job takes all accelerators of a backend server, so that jobs go to both availability zones.
 const WORK: Work = Work { tasks: 2, accelerators: 8, work_ms: 300, gang: false };
 
-/// Backend servers of an availability zone on which something runs.
+/// So many tasks of [`WORK`] run at once on four backend servers: the rest is kept free for urgent jobs.
+const AT_ONCE: u32 = 3;
+/// Far above what is needed, so that only a hang reaches it.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Runs that have begun in an availability zone.
 fn begun_in(world: &World, zone: &str) -> usize {
     world.platform.begun_in(zone)
 }
 
-fn marten(world: &World, args: &[&str]) -> Output {
-    let mut command = Command::new(env!("CARGO"));
-    command.args(["run", "--quiet", "--package", "marten", "--", "evacuate"]).args(args);
-    for a_box in &world.boxes {
-        command.args(["--box", &a_box.addrs[3].to_string()]);
-    }
-    command.output().expect("marten can be run")
+/// What the operators' address of a box answers.
+async fn operators(world: &World, i: usize, method: Method, path: &str) -> (StatusCode, Value) {
+    let client = Client::default();
+    let reply = client.call(world.boxes[i].addrs[3], method, path, Default::default(), PATIENCE).await;
+    let reply = reply.expect("it is answered");
+    (reply.status, reply.json().expect("it is JSON"))
 }
 
 #[test]
@@ -57,17 +64,18 @@
 fn an_evacuation_is_found_by_the_next_write_though_watches_hear_nothing() {
     smol::block_on(async {
         let world = World::start(1, 4).await;
-        world.submit(JobId(1), Work { work_ms: 1500, tasks: 4, ..WORK }).await;
-        until("all of it runs", || async { world.platform.oracle.begun() == 4 }).await;
+        until("all are heard", || async { world.heard_servers(0).await == Some(4) }).await;
+        world.submit(JobId(1), Work { work_ms: 3000, tasks: AT_ONCE, ..WORK }).await;
+        until("all of it runs", || async { world.platform.oracle.running_tasks(JobId(1)) == AT_ONCE as usize }).await;
         for id in 2..=4 {
             world.submit(JobId(id), WORK).await;
         }
-        // They wait for room, and the scheduler knows of them.
+        // They wait for room, and the scheduler knows of them: no start is under way.
         until("they are known", || async { world.open_jobs(0).await == Some(4) }).await;
         world.platform.set_watches_deaf(true);
         world.platform.evacuate("az-1");
         let before = begun_in(&world, "az-1");
-        world.until_succeeded(0, 1..=1, 4).await;
+        world.until_succeeded(0, 1..=1, AT_ONCE as usize).await;
         world.until_succeeded(0, 2..=4, 2).await;
         assert_eq!(begun_in(&world, "az-1"), before);
         assert_eq!(world.platform.oracle.broken(), Vec::<String>::new());
@@ -76,28 +84,38 @@
 }
 
 #[test]
-fn operators_evacuate_follow_and_take_back() {
+fn operators_evacuate_see_it_empty_and_take_it_back() {
     smol::block_on(async {
         let world = World::start(2, 4).await;
-        let unknown = marten(&world, &["az-9"]);
-        assert_eq!(unknown.status.code(), Some(3), "{unknown:?}");
-        let why = String::from_utf8_lossy(&unknown.stderr).into_owned();
-        assert!(why.contains("no backend server is in availability zone az-9; allowed are az-1, az-2"), "{why}");
-        world.submit(JobId(1), Work { work_ms: 1500, tasks: 4, ..WORK }).await;
-        until("all of it runs", || async { world.platform.oracle.begun() == 4 }).await;
-        let evacuated = marten(&world, &["az-1", "--follow"]);
-        assert_eq!(evacuated.status.code(), Some(0), "{evacuated:?}");
-        let told = String::from_utf8_lossy(&evacuated.stdout).into_owned();
-        assert!(told.contains("az-1 is evacuated (asked for by operators); 0 tasks run there"), "{told}");
+        let scheduler = world.scheduler().await;
+        let (status, why) = operators(&world, 1 - scheduler, Method::PUT, "/v1/evacuations/az-1").await;
+        assert_eq!(status, StatusCode::MISDIRECTED_REQUEST, "{why}");
+        assert_eq!(why["scheduler"], format!("box-{scheduler}"));
+        let (status, why) = operators(&world, scheduler, Method::PUT, "/v1/evacuations/az-9").await;
+        assert_eq!(status, StatusCode::CONFLICT);
+        assert_eq!(why["error"], "no backend server is in availability zone az-9; allowed are az-1, az-2");
+        until("all are heard", || async { world.heard_servers(scheduler).await == Some(4) }).await;
+        world.submit(JobId(1), Work { work_ms: 3000, tasks: AT_ONCE, ..WORK }).await;
+        until("all of it runs", || async { world.platform.oracle.running_tasks(JobId(1)) == AT_ONCE as usize }).await;
+        let (status, told) = operators(&world, scheduler, Method::PUT, "/v1/evacuations/az-1").await;
+        assert_eq!(status, StatusCode::OK);
+        assert_eq!(told["evacuations"][0]["by"], json!(["operators"]));
+        assert_eq!(told["evacuations"][0]["running_tasks"], begun_in(&world, "az-1"));
         assert_eq!(world.platform.keys("marten/evacuation/"), ["marten/evacuation/az-1"]);
-        let last = marten(&world, &["az-2"]);
-        assert_eq!(last.status.code(), Some(3), "{last:?}");
+        let (status, why) = operators(&world, scheduler, Method::PUT, "/v1/evacuations/az-2").await;
+        assert_eq!(status, StatusCode::CONFLICT, "{why}");
         let before = begun_in(&world, "az-1");
         world.submit(JobId(2), Work { tasks: 4, ..WORK }).await;
-        world.until_succeeded(0, 1..=2, 4).await;
+        world.until_succeeded(0, 1..=1, AT_ONCE as usize).await;
+        world.until_succeeded(0, 2..=2, 4).await;
         assert_eq!(begun_in(&world, "az-1"), before);
-        let back = marten(&world, &["az-1", "--take-back"]);
-        assert_eq!(String::from_utf8_lossy(&back.stdout), "az-1 takes work\n", "{back:?}");
+        until("nothing runs there", || async {
+            let (_, told) = operators(&world, scheduler, Method::GET, "/v1/evacuations").await;
+            told["evacuations"][0]["running_tasks"] == 0
+        })
+        .await;
+        let (status, told) = operators(&world, scheduler, Method::DELETE, "/v1/evacuations/az-1").await;
+        assert_eq!((status, &told["evacuations"]), (StatusCode::OK, &json!([])));
         assert!(world.platform.keys("marten/evacuation/").is_empty());
         world.submit(JobId(3), Work { tasks: 4, ..WORK }).await;
         world.until_succeeded(0, 3..=3, 4).await;
