--- a/crates/runtime/src/link_worker.rs
+++ b/crates/runtime/src/link_worker.rs
@@ -97,6 +97,7 @@
         let Some(active) = worker.active.upgrade() else { return };
         match order {
             Order::Start { task, run, text, saved, ticket, .. } => {
+                // It may have waited here since before its availability zone was evacuated.
                 if !active.lock().may_start(&worker.target.id, task, run) {
                     let now = worker.now();
                     active.update(|scheduler| scheduler.start_withdrawn(&worker.target.id, task, run, now));
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -170,7 +170,8 @@
         Some(Victim { group: name, waste, freed: step.counted_need() })
     }
 
-    /// Whether a run ends sooner than it could be stopped, as far as its progress tells.
+    /// Whether a run ends sooner than it could be stopped, as far as its progress tells; that of a task that lasts tells
+    /// nothing of its end.
     fn ends_before_a_stop(&self, name: GroupId, now: Moment) -> bool {
         let told = self.group(name).members.iter().all(|member| member.percent > 0);
         told && self.time_left(name, now).secs_f64() < self.stop_times.mean_s()
