--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -117,7 +117,7 @@
     "apply id"
 );
 
-/// One life of a `martend` process: wall-clock milliseconds at its start, higher for later lives.
+/// One life of a process, of a box or of a backend server: wall-clock milliseconds at its start, higher for later lives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, Display)]
 #[serde(transparent)]
 pub struct Incarnation(pub u64);
--- a/crates/runtime/src/measure.rs
+++ b/crates/runtime/src/measure.rs
@@ -38,6 +38,9 @@
             Observation::GivenUp { why } => {
                 metrics::counter!("martenscale_tasks_given_up_total", "why" => why).increment(1);
             }
+            Observation::EndKnown => {
+                metrics::counter!("martenscale_ends_known_total").increment(1);
+            }
             Observation::RunLost { why } => {
                 metrics::counter!("martenscale_runs_lost_total", "why" => why).increment(1);
             }
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -63,6 +63,8 @@
     pub servers: Option<usize>,
     /// Backend servers not heard under this fence.
     pub unheard_servers: Option<usize>,
+    /// Occurrences of which something could start and is held back, or finds no room.
+    pub waiting: Option<usize>,
     /// Occurrences whose progress the store does not hold yet.
     pub unstored: Option<usize>,
     /// Availability zones where nothing starts.
@@ -152,6 +154,7 @@
             open_jobs: counts.map(|counts| counts.open_jobs),
             servers: counts.map(|counts| counts.servers),
             unheard_servers: counts.map(|counts| counts.unheard_servers),
+            waiting: counts.map(|counts| counts.waiting),
             unstored: counts.map(|counts| counts.unstored),
             evacuations: self.evacuations(),
         }
@@ -185,6 +188,7 @@
         set("martenscale_open_jobs", Some(number(status.open_jobs).unwrap_or(0.0)));
         set("martenscale_servers", Some(number(status.servers).unwrap_or(0.0)));
         set("martenscale_unheard_servers", Some(number(status.unheard_servers).unwrap_or(0.0)));
+        set("martenscale_waiting_occurrences", Some(number(status.waiting).unwrap_or(0.0)));
         set("martenscale_unstored_occurrences", Some(number(status.unstored).unwrap_or(0.0)));
         let evacuations = status.evacuations.unwrap_or_default();
         set("martenscale_evacuated_zones", Some(evacuations.len() as f64));
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -2,6 +2,7 @@
 
 use derive_more::Display;
 use jobs::{RunNumber, Saved, TaskId};
+use model::Incarnation;
 
 /// How a run ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -55,6 +56,8 @@
 /// Everything that a backend server lists.
 #[derive(Debug, Clone, Default)]
 pub struct Listing {
+    /// Which life of the backend server tells this; `None` on a platform where each life has an id of its own.
+    pub incarnation: Option<Incarnation>,
     /// What runs.
     pub running: Vec<RunningTask>,
     /// Ends that are not acknowledged yet.
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -29,6 +29,11 @@
             log::info!("server={id} event=reachable_again after_calls={}", server.unanswered);
             self.plan_wanted = true;
         }
+        if let Some(incarnation) = listing.incarnation.filter(|_| listing.incarnation != server.incarnation) {
+            let known = server.incarnation.map_or("none".to_owned(), |known| known.to_string());
+            log::info!("server={id} event=life incarnation={incarnation} known={known} seen_end={}", server.seen_end);
+            server.incarnation = listing.incarnation;
+        }
         if !server.stocked {
             self.plan_wanted = true;
             // From here on it obeys no earlier scheduler, which can have renewed its lease up to now.
--- a/crates/scheduler/src/observe.rs
+++ b/crates/scheduler/src/observe.rs
@@ -60,6 +60,8 @@
         /// What it has used up: `attempts_used` or `crashes`.
         why: &'static str,
     },
+    /// An end was listed that counts as taken in already, since its serial number had been acknowledged.
+    EndKnown,
     /// A run is over without a word of how it ended.
     RunLost {
         /// How that is known: `server_gone`, `lease_over` or `not_listed`.
--- a/crates/scheduler/src/outcomes.rs
+++ b/crates/scheduler/src/outcomes.rs
@@ -16,6 +16,11 @@
     pub(crate) fn take_end(&mut self, id: &BackendServerId, end: &End, now: Moment) {
         let server = self.servers.get_mut(id).expect("the caller has looked");
         if end.serial <= server.seen_end {
+            if end.serial <= server.acknowledged {
+                // Told again though it was acknowledged: the call that did so was lost, or this is another end with its serial number.
+                log::info!("server={id} event=end_known task={} run={} serial={}", end.task, end.run, end.serial);
+                self.observations.push(Observation::EndKnown);
+            }
             return;
         }
         server.seen_end = end.serial;
@@ -83,6 +88,14 @@
             progress.done = true;
             progress.saved = None;
         });
+        if self.occurrence(name.occurrence).progress.step_done(name.step) {
+            log::info!(
+                "job={} event=step_done occurrence={} step={}",
+                name.occurrence.job,
+                name.occurrence.number,
+                name.step
+            );
+        }
         self.note_end(name.occurrence.job, now);
     }
 
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -35,6 +35,8 @@
     pub servers: usize,
     /// Backend servers that have not been heard under this fence.
     pub unheard_servers: usize,
+    /// Occurrences of which something could start and is held back, or finds no room.
+    pub waiting: usize,
     /// Occurrences with changes that the store does not hold.
     pub unstored: usize,
     /// Occurrences that plans have looked at anew since the election: as many as have changed.
@@ -224,6 +226,7 @@
             open_jobs: self.open.len(),
             servers: self.servers.len(),
             unheard_servers: self.servers.values().filter(|server| !server.stocked).count(),
+            waiting: self.ready.len(),
             unstored: self.dirty.len(),
             refreshed: self.refreshed,
         }
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -7,7 +7,7 @@
 
 use derive_more::Display;
 use jobs::{Need, OccurrenceId, RunNumber, TaskId};
-use model::{AvailabilityZoneId, Duration, Moment};
+use model::{AvailabilityZoneId, Duration, Incarnation, Moment};
 
 use crate::{health::Health, policy::ServiceId};
 
@@ -93,6 +93,8 @@
     pub(crate) info: Option<ServerInfo>,
     /// The platform's list holds it.
     pub(crate) listed: bool,
+    /// Which life was last heard; `None` before that, and on a platform where each life has an id of its own.
+    pub(crate) incarnation: Option<Incarnation>,
     /// Taken by members that are placed here.
     pub(crate) used: Need,
     /// Runs that are placed here.
@@ -125,6 +127,7 @@
     pub(crate) fn new(info: Option<ServerInfo>, lease_over: Moment) -> Server {
         Server {
             listed: info.is_some(),
+            incarnation: None,
             info,
             used: Need::default(),
             members: BTreeMap::new(),
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -250,7 +250,7 @@
         let serial = self.serials.entry(id.clone()).or_insert(0);
         *serial += 1;
         let end = End { serial: *serial, task: started.task, run: started.run, kind, saved: saved.map(Arc::from) };
-        let listing = Listing { running: self.listed(id), ended: vec![end], more_ends: false };
+        let listing = Listing { running: self.listed(id), ended: vec![end], ..Listing::default() };
         self.now = self.now + Duration::from_millis(1);
         self.scheduler.listing(id, &listing, self.now, self.now);
     }
--- a/crates/scheduler/tests/common/server.rs
+++ b/crates/scheduler/tests/common/server.rs
@@ -145,7 +145,7 @@
         Some(Listing {
             running: self.running.iter().map(running).collect(),
             ended: self.ended.clone(),
-            more_ends: false,
+            ..Listing::default()
         })
     }
 
