Hold by failing tests that a backend server may come back under its id

On the code as it is: an end of the next life with a serial number that the life before had used is not taken in, its run is started again (of four tasks all four, and two of them twice), and a job whose first step is done starts that step again in place of its second.

--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -14,7 +14,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use jobs::{Fence, Job, JobId, JobState, Need, OccurrenceId, Progress, RunNumber, Step, TaskId};
-use model::{AvailabilityZoneId, BackendServerId, CustomerId, Duration, Moment, Revision};
+use model::{AvailabilityZoneId, BackendServerId, CustomerId, Duration, Incarnation, Moment, Revision};
 use scheduler::{
     Advice, CustomerPolicy, End, EndKind, Listing, Order, Place, Policy, QueuePolicy, RunningTask, Scheduler,
     ServerInfo, ServiceId, StartReply, Timing, Unanswered,
@@ -111,6 +111,8 @@
     pub(crate) scheduler: Scheduler,
     pub(crate) now: Moment,
     serials: BTreeMap<BackendServerId, u64>,
+    /// How often each backend server has come back under its id.
+    returns: BTreeMap<BackendServerId, u64>,
     infos: BTreeMap<BackendServerId, ServerInfo>,
     /// Also of those that have gone.
     places: BTreeMap<BackendServerId, Place>,
@@ -137,6 +139,7 @@
             scheduler: Scheduler::new(Fence(10), Moment::from_millis(1000), Timing::default(), policy()),
             now: Moment::from_millis(1000),
             serials: BTreeMap::new(),
+            returns: BTreeMap::new(),
             infos: BTreeMap::new(),
             places: BTreeMap::new(),
             jobs: Vec::new(),
@@ -250,11 +253,17 @@
         let serial = self.serials.entry(id.clone()).or_insert(0);
         *serial += 1;
         let end = End { serial: *serial, task: started.task, run: started.run, kind, saved: saved.map(Arc::from) };
-        let listing = Listing { running: self.listed(id), ended: vec![end], ..Listing::default() };
+        let incarnation = self.incarnation(id);
+        let listing = Listing { incarnation, running: self.listed(id), ended: vec![end], ..Listing::default() };
         self.now = self.now + Duration::from_millis(1);
         self.scheduler.listing(id, &listing, self.now, self.now);
     }
 
+    /// The life of a backend server that is there now.
+    pub(crate) fn incarnation(&self, id: &BackendServerId) -> Option<Incarnation> {
+        Some(Incarnation(1000 + self.returns.get(id).copied().unwrap_or(0)))
+    }
+
     fn listed(&self, id: &BackendServerId) -> Vec<RunningTask> {
         let running = |s: &Started| RunningTask {
             task: s.task,
@@ -268,7 +277,8 @@
 
     fn list(&mut self, id: &BackendServerId) {
         self.scheduler.lease_sent(id, self.now);
-        let listing = Listing { running: self.listed(id), ..Listing::default() };
+        let incarnation = self.incarnation(id);
+        let listing = Listing { incarnation, running: self.listed(id), ..Listing::default() };
         self.scheduler.listing(id, &listing, self.now, self.now);
     }
 
@@ -350,6 +360,18 @@
         self.advance(10);
     }
 
+    /// A backend server crashes, and another life answers under its id: it holds nothing, and counts its ends from 1.
+    pub(crate) fn crash_and_return(&mut self, id: &BackendServerId) {
+        let lost = std::mem::take(self.running.get_mut(id).expect("it was added"));
+        self.serials.remove(id);
+        *self.returns.entry(id.clone()).or_default() += 1;
+        self.scheduler.unanswered(id, Unanswered::Refused, self.now);
+        for started in &lost {
+            self.break_gang(started);
+        }
+        self.advance(600);
+    }
+
     /// The place of a backend server that is or was there.
     pub(crate) fn place_of(&self, id: &BackendServerId) -> Place {
         self.places[id].clone()
