--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -10,21 +10,22 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
     body::Incoming,
-    client::conn::http1::{self, SendRequest},
-    header::{CONTENT_TYPE, HOST, HeaderValue},
+    header::{CONTENT_TYPE, HeaderValue},
     service::service_fn,
 };
 use serde::{Serialize, de::DeserializeOwned};
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use crate::{BoxFuture, NetError, connect, within};
+use crate::{BoxFuture, NetError};
+
+pub use crate::connection::{Connection, ReadLimits, Reply};
 
 /// Longest body that is read, in bytes: the platform's values reach 1 MB, with room for framing.
 pub const MAX_BODY: usize = 4 * 1024 * 1024;
@@ -32,8 +33,6 @@
 const MIN_HEAD_BUFFER: usize = 8192;
 /// Most idle connections kept per address.
 const MAX_IDLE: usize = 8;
-/// How long a connection may take to stand.
-const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 /// How long the head of a request may take to arrive, unless a server says otherwise. It is long, since it also
 /// bounds how long a connection may stand idle.
 const HEAD_LIMIT: Duration = Duration::from_secs(30);
@@ -47,41 +46,12 @@
 pub const MAX_CONNECTIONS: usize = 4096;
 
 /// The content type of JSON.
-const JSON: HeaderValue = HeaderValue::from_static("application/json");
-
-type Sender = SendRequest<Full<Bytes>>;
-
-/// How long a call that reads may take. A large reply over a slow link takes long and is no fault; a link that has
-/// stopped carrying is one.
-#[derive(Debug, Clone, Copy)]
-pub struct ReadLimits {
-    /// Connecting, sending, and the head of the reply.
-    pub head: Duration,
-    /// From one piece of the reply's body to the next.
-    pub silence: Duration,
-}
-
-/// What a call brought back.
-#[derive(Debug, Clone)]
-pub struct Reply {
-    /// The status code.
-    pub status: StatusCode,
-    /// The whole body.
-    pub body: Bytes,
-}
-
-impl Reply {
-    /// Reads the body as JSON; the error names what is wrong.
-    pub fn json<T: DeserializeOwned>(&self) -> Result<T, NetError> {
-        serde_json::from_slice(&self.body)
-            .map_err(|e| NetError::Lost { why: format!("status {}, body is not as agreed: {e}", self.status) })
-    }
-}
+pub(crate) const JSON: HeaderValue = HeaderValue::from_static("application/json");
 
 /// A client that keeps idle connections by address. Cheap to clone.
 #[derive(Clone, Default)]
 pub struct Client {
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Sender>>>>,
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>,
 }
 
 impl Client {
@@ -120,34 +90,18 @@
         limit: Duration,
     ) -> Result<Reply, NetError> {
         let begun = std::time::Instant::now();
-        let connecting = within(limit, self.sender(addr)).await;
-        let mut sender = connecting.map_err(not_connected)?;
-        let req = addressed(req, host)?;
-        let reply = within(limit.saturating_sub(begun.elapsed()), async {
-            let res = sender.send_request(req).await.map_err(unsent_or_lost)?;
-            let status = res.status();
-            let body = Limited::new(res.into_body(), MAX_BODY).collect().await.map_err(lost)?.to_bytes();
-            Ok(Reply { status, body })
-        })
-        .await;
-        self.after_call(addr, sender, reply)
+        let mut connection = self.connection(addr, limit).await?;
+        let reply = connection.send_as(host, req, limit.saturating_sub(begun.elapsed())).await;
+        self.after_call(addr, connection, reply)
     }
 
     /// Sends one request without a body, and reads a reply of any size for as long as it keeps coming.
     pub async fn read(&self, addr: SocketAddr, path: &str, limits: ReadLimits) -> Result<Reply, NetError> {
         let begun = std::time::Instant::now();
-        let mut sender = within(limits.head, self.sender(addr)).await.map_err(not_connected)?;
-        let req = Request::builder().method(Method::GET).uri(path).body(Bytes::new());
-        let req = addressed(req.map_err(|e| NetError::Unsent { why: e.to_string() })?, &addr.to_string())?;
-        let head_left = limits.head.saturating_sub(begun.elapsed());
-        let reply = async {
-            let res = within(head_left, async { sender.send_request(req).await.map_err(unsent_or_lost) }).await?;
-            let status = res.status();
-            let body = read_while_it_comes(res.into_body(), limits.silence).await?;
-            Ok(Reply { status, body })
-        }
-        .await;
-        self.after_call(addr, sender, reply)
+        let mut connection = self.connection(addr, limits.head).await?;
+        let head = limits.head.saturating_sub(begun.elapsed());
+        let reply = connection.read(path, ReadLimits { head, ..limits }).await;
+        self.after_call(addr, connection, reply)
     }
 
     /// Closes the idle connections to an address.
@@ -170,89 +124,41 @@
     /// Keeps a connection that has answered. After a call without an answer, all idle ones to the address are closed:
     /// what made this one silent may have silenced those that stood at the time as well, and each would cost a call its
     /// whole limit. Of four that have gone silent, the next call is answered after 0.8 s in place of 3.2 s.
-    fn after_call(&self, addr: SocketAddr, sender: Sender, reply: Result<Reply, NetError>) -> Result<Reply, NetError> {
+    fn after_call(
+        &self,
+        addr: SocketAddr,
+        connection: Connection,
+        reply: Result<Reply, NetError>,
+    ) -> Result<Reply, NetError> {
         match &reply {
-            Ok(_) => self.put_back(addr, sender),
+            Ok(_) => self.put_back(addr, connection),
             Err(NetError::Lost { .. }) => self.forget(addr),
             Err(NetError::Unsent { .. } | NetError::Refused { .. }) => {}
         }
         reply
     }
 
-    async fn sender(&self, addr: SocketAddr) -> Result<Sender, NetError> {
-        while let Some(mut sender) = self.take_idle(addr) {
+    async fn connection(&self, addr: SocketAddr, limit: Duration) -> Result<Connection, NetError> {
+        while let Some(mut connection) = self.take_idle(addr) {
             // A connection that the other side closed while idle is found out here and dropped.
-            if sender.ready().await.is_ok() {
-                return Ok(sender);
+            if connection.is_open().await {
+                return Ok(connection);
             }
         }
-        let stream = within(CONNECT_LIMIT, async { connect(addr).await.map_err(|e| connect_error(addr, &e)) })
-            .await
-            .map_err(not_connected)?;
-        let handshake = http1::handshake(FuturesIo::new(stream)).await;
-        let (sender, conn) = handshake.map_err(|e| NetError::Unsent { why: format!("{addr}: {e}") })?;
-        smol::spawn(async move {
-            // The error of a broken connection reaches the caller through its sender.
-            let _ = conn.await;
-        })
-        .detach();
-        Ok(sender)
+        Connection::open_within(addr, limit).await
     }
 
-    fn take_idle(&self, addr: SocketAddr) -> Option<Sender> {
+    fn take_idle(&self, addr: SocketAddr) -> Option<Connection> {
         self.idle.lock().expect("no holder panics").get_mut(&addr)?.pop()
     }
 
-    fn put_back(&self, addr: SocketAddr, sender: Sender) {
+    fn put_back(&self, addr: SocketAddr, connection: Connection) {
         let mut idle = self.idle.lock().expect("no holder panics");
-        let senders = idle.entry(addr).or_default();
-        if senders.len() < MAX_IDLE {
-            senders.push(sender);
-        }
-    }
-}
-
-/// Reads a body of at most [`MAX_BODY`], each piece of which comes within `silence` of the one before.
-async fn read_while_it_comes(body: Incoming, silence: Duration) -> Result<Bytes, NetError> {
-    let mut body = Limited::new(body, MAX_BODY);
-    let mut read = BytesMut::new();
-    while let Some(frame) = within(silence, async { body.frame().await.transpose().map_err(lost) }).await? {
-        if let Ok(data) = frame.into_data() {
-            read.extend_from_slice(&data);
+        let connections = idle.entry(addr).or_default();
+        if connections.len() < MAX_IDLE {
+            connections.push(connection);
         }
     }
-    Ok(read.freeze())
-}
-
-/// Adds the headers that every request bears.
-fn addressed(req: Request<Bytes>, host: &str) -> Result<Request<Full<Bytes>>, NetError> {
-    let host = HeaderValue::from_str(host).map_err(|e| NetError::Unsent { why: e.to_string() })?;
-    let mut req = req.map(Full::new);
-    req.headers_mut().insert(HOST, host);
-    req.headers_mut().insert(CONTENT_TYPE, JSON);
-    Ok(req)
-}
-
-fn connect_error(addr: SocketAddr, e: &std::io::Error) -> NetError {
-    let why = format!("{addr}: {e}");
-    if e.kind() == std::io::ErrorKind::ConnectionRefused { NetError::Refused { why } } else { NetError::Unsent { why } }
-}
-
-/// Whatever kept a connection from being made, the request did not leave.
-fn not_connected(e: NetError) -> NetError {
-    match e {
-        NetError::Lost { why } => NetError::Unsent { why },
-        other => other,
-    }
-}
-
-/// A request that `hyper` gave back was never written.
-fn unsent_or_lost(e: hyper::Error) -> NetError {
-    if e.is_canceled() { NetError::Unsent { why: e.to_string() } } else { lost(e) }
-}
-
-fn lost(e: impl std::fmt::Display) -> NetError {
-    NetError::Lost { why: e.to_string() }
 }
 
 /// A request whose body has been read.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod grpc;
 pub mod http;
 
+mod connection;
 mod deadline;
 mod turns;
 
