Keep what is known of a backend server by its life, not by its id

Class: an identity was taken for a lifetime; state of the one outlived the other.

A listing and an entry now name the life (incarnation). When another one answers, the one before is over: what ran there is lapsed at once and charged with the crash, also if its lease had run out or an earlier scheduler placed it (the life stands in the stored place); ends, strays, health and tickets begin anew. A machine is back from its upkeep also under the id that it had.

Ruled out: lives taken for over (no backend server was gone or unlisted in the logs); room held back (second steps of other jobs began within 4 ms).

--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use model::BackendServerId;
+use model::{BackendServerId, Incarnation};
 use serde::{Deserialize, Serialize};
 
 use crate::{Job, JobState, RunNumber};
@@ -19,6 +19,9 @@
     /// The backend server.
     #[serde(rename = "on")]
     pub server: BackendServerId,
+    /// In which of its lives; `None` on a platform where each life has an id of its own.
+    #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+    pub incarnation: Option<Incarnation>,
 }
 
 /// A backend server crashed while a task ran there.
--- a/crates/scheduler/src/advice.rs
+++ b/crates/scheduler/src/advice.rs
@@ -84,6 +84,15 @@
         }
     }
 
+    /// Tickets hold for one life of a backend server, and another one answers there.
+    pub(crate) fn forget_tickets(&mut self, server: &BackendServerId) {
+        for verdicts in self.verdicts.values_mut() {
+            if matches!(verdicts.get(server), Some(Verdict::Allowed { .. })) {
+                verdicts.remove(server);
+            }
+        }
+    }
+
     /// No step of the occurrence will start again.
     pub(crate) fn forget(&mut self, occurrence: OccurrenceId) {
         self.verdicts.retain(|step, _| step.occurrence != occurrence);
--- a/crates/scheduler/src/contact.rs
+++ b/crates/scheduler/src/contact.rs
@@ -28,10 +28,8 @@
         self.servers.entry(id.clone()).or_insert_with(|| Server::new(None, earlier));
         let server = self.server_mut(&id).expect("it was just added");
         let was_draining = server.info.as_ref().is_some_and(|old| old.draining);
-        server.info = Some(info);
-        server.listed = true;
+        server.take_info(info);
         server.evacuated = evacuated;
-        server.silence.unlisted = None;
         self.plan_wanted = true;
         self.give_up_unordered(&id, now);
         if draining && !was_draining {
@@ -57,9 +55,17 @@
         self.look_whether_left(id, now);
     }
 
-    /// A backend server's life is over: another life answers in its place.
+    /// A backend server's life is over: another life answers in its place, under another id.
     pub fn server_gone(&mut self, id: &BackendServerId, now: Moment) {
         self.charge_lapsed(id, now);
+        if self.servers.contains_key(id) {
+            self.end_life(id, now);
+            self.remove_server(id);
+        }
+    }
+
+    /// What ran in a life of a backend server is over with it; it was a crash, unless it had been announced.
+    pub(crate) fn end_life(&mut self, id: &BackendServerId, now: Moment) {
         let Some(server) = self.servers.get(id) else { return };
         let announced = server.announced();
         let silent = server.silence.since.map_or(0, |since| now.since(since).millis());
@@ -69,7 +75,6 @@
             self.charge_crash(id, now);
         }
         self.lapse_members(id, "server_gone", now);
-        self.remove_server(id);
     }
 
     pub(crate) fn remove_server(&mut self, id: &BackendServerId) {
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -11,11 +11,11 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use jobs::{Crash, GroupProgress, RunNumber, TaskId};
-use model::{BackendServerId, Duration, Moment};
+use model::{BackendServerId, Duration, Incarnation, Moment};
 
 use crate::{
     Scheduler,
-    live::{Group, GroupId, Phase},
+    live::{Group, GroupId, Member, Phase},
     observe::Observation,
     server::Place,
 };
@@ -39,17 +39,25 @@
 /// place: on some deployments that takes longer than a lease of 6 s.
 #[derive(Debug, Default)]
 pub(crate) struct Lapsed {
-    by_server: BTreeMap<BackendServerId, (Moment, Vec<(GroupId, Crash)>)>,
+    by_server: BTreeMap<BackendServerId, LapsedRuns>,
+}
+
+/// What was lost with the leases of one life of a backend server.
+#[derive(Debug)]
+struct LapsedRuns {
+    since: Moment,
+    incarnation: Option<Incarnation>,
+    runs: Vec<(GroupId, Crash)>,
 }
 
 impl Lapsed {
     pub(crate) fn forget_old(&mut self, now: Moment) {
-        self.by_server.retain(|_, (since, _)| now.since(*since) < REMEMBERED);
+        self.by_server.retain(|_, lapsed| now.since(lapsed.since) < REMEMBERED);
     }
 
     /// The backend server is there after all, or another life is in its place: what it is remembered for.
     pub(crate) fn remove(&mut self, id: &BackendServerId) -> Vec<(GroupId, Crash)> {
-        self.by_server.remove(id).map_or_else(Vec::new, |(_, runs)| runs)
+        self.by_server.remove(id).map_or_else(Vec::new, |lapsed| lapsed.runs)
     }
 }
 
@@ -76,16 +84,23 @@
 impl Scheduler {
     /// A backend server has crashed: what it ran is charged with it.
     pub(crate) fn charge_crash(&mut self, id: &BackendServerId, now: Moment) {
-        for (name, crash) in self.under_crash(id) {
+        self.charge_crash_if(id, |_| true, now);
+    }
+
+    /// The same for some of what it ran.
+    pub(crate) fn charge_crash_if(&mut self, id: &BackendServerId, which: impl Fn(&Member) -> bool, now: Moment) {
+        for (name, crash) in self.under_crash(id, which) {
             self.charge(name, crash, id, now);
         }
     }
 
     /// The leases of a backend server are over, and nothing tells whether it has crashed.
     pub(crate) fn note_lapsed(&mut self, id: &BackendServerId, now: Moment) {
-        let runs = self.under_crash(id);
-        if !runs.is_empty() && self.servers.get(id).is_some_and(|server| !server.announced()) {
-            self.lapsed.by_server.insert(id.clone(), (now, runs));
+        let runs = self.under_crash(id, |_| true);
+        let Some(server) = self.servers.get(id) else { return };
+        if !runs.is_empty() && !server.announced() {
+            let lapsed = LapsedRuns { since: now, incarnation: server.incarnation, runs };
+            self.lapsed.by_server.insert(id.clone(), lapsed);
         }
     }
 
@@ -98,13 +113,24 @@
         }
     }
 
+    /// A backend server answers again after its leases were over: if in another life, it had crashed.
+    pub(crate) fn settle_lapsed(&mut self, id: &BackendServerId, incarnation: Incarnation, now: Moment) {
+        let Some(lapsed) = self.lapsed.by_server.get(id) else { return };
+        if lapsed.incarnation.is_some_and(|earlier| earlier != incarnation) {
+            self.charge_lapsed(id, now);
+        } else {
+            self.lapsed.remove(id);
+        }
+    }
+
     /// What a crash of a backend server now would be charged to: each run that may have begun there.
-    fn under_crash(&self, id: &BackendServerId) -> Vec<(GroupId, Crash)> {
+    fn under_crash(&self, id: &BackendServerId, which: impl Fn(&Member) -> bool) -> Vec<(GroupId, Crash)> {
         let Some(server) = self.servers.get(id) else { return Vec::new() };
         let charged = |(task, run): (&TaskId, &RunNumber)| {
             let name = self.group_of(*task)?;
             let group = self.group(name);
-            let member = group.members.iter().find(|member| member.index == task.index && member.server == *id)?;
+            let here = |member: &&Member| member.index == task.index && member.server == *id && which(member);
+            let member = group.members.iter().find(here)?;
             let early = !group.outlived_start(server.silence.heard);
             let place = server.info.as_ref().map_or_else(|| Arc::from(""), |info| Arc::from(info.place.as_str()));
             (member.phase != Phase::Planned).then_some((name, Crash { index: task.index, run: *run, early, place }))
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -26,6 +26,7 @@
 mod leaving;
 mod listing;
 mod live;
+mod lives;
 mod observe;
 mod orders;
 mod outcomes;
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -19,8 +19,14 @@
     ///
     /// Listings of one backend server must be told in the order in which their calls were sent.
     pub fn listing(&mut self, id: &BackendServerId, listing: &Listing, sent: Moment, now: Moment) {
+        if !self.servers.contains_key(id) {
+            return;
+        }
+        match listing.incarnation {
+            Some(incarnation) => self.hear_life(id, incarnation, now),
+            None => drop(self.lapsed.remove(id)),
+        }
         let Some(server) = self.servers.get(id) else { return };
-        self.lapsed.remove(id);
         if server.unanswered > 0 || !server.stocked {
             self.touch(id);
         }
@@ -29,11 +35,6 @@
             log::info!("server={id} event=reachable_again after_calls={}", server.unanswered);
             self.plan_wanted = true;
         }
-        if let Some(incarnation) = listing.incarnation.filter(|_| listing.incarnation != server.incarnation) {
-            let known = server.incarnation.map_or("none".to_owned(), |known| known.to_string());
-            log::info!("server={id} event=life incarnation={incarnation} known={known} seen_end={}", server.seen_end);
-            server.incarnation = listing.incarnation;
-        }
         if !server.stocked {
             self.plan_wanted = true;
             // From here on it obeys no earlier scheduler, which can have renewed its lease up to now.
--- a/crates/scheduler/src/live.rs
+++ b/crates/scheduler/src/live.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use jobs::{Duration, Job, JobState, OccurrenceId, Placed, Progress, Saved, Step, StepId, TaskId};
-use model::{BackendServerId, Moment, Revision};
+use model::{BackendServerId, Incarnation, Moment, Revision};
 
 use crate::pace::Pace;
 
@@ -28,6 +28,8 @@
 pub(crate) struct Member {
     pub(crate) index: u32,
     pub(crate) server: BackendServerId,
+    /// In which of its lives.
+    pub(crate) incarnation: Option<Incarnation>,
     pub(crate) phase: Phase,
     /// A listing that was asked for after this must show the run, if it goes on.
     pub(crate) settled: Option<Moment>,
@@ -50,6 +52,7 @@
         Member {
             index: placed.index,
             server: placed.server.clone(),
+            incarnation: placed.incarnation,
             phase: Phase::Planned,
             settled: None,
             stop_sent: None,
--- /dev/null
+++ b/crates/scheduler/src/lives.rs
@@ -0,0 +1,54 @@
+//! Lives of a backend server that follow one another under one id.
+//!
+//! Each life begins with nothing: it runs nothing, has given no lease, has seen no fence, and counts its ends from 1. So what is known of the life
+//! before must not be held against it. Taken for one with the life before, its ends were not looked at, since they had numbers that were
+//! known, and were acknowledged unseen; work that was done was done again.
+
+use model::{BackendServerId, Incarnation, Moment};
+
+use crate::{Scheduler, live::Member};
+
+impl Scheduler {
+    /// A life of a backend server answers. If it is another one than the one that answered last, that one is over.
+    pub(crate) fn hear_life(&mut self, id: &BackendServerId, incarnation: Incarnation, now: Moment) {
+        self.settle_lapsed(id, incarnation, now);
+        let Some(server) = self.servers.get(id) else { return };
+        let known = server.incarnation;
+        if known == Some(incarnation) {
+            return;
+        }
+        log::info!("server={id} event=life incarnation={incarnation} seen_end={}", server.seen_end);
+        match known {
+            Some(known) => self.life_over(id, known, now),
+            None => self.end_other_lives(id, incarnation, now),
+        }
+        if let Some(server) = self.server_mut(id) {
+            server.set_life(incarnation);
+        }
+    }
+
+    /// A life of a backend server is over, and another one answers under its id. Told again, it changes nothing.
+    pub fn life_over(&mut self, id: &BackendServerId, incarnation: Incarnation, now: Moment) {
+        if self.incarnation(id) != Some(incarnation) {
+            return;
+        }
+        self.end_life(id, now);
+        self.advice.forget_tickets(id);
+        self.plan_wanted = true;
+        if let Some(server) = self.server_mut(id) {
+            server.begin_life();
+        }
+    }
+
+    /// Which life of a backend server was last heard.
+    pub fn incarnation(&self, id: &BackendServerId) -> Option<Incarnation> {
+        self.servers.get(id)?.incarnation
+    }
+
+    /// The first word of a backend server: what an earlier scheduler placed in other lives of it is over.
+    fn end_other_lives(&mut self, id: &BackendServerId, incarnation: Incarnation, now: Moment) {
+        let other = |member: &Member| member.incarnation.is_some_and(|placed| placed != incarnation);
+        self.charge_crash_if(id, other, now);
+        self.lapse_members_if(id, other, "server_gone", now);
+    }
+}
--- a/crates/scheduler/src/runs.rs
+++ b/crates/scheduler/src/runs.rs
@@ -82,8 +82,7 @@
     pub(crate) fn place(&mut self, name: GroupId, servers: &[(u32, BackendServerId)], now: Moment) {
         let need = self.step(name).counted_need();
         let run = self.progress_of(name).run.next();
-        let placed: Vec<Placed> =
-            servers.iter().map(|(index, server)| Placed { index: *index, server: server.clone() }).collect();
+        let placed: Vec<Placed> = servers.iter().map(|(index, id)| self.placed(*index, id)).collect();
         let members = placed.iter().map(Member::planned).collect();
         for (index, id) in servers {
             let server = self.server_mut(id).expect("only known backend servers are chosen");
@@ -105,6 +104,11 @@
         self.begin_trial(name);
     }
 
+    fn placed(&self, index: u32, id: &BackendServerId) -> Placed {
+        let incarnation = self.servers.get(id).and_then(|server| server.incarnation);
+        Placed { index, server: id.clone(), incarnation }
+    }
+
     /// Says where a run goes, and what that rests on.
     fn log_placement(&mut self, name: GroupId, servers: &[(u32, BackendServerId)], now: Moment) {
         let job = name.occurrence.job;
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -1,4 +1,7 @@
-//! What the scheduler knows of one backend server, for one life of it: one that starts anew has another id.
+//! What the scheduler knows of one backend server, for one life of it.
+//!
+//! One that starts anew has another id, or comes back under the same: then its incarnation tells its lives apart, and nothing that
+//! was known of the earlier life holds for the next.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -55,6 +58,8 @@
     pub draining: bool,
     /// How long it stays at least, if it is leaving and says so.
     pub remaining: Option<Duration>,
+    /// Which of its lives says this; `None` on a platform where each life has an id of its own.
+    pub incarnation: Option<Incarnation>,
 }
 
 /// An end that must be stored before it may be acknowledged.
@@ -112,6 +117,8 @@
     pub(crate) seen_end: u64,
     /// Highest end that may be acknowledged.
     pub(crate) acknowledged: u64,
+    /// The life that was last heard has said that it leaves.
+    pub(crate) leaves: bool,
     /// It is being emptied for upkeep.
     pub(crate) closed: bool,
     /// Its availability zone is evacuated.
@@ -126,6 +133,7 @@
 impl Server {
     pub(crate) fn new(info: Option<ServerInfo>, lease_over: Moment) -> Server {
         Server {
+            leaves: info.as_ref().is_some_and(|info| info.draining),
             listed: info.is_some(),
             incarnation: None,
             info,
@@ -174,9 +182,44 @@
         self.info.as_ref().is_some_and(|info| !info.capacity.contains(&self.taken()))
     }
 
-    /// Whether it has said that it leaves.
+    /// Begins the next life under the same id, which was not heard yet: of the earlier one only what the platform tells remains.
+    pub(crate) fn begin_life(&mut self) {
+        let info = self.info.take();
+        *self = Server {
+            listed: self.listed,
+            leaves: false,
+            silence: Silence { unlisted: self.silence.unlisted, ..Silence::default() },
+            closed: self.closed,
+            evacuated: self.evacuated,
+            touched: self.touched,
+            ..Server::new(info, Moment::ZERO)
+        };
+    }
+
+    /// A life is heard for the first time.
+    pub(crate) fn set_life(&mut self, incarnation: Incarnation) {
+        self.incarnation = Some(incarnation);
+        self.leaves = self.info.as_ref().is_some_and(|info| info.draining) && self.is_as_listed();
+    }
+
+    /// Takes in what the platform lists of it. What another life than the one that was last heard says of leaving is no word of that one.
+    pub(crate) fn take_info(&mut self, info: ServerInfo) {
+        if is_one_life(info.incarnation, self.incarnation) {
+            self.leaves = info.draining;
+        }
+        self.info = Some(info);
+        self.listed = true;
+        self.silence.unlisted = None;
+    }
+
+    /// Whether the life that answers is the one that the platform lists: another one may have other room and other labels.
+    pub(crate) fn is_as_listed(&self) -> bool {
+        self.info.as_ref().is_some_and(|info| is_one_life(info.incarnation, self.incarnation))
+    }
+
+    /// Whether the life that was last heard has said that it leaves.
     pub(crate) fn announced(&self) -> bool {
-        self.info.as_ref().is_some_and(|info| info.draining)
+        self.leaves
     }
 
     /// Whether its process has ended as it had announced, and everything on it with that.
@@ -205,3 +248,8 @@
         self.info.as_ref().is_some_and(|info| info.availability_zone == *zone)
     }
 }
+
+/// Whether two words of a backend server may be of one life: a platform that tells no incarnations has an id for each life.
+fn is_one_life(one: Option<Incarnation>, other: Option<Incarnation>) -> bool {
+    one.zip(other).is_none_or(|(one, other)| one == other)
+}
--- a/crates/scheduler/src/stops.rs
+++ b/crates/scheduler/src/stops.rs
@@ -64,12 +64,24 @@
 
     /// Everything that may have run on a backend server is over, without a word of how it ended.
     pub(crate) fn lapse_members(&mut self, id: &BackendServerId, why: &'static str, now: Moment) {
+        self.lapse_members_if(id, |_| true, why, now);
+    }
+
+    /// The same for some of them.
+    pub(crate) fn lapse_members_if(
+        &mut self,
+        id: &BackendServerId,
+        which: impl Fn(&Member) -> bool,
+        why: &'static str,
+        now: Moment,
+    ) {
         let Some(server) = self.servers.get(id) else { return };
         let heard = server.silence.heard;
         let members: Vec<(TaskId, RunNumber)> = server.members.iter().map(|(task, run)| (*task, *run)).collect();
         for (task, run) in members {
             let Some(name) = self.group_of(task) else { continue };
-            let at_work = self.member_mut(name, task.index, id).and_then(|member| member.known_at_work(heard));
+            let Some(member) = self.member_mut(name, task.index, id).filter(|member| which(member)) else { continue };
+            let at_work = member.known_at_work(heard);
             log::info!(
                 "job={} event=lapsed task={task} run={run} server={id} why={why} at_work_ms={}",
                 task.occurrence.job,
--- a/crates/scheduler/src/upkeep.rs
+++ b/crates/scheduler/src/upkeep.rs
@@ -9,7 +9,7 @@
 };
 
 use derive_more::Display;
-use model::{BackendServerId, Duration, Moment};
+use model::{BackendServerId, Duration, Incarnation, Moment};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -87,6 +87,16 @@
     since: Moment,
     /// The backend server that lives on it before its upkeep.
     server: Option<BackendServerId>,
+    /// In which life: another one may come back under its id.
+    incarnation: Option<Incarnation>,
+}
+
+impl Turn {
+    /// Whether another life is on the machine, by the platform's list or by what answers.
+    fn is_followed(&self, machine: &Machine, lives: impl Fn(&BackendServerId) -> Option<Incarnation>) -> bool {
+        let heard = machine.server.as_ref().and_then(lives);
+        machine.server != self.server || self.incarnation.zip(heard).is_some_and(|(before, now)| before != now)
+    }
 }
 
 /// A wave of upkeep: what operators ask for, and how far it has come.
@@ -112,9 +122,14 @@
 
 impl Wave {
     /// Takes in what the platform lists: machines that are back, and that are gone.
-    fn take_list(&mut self, machines: &BTreeMap<MachineId, Machine>, now: Moment) {
+    fn take_list(
+        &mut self,
+        machines: &BTreeMap<MachineId, Machine>,
+        lives: impl Fn(&BackendServerId) -> Option<Incarnation>,
+        now: Moment,
+    ) {
         self.down.retain(|id, down| {
-            let back = machines.get(id).is_none_or(|machine| machine.up && machine.server != down.server);
+            let back = machines.get(id).is_none_or(|machine| machine.up && down.is_followed(machine, &lives));
             !back && now.since(down.since) < DOWN_AT_MOST
         });
         self.emptying.retain(|id, _| machines.contains_key(id));
@@ -166,9 +181,10 @@
     /// The platform has listed its machines; machines of waves are chosen and emptied.
     pub fn machines_listed(&mut self, machines: Vec<Machine>, now: Moment) {
         self.upkeep.machines = machines.into_iter().map(|machine| (machine.id.clone(), machine)).collect();
-        let Upkeep { waves, machines } = &mut self.upkeep;
+        let Scheduler { upkeep: Upkeep { waves, machines }, servers, .. } = self;
+        let lives = |id: &BackendServerId| servers.get(id).and_then(|server| server.incarnation);
         for wave in waves.values_mut() {
-            wave.take_list(machines, now);
+            wave.take_list(machines, lives, now);
         }
         for number in self.upkeep.waves.keys().copied().collect::<Vec<_>>() {
             self.choose_machines(number, now);
@@ -194,10 +210,10 @@
         let Some(wave) = self.upkeep.waves.get_mut(&number) else { return };
         match reply {
             UpkeepReply::Begun => {
-                let server = wave.emptying.remove(id).and_then(|turn| turn.server);
+                let turn = wave.emptying.remove(id).unwrap_or(Turn { since: now, server: None, incarnation: None });
                 wave.progress.begun.insert(id.clone());
                 wave.stored = false;
-                wave.down.insert(id.clone(), Turn { since: now, server });
+                wave.down.insert(id.clone(), Turn { since: now, ..turn });
             }
             UpkeepReply::Never => {
                 wave.emptying.remove(id);
@@ -240,8 +256,9 @@
         for id in chosen {
             log::info!("event=emptying wave={number} machine={id} wave_age_ms={}", age.millis());
             let server = self.upkeep.machines.get(&id).and_then(|machine| machine.server.clone());
+            let incarnation = server.as_ref().and_then(|server| self.incarnation(server));
             if let Some(wave) = self.upkeep.waves.get_mut(&number) {
-                wave.emptying.insert(id, Turn { since: now, server });
+                wave.emptying.insert(id, Turn { since: now, server, incarnation });
             }
         }
     }
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -85,6 +85,7 @@
         capacity: Need { cpu_milli: 32_000, memory_mb: 64_000, accelerators: 8 },
         draining: false,
         remaining: None,
+        incarnation: None,
     }
 }
 
--- a/xtask/src/plans.rs
+++ b/xtask/src/plans.rs
@@ -203,6 +203,7 @@
         capacity: Need { cpu_milli: 32_000, memory_mb: 64_000, accelerators: ACCELERATORS },
         draining: false,
         remaining: None,
+        incarnation: None,
     }
 }
 
