Let orders and acknowledgements reach only the life that they are meant for

A backend server's id no longer tells which of its lives a call reaches. An acknowledgement that was sent for one life, over a connection that was made anew after the crash, makes the next forget ends that nobody has seen; a start, without a fence or a clock that the next life knows, begins there while its run is placed elsewhere.

--- a/crates/runtime/src/border.rs
+++ b/crates/runtime/src/border.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use jobs::{Fence, RunNumber, Saved, StepId, TaskId};
-use model::{AvailabilityZoneId, BackendServerId, BoxId, Duration};
+use model::{AvailabilityZoneId, BackendServerId, BoxId, Duration, Incarnation};
 use net::{BoxFuture, NetError};
 use outside::Item;
 use scheduler::{Listing, Machine, MachineId, ServerInfo, StartReply, Ticket, UpkeepReply, WaveRequest};
@@ -13,8 +13,11 @@
 /// One life of a backend server, and where it is reached.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Target {
-    /// Which life is meant: another one that answers there obeys nothing.
+    /// Its id.
     pub id: BackendServerId,
+    /// Which life is meant: another one that answers there obeys nothing. `None` before its first word, and on a platform where each life has an
+    /// id of its own.
+    pub incarnation: Option<Incarnation>,
     /// Where.
     pub addr: SocketAddr,
 }
@@ -87,6 +90,8 @@
 }
 
 /// Calls to backend servers. Nothing here retries; each call to a backend server ends within its limit.
+///
+/// An order and an acknowledgement must reach no other life than the one that is meant, also if it has the same id.
 pub trait BackendServers: Send + Sync + 'static {
     /// Renews, acknowledges and lists.
     fn hold(&self, target: Target, hold: Hold) -> BoxFuture<'_, Result<HoldReply, NetError>>;
--- a/crates/runtime/src/link_worker.rs
+++ b/crates/runtime/src/link_worker.rs
@@ -5,7 +5,7 @@
 use jobs::{RunNumber, TaskId};
 use model::{BackendServerId, Duration, Moment};
 use net::{NetError, Turns};
-use scheduler::{Order, StartReply, Unanswered};
+use scheduler::{Order, Scheduler, StartReply, Unanswered};
 use smol::channel::Receiver;
 
 use crate::{
@@ -44,11 +44,11 @@
     let (mut first, mut answered) = (true, false);
     let id = worker.target.id.clone();
     while let Some(active) = worker.active.upgrade() {
-        let Some(hold) = worker.next_hold(&active, answered) else { break };
+        let Some((target, hold)) = worker.next_hold(&active, answered) else { break };
         let renews = hold.lease.is_some();
         let _ = stored.try_recv();
         let sent = worker.now();
-        let call = worker.parts.servers.hold(worker.target.clone(), hold);
+        let call = worker.parts.servers.hold(target, hold);
         let reply = if std::mem::take(&mut first) { worker.first_calls.take(call).await } else { call.await };
         measure::server_call("hold", hold_outcome(&reply));
         match reply {
@@ -61,7 +61,8 @@
             }
             Ok(HoldReply::Fenced) => return worker.fenced(&active),
             Ok(HoldReply::Gone) => {
-                worker.gone(&active);
+                let now = worker.now();
+                active.update(|scheduler| scheduler.server_gone(&id, now));
                 break;
             }
             Err(e) => {
@@ -97,16 +98,9 @@
         let Some(active) = worker.active.upgrade() else { return };
         match order {
             Order::Start { task, run, text, saved, ticket, .. } => {
-                // It may have waited here since before its availability zone was evacuated.
-                if !active.lock().may_start(&worker.target.id, task, run) {
-                    let now = worker.now();
-                    active.update(|scheduler| scheduler.start_withdrawn(&worker.target.id, task, run, now));
-                    continue;
-                }
+                let Some(target) = worker.may_start(&active, task, run) else { continue };
                 let start = Start { fence: active.fence, task, run, text, saved, lease: worker.lease, ticket };
-                if worker.start(&active, start).await == StartReply::Gone {
-                    return;
-                }
+                worker.start(&active, target, start).await;
             }
             Order::Stop { task, run, .. } => worker.stop(&active, task, run).await,
             Order::Pace { task, run, percent, .. } => worker.pace(&active, task, run, percent).await,
@@ -119,8 +113,13 @@
         self.parts.view.clock().now()
     }
 
-    /// What the next renewal carries; `None` once the backend server is of no interest any more.
-    fn next_hold(&self, active: &Active, answered: bool) -> Option<Hold> {
+    /// The life that the scheduler means now.
+    fn target(&self, scheduler: &Scheduler) -> Target {
+        Target { incarnation: scheduler.incarnation(&self.target.id), ..self.target.clone() }
+    }
+
+    /// Whom the next renewal means and what it carries; `None` once the backend server is of no interest any more.
+    fn next_hold(&self, active: &Active, answered: bool) -> Option<(Target, Hold)> {
         let id = &self.target.id;
         let now = self.now();
         let mut scheduler = active.lock();
@@ -138,12 +137,13 @@
             true if scheduler.is_busy(id) => BUSY_WAIT,
             true => IDLE_WAIT,
         };
-        Some(Hold {
+        let hold = Hold {
             fence: scheduler.fence(),
             acknowledged: scheduler.acknowledged(id),
             lease: renews.then_some(self.lease),
             wait,
-        })
+        };
+        Some((self.target(&scheduler), hold))
     }
 
     /// The backend server obeys a later scheduler.
@@ -153,17 +153,34 @@
         }
     }
 
-    /// The backend server's life is over.
-    fn gone(&self, active: &Active) {
+    /// The backend server's life is over: another one answers, under its id or under another.
+    fn gone(&self, active: &Active, ended: &Target) {
+        let now = self.now();
+        active.update(|scheduler| match ended.incarnation {
+            Some(incarnation) => scheduler.life_over(&ended.id, incarnation, now),
+            None => scheduler.server_gone(&ended.id, now),
+        });
+    }
+
+    /// The life that is to start a run, unless the run is not wanted there any more: the order may have waited since before its availability zone
+    /// was evacuated, or since an earlier life.
+    fn may_start(&self, active: &Active, task: TaskId, run: RunNumber) -> Option<Target> {
+        let id = &self.target.id;
+        let scheduler = active.lock();
+        if scheduler.may_start(id, task, run) {
+            return Some(self.target(&scheduler));
+        }
+        drop(scheduler);
         let now = self.now();
-        active.update(|scheduler| scheduler.server_gone(&self.target.id, now));
+        active.update(|scheduler| scheduler.start_withdrawn(id, task, run, now));
+        None
     }
 
-    async fn start(&self, active: &Active, start: Start) -> StartReply {
+    async fn start(&self, active: &Active, target: Target, start: Start) {
         let (task, run) = (start.task, start.run);
         let reply = if self.parts.view.may_schedule() {
             active.lock().lease_sent(&self.target.id, self.now());
-            self.parts.servers.start(self.target.clone(), start).await
+            self.parts.servers.start(target.clone(), start).await
         } else {
             StartReply::Unknown
         };
@@ -174,13 +191,16 @@
             active.fence
         );
         measure::server_call("start", start_outcome(reply));
+        if reply == StartReply::Gone {
+            return self.gone(active, &target);
+        }
         let now = self.now();
         active.update(|scheduler| scheduler.start_replied(&self.target.id, task, run, reply, now));
-        reply
     }
 
     async fn stop(&self, active: &Active, task: TaskId, run: RunNumber) {
-        let reply = self.parts.servers.stop(self.target.clone(), active.fence, task, run).await;
+        let target = self.target(&active.lock());
+        let reply = self.parts.servers.stop(target.clone(), active.fence, task, run).await;
         log::info!(
             "job={} event=stop task={task} run={run} server={} fence={} outcome={reply:?}",
             task.occurrence.job,
@@ -194,7 +214,7 @@
             Ok(StopReply::Fenced) => {
                 active.depose();
             }
-            Ok(StopReply::Gone) => self.gone(active),
+            Ok(StopReply::Gone) => self.gone(active, &target),
             // The scheduler repeats it.
             Err(_) => {}
         }
@@ -203,7 +223,8 @@
     /// Tells how fast a run may work. The scheduler repeats it if there is no answer.
     async fn pace(&self, active: &Active, task: TaskId, run: RunNumber, percent: u32) {
         let order = PaceOrder { fence: active.fence, task, run, percent };
-        let reply = self.parts.servers.pace(self.target.clone(), order).await;
+        let target = self.target(&active.lock());
+        let reply = self.parts.servers.pace(target, order).await;
         measure::server_answer("pace", &reply);
         if let Ok(true) = reply {
             active.update(|scheduler| scheduler.pace_replied(&self.target.id, task, run, percent));
--- a/crates/runtime/src/links.rs
+++ b/crates/runtime/src/links.rs
@@ -61,12 +61,16 @@
         }
     }
 
-    /// Opens a link unless there is one.
+    /// Opens a link unless there is one. A backend server that comes back under its id may do so at another address.
     pub(crate) fn open(&self, target: &Target, active: &Arc<Active>) {
         let mut links = self.by_id.lock().expect("no holder panics");
-        if links.contains_key(&target.id) {
+        if links.get(&target.id).is_some_and(|link| link.target.addr == target.addr) {
             return;
         }
+        self.closed.lock().expect("no holder panics").retain(|_, id| *id != target.id);
+        if let Some(moved) = links.remove(&target.id) {
+            self.parts.servers.forget(&moved.target);
+        }
         let (orders, order_rx) = smol::channel::unbounded();
         let (stored, stored_rx) = smol::channel::bounded(1);
         let worker = Worker {
