Hold by tests what may follow when a backend server comes back

Tests without I/O: crashes are charged though the id stays, also after the lease and by the stored place alone; the same life after a lease is no crash; nothing is placed where another life is listed than answers; a departure that was announced is none either; a machine is back from upkeep under the same id. The life that an upkeep ends is noted when the machine is first handed over, since it may have changed while it was emptied.

--- a/crates/scheduler/src/upkeep.rs
+++ b/crates/scheduler/src/upkeep.rs
@@ -87,11 +87,17 @@
     since: Moment,
     /// The backend server that lives on it before its upkeep.
     server: Option<BackendServerId>,
-    /// In which life: another one may come back under its id.
+    /// In which life, when the machine was first about to be handed over: another one may come back under its id.
     incarnation: Option<Incarnation>,
+    /// It has been about to be handed over.
+    asked: bool,
 }
 
 impl Turn {
+    fn new(server: Option<BackendServerId>, now: Moment) -> Turn {
+        Turn { since: now, server, incarnation: None, asked: false }
+    }
+
     /// Whether another life is on the machine, by the platform's list or by what answers.
     fn is_followed(&self, machine: &Machine, lives: impl Fn(&BackendServerId) -> Option<Incarnation>) -> bool {
         let heard = machine.server.as_ref().and_then(lives);
@@ -198,19 +204,30 @@
         for (number, id, patience_over) in self.emptying(now) {
             let up = self.upkeep.machines.get(&id).is_some_and(|machine| machine.up);
             if up && self.empty_machine(&id, patience_over, now) {
+                self.note_life(number, &id);
                 due.push((number, id));
             }
         }
         due
     }
 
+    /// Notes which life an upkeep ends, unless it has been asked for before: it may have ended that one then.
+    fn note_life(&mut self, number: u64, id: &MachineId) {
+        let Scheduler { upkeep, servers, .. } = self;
+        let Some(turn) = upkeep.waves.get_mut(&number).and_then(|wave| wave.emptying.get_mut(id)) else { return };
+        if !std::mem::replace(&mut turn.asked, true) {
+            let server = turn.server.as_ref().and_then(|server| servers.get(server));
+            turn.incarnation = server.and_then(|server| server.incarnation);
+        }
+    }
+
     /// What came of handing a machine over.
     pub fn upkeep_replied(&mut self, number: u64, id: &MachineId, reply: UpkeepReply, now: Moment) {
         log::info!("event=upkeep wave={number} machine={id} fence={} outcome={reply:?}", self.fence);
         let Some(wave) = self.upkeep.waves.get_mut(&number) else { return };
         match reply {
             UpkeepReply::Begun => {
-                let turn = wave.emptying.remove(id).unwrap_or(Turn { since: now, server: None, incarnation: None });
+                let turn = wave.emptying.remove(id).unwrap_or_else(|| Turn::new(None, now));
                 wave.progress.begun.insert(id.clone());
                 wave.stored = false;
                 wave.down.insert(id.clone(), Turn { since: now, ..turn });
@@ -256,9 +273,8 @@
         for id in chosen {
             log::info!("event=emptying wave={number} machine={id} wave_age_ms={}", age.millis());
             let server = self.upkeep.machines.get(&id).and_then(|machine| machine.server.clone());
-            let incarnation = server.as_ref().and_then(|server| self.incarnation(server));
             if let Some(wave) = self.upkeep.waves.get_mut(&number) {
-                wave.emptying.insert(id, Turn { since: now, server, incarnation });
+                wave.emptying.insert(id, Turn::new(server, now));
             }
         }
     }
--- a/crates/scheduler/tests/common/events.rs
+++ b/crates/scheduler/tests/common/events.rs
@@ -3,10 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use jobs::{OccurrenceId, RunNumber, TaskId};
-use model::{AvailabilityZoneId, BackendServerId, Moment, Revision};
+use model::{AvailabilityZoneId, BackendServerId, Incarnation, Moment, Revision};
 use scheduler::{Batch, EndKind, EvacuatedBy, Listing, StartReply, Unanswered};
 
-use super::world::{STEP_MS, World};
+use super::{
+    server::FakeServer,
+    world::{ClockReading, STEP_MS, World},
+};
 
 /// After this long a scheduler is told that a start was not answered.
 pub(crate) const UNANSWERED_MS: u64 = 400;
@@ -17,6 +20,7 @@
     Hold {
         leader: usize,
         server: BackendServerId,
+        life: Option<Incarnation>,
         acknowledged: u64,
         until: Option<u64>,
         sent: Moment,
@@ -25,12 +29,14 @@
         leader: usize,
         server: BackendServerId,
         reply: Option<Listing>,
-        clock: u64,
+        /// Whose clock, and what it shows.
+        clock: (Incarnation, u64),
         sent: Moment,
     },
     Start {
         leader: usize,
         server: BackendServerId,
+        life: Option<Incarnation>,
         task: TaskId,
         run: RunNumber,
         until: u64,
@@ -47,6 +53,7 @@
     Stop {
         leader: usize,
         server: BackendServerId,
+        life: Option<Incarnation>,
         task: TaskId,
         run: RunNumber,
         answered: bool,
@@ -87,6 +94,10 @@
     Back {
         server: BackendServerId,
     },
+    /// A backend server that has crashed begins its next life under its id.
+    Return {
+        server: Box<FakeServer>,
+    },
     /// A scheduler's call finds that a backend server has gone.
     CallFailed {
         leader: usize,
@@ -107,23 +118,30 @@
 
     pub(crate) fn handle(&mut self, event: Event) {
         match event {
-            Event::Hold { leader, server, acknowledged, until, sent } => {
+            Event::Hold { leader, server, life, acknowledged, until, sent } => {
+                // Over a connection on which another life answers, or none has answered, nothing is acknowledged or renewed.
+                let meant = self.is_life(&server, life);
+                let (acknowledged, until) = if meant { (acknowledged, until) } else { (0, None) };
                 self.on_hold(leader, &server, acknowledged, until, sent);
             }
             Event::Held { leader, server, reply, clock, sent } => self.on_held(leader, server, reply, clock, sent),
-            Event::Start { leader, server, task, run, until, answered, saved } => {
+            Event::Start { leader, server, life, task, run, until, answered, saved } => {
                 if answered {
                     self.check_evacuated(&server, task);
                 }
-                let reply = self.start(leader, &server, task, run, until, saved);
+                let reply = if self.is_life(&server, life) {
+                    self.start(leader, &server, task, run, until, saved)
+                } else {
+                    StartReply::Unknown
+                };
                 let delay = if reply == StartReply::Unknown { UNANSWERED_MS } else { STEP_MS };
                 if answered {
                     self.after(delay, Event::Started { leader, server, task, run, reply });
                 }
             }
             Event::Started { leader, server, task, run, reply } => self.on_started(leader, &server, task, run, reply),
-            Event::Stop { leader, server, task, run, answered } => {
-                if self.on_stop(leader, &server, task, run) && answered {
+            Event::Stop { leader, server, life, task, run, answered } => {
+                if self.is_life(&server, life) && self.on_stop(leader, &server, task, run) && answered {
                     self.after(STEP_MS, Event::Stopped { leader, server, task, run });
                 }
             }
@@ -143,6 +161,7 @@
             Event::EvacuationsTold { leader } => self.on_evacuations_told(leader),
             Event::Crash { server } => self.on_crash(&server),
             Event::Back { server } => self.on_back(&server),
+            Event::Return { server } => self.on_return(*server),
             Event::CallFailed { leader, server, how } => {
                 let now = self.moment();
                 self.leaders[leader].scheduler.unanswered(&server, how, now);
@@ -158,13 +177,24 @@
         self.note(id, fence, acknowledged);
         let server = self.server_mut(id);
         let reply = server.hold(fence, acknowledged, until);
-        let (id, clock) = (server.id.clone(), server.clock_ms());
+        let (id, clock) = (server.id.clone(), (server.incarnation, server.clock_ms()));
         // An answer may be overtaken by later ones on other connections.
         let delay = STEP_MS * (1 + self.rng.u64(..6));
         self.after(delay, Event::Held { leader, server: id, reply, clock, sent });
     }
 
-    fn on_held(&mut self, leader: usize, id: BackendServerId, reply: Option<Listing>, clock: u64, sent: Moment) {
+    fn on_held(
+        &mut self,
+        leader: usize,
+        id: BackendServerId,
+        reply: Option<Listing>,
+        (incarnation, clock): (Incarnation, u64),
+        sent: Moment,
+    ) {
+        if !self.is_life(&id, Some(incarnation)) {
+            // The connection broke with the life that had answered.
+            return;
+        }
         let (now, at) = (self.moment(), self.now);
         let reachable = self.reachable(&id);
         let leader = &mut self.leaders[leader];
@@ -175,7 +205,7 @@
             leader.alive = false;
             return;
         };
-        leader.clocks.insert(id.clone(), (clock, at));
+        leader.clocks.insert(id.clone(), ClockReading { incarnation, clock, at });
         leader.reached.insert(id.clone());
         leader.scheduler.listing(&id, &listing, sent, now);
     }
--- a/crates/scheduler/tests/common/leading.rs
+++ b/crates/scheduler/tests/common/leading.rs
@@ -2,12 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use model::BackendServerId;
+use model::{BackendServerId, Incarnation};
 use scheduler::{Order, StartReply, Unanswered};
 
 use super::{
     events::Event,
-    world::{LEASE_MS, STEP_MS, World},
+    world::{ClockReading, LEASE_MS, STEP_MS, World},
 };
 
 impl World {
@@ -60,13 +60,14 @@
                 leader.alive = false;
                 return;
             }
-            let until = leader.reached.contains(&id).then(|| lease_until(&leader.clocks, &id, now)).flatten();
+            let life = leader.scheduler.incarnation(&id);
+            let until = leader.reached.contains(&id).then(|| lease_until(&leader.clocks, &id, life, now)).flatten();
             if until.is_some() {
                 leader.scheduler.lease_sent(&id, moment);
             }
             leader.holding.insert(id.clone(), now);
             let acknowledged = leader.scheduler.acknowledged(&id);
-            self.after(STEP_MS, Event::Hold { leader: i, server: id, acknowledged, until, sent: moment });
+            self.after(STEP_MS, Event::Hold { leader: i, server: id, life, acknowledged, until, sent: moment });
         }
     }
 
@@ -74,26 +75,37 @@
         let lost = self.now < self.lose_orders_until && self.rng.u8(..) < 80;
         let late = if lost { 2000 + self.rng.u64(..10_000) } else { STEP_MS };
         let now = self.moment();
+        let life = self.leaders[i].scheduler.incarnation(order.subject().0);
         match order {
             Order::Start { server, task, run, saved, .. } => {
-                let Some(until) = lease_until(&self.leaders[i].clocks, &server, self.now) else { return };
+                let Some(until) = lease_until(&self.leaders[i].clocks, &server, life, self.now) else { return };
                 self.leaders[i].scheduler.lease_sent(&server, now);
                 let answered = !lost && self.reachable(&server);
                 let saved = saved.is_some();
-                self.after(late, Event::Start { leader: i, server: server.clone(), task, run, until, answered, saved });
+                self.after(
+                    late,
+                    Event::Start { leader: i, server: server.clone(), life, task, run, until, answered, saved },
+                );
                 if !answered {
                     let reply = StartReply::Unknown;
                     self.after(400, Event::Started { leader: i, server, task, run, reply });
                 }
             }
             Order::Stop { server, task, run, .. } => {
-                self.after(late, Event::Stop { leader: i, server, task, run, answered: !lost });
+                self.after(late, Event::Stop { leader: i, server, life, task, run, answered: !lost });
             }
             Order::Pace { .. } => unreachable!("no job of this world lives on what others leave"),
         }
     }
 }
 
-fn lease_until(clocks: &BTreeMap<BackendServerId, (u64, u64)>, id: &BackendServerId, now: u64) -> Option<u64> {
-    clocks.get(id).map(|(clock, at)| clock + (now - at) + LEASE_MS)
+/// The end of a lease on the clock of the life that is meant; `None` before its first answer.
+fn lease_until(
+    clocks: &BTreeMap<BackendServerId, ClockReading>,
+    id: &BackendServerId,
+    life: Option<Incarnation>,
+    now: u64,
+) -> Option<u64> {
+    let reading = clocks.get(id).filter(|reading| Some(reading.incarnation) == life)?;
+    Some(reading.clock + (now - reading.at) + LEASE_MS)
 }
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -7,6 +7,7 @@
 mod leading;
 mod oracle;
 mod platform;
+mod returns;
 mod runs;
 pub(crate) mod server;
 pub(crate) mod world;
@@ -361,11 +362,16 @@
         self.advance(10);
     }
 
-    /// A backend server crashes, and another life answers under its id: it holds nothing, and counts its ends from 1.
-    pub(crate) fn crash_and_return(&mut self, id: &BackendServerId) {
-        let lost = std::mem::take(self.running.get_mut(id).expect("it was added"));
+    /// A backend server crashes, and another life begins under its id, which the scheduler does not hear of.
+    pub(crate) fn lose_unheard(&mut self, id: &BackendServerId) -> Vec<Started> {
         self.serials.remove(id);
         *self.returns.entry(id.clone()).or_default() += 1;
+        std::mem::take(self.running.get_mut(id).expect("it was added"))
+    }
+
+    /// A backend server crashes, and another life answers under its id: it holds nothing, and counts its ends from 1.
+    pub(crate) fn crash_and_return(&mut self, id: &BackendServerId) {
+        let lost = self.lose_unheard(id);
         self.scheduler.unanswered(id, Unanswered::Refused, self.now);
         for started in &lost {
             self.break_gang(started);
--- a/crates/scheduler/tests/common/server.rs
+++ b/crates/scheduler/tests/common/server.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use jobs::{Fence, RunNumber, Saved, TaskId};
-use model::BackendServerId;
+use model::{BackendServerId, Incarnation};
 use scheduler::{End, EndKind, Listing, RunningTask, ServerInfo, StartReply};
 
 /// A run as the backend server has it.
@@ -20,6 +20,8 @@
 #[derive(Debug)]
 pub(crate) struct FakeServer {
     pub(crate) id: BackendServerId,
+    /// Which of its lives this is.
+    pub(crate) incarnation: Incarnation,
     pub(crate) info: ServerInfo,
     /// Its own steady clock, in milliseconds; it may run slow.
     pub(crate) clock: f64,
@@ -53,6 +55,7 @@
     pub(crate) fn new(id: BackendServerId, info: ServerInfo, rate: f64) -> FakeServer {
         FakeServer {
             id,
+            incarnation: info.incarnation.expect("every life tells which it is"),
             info,
             clock: 1000.0,
             rate,
@@ -143,6 +146,7 @@
             latency_ms: None,
         };
         Some(Listing {
+            incarnation: Some(self.incarnation),
             running: self.running.iter().map(running).collect(),
             ended: self.ended.clone(),
             ..Listing::default()
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -8,8 +8,8 @@
 };
 
 use jobs::{Fence, Job, JobId, JobState, OccurrenceId, Progress, TaskId};
-use model::{AvailabilityZoneId, BackendServerId, Duration, Moment, Revision};
-use scheduler::{Batch, EndKind, EvacuatedBy, Scheduler, Timing};
+use model::{AvailabilityZoneId, BackendServerId, Duration, Incarnation, Moment, Revision};
+use scheduler::{Batch, EndKind, EvacuatedBy, Scheduler, ServerInfo, Timing};
 
 use super::{events::Event, info, policy, server::FakeServer, server_id};
 
@@ -27,12 +27,19 @@
     pub(crate) evacuated: BTreeSet<AvailabilityZoneId>,
     /// Renews no more from here on: its election cannot be confirmed.
     pub(crate) renews_until: u64,
-    /// What a backend server's clock showed, and when.
-    pub(crate) clocks: BTreeMap<BackendServerId, (u64, u64)>,
+    pub(crate) clocks: BTreeMap<BackendServerId, ClockReading>,
     pub(crate) holding: BTreeMap<BackendServerId, u64>,
     pub(crate) reached: BTreeSet<BackendServerId>,
 }
 
+/// What a life's clock showed, and when.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ClockReading {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: u64,
+    pub(crate) at: u64,
+}
+
 /// What the oracle remembers of a task.
 #[derive(Debug, Default)]
 pub(crate) struct Seen {
@@ -119,7 +126,8 @@
         let i = self.next_server;
         self.next_server += 1;
         let rate = if i.is_multiple_of(3) { 0.98 } else { 1.0 };
-        let mut server = FakeServer::new(server_id(i), info(i % 8), rate);
+        let info = ServerInfo { incarnation: Some(Incarnation(self.now)), ..info(i % 8) };
+        let mut server = FakeServer::new(server_id(i), info, rate);
         for leader in &mut self.leaders {
             leader.scheduler.server_listed(server.id.clone(), server.info.clone(), Moment::from_millis(self.now));
         }
--- a/crates/scheduler/tests/fuzz.rs
+++ b/crates/scheduler/tests/fuzz.rs
@@ -23,6 +23,7 @@
     Cancel(u8),
     Crash(u8),
     LetCrash(u8),
+    Return(u8, u16),
     Resize(u8, u8),
     Cut(u8, u16),
     CutRefusing(u8, u16),
@@ -44,6 +45,7 @@
         1 => any::<u8>().prop_map(Action::Cancel),
         1 => any::<u8>().prop_map(Action::Crash),
         1 => any::<u8>().prop_map(Action::LetCrash),
+        3 => (any::<u8>(), 100u16..8000).prop_map(|(i, ms)| Action::Return(i, ms)),
         2 => (any::<u8>(), 0u8..9).prop_map(|(i, eighths)| Action::Resize(i, eighths)),
         2 => (any::<u8>(), 100u16..12_000).prop_map(|(i, ms)| Action::Cut(i, ms)),
         1 => (any::<u8>(), 100u16..12_000).prop_map(|(i, ms)| Action::CutRefusing(i, ms)),
@@ -90,6 +92,7 @@
             }
         }
         Action::Crash(i) => world.crash(i.into()),
+        Action::Return(i, ms) => world.crash_and_return(i.into(), ms.into()),
         Action::Resize(i, eighths) => world.resize(i.into(), eighths.into()),
         Action::LetCrash(i) => {
             // A task of the newest job.
--- a/crates/scheduler/tests/returned.rs
+++ b/crates/scheduler/tests/returned.rs
@@ -7,10 +7,10 @@
 
 mod common;
 
-use common::{Fixture, job_in, step};
+use common::{Fixture, info, job_in, run_of, server_id, step};
 use jobs::{JobState, Step};
 use model::BackendServerId;
-use scheduler::EndKind;
+use scheduler::{EndKind, ServerInfo};
 
 /// A backend server that has listed six ends, all of them acknowledged, and has come back after a crash.
 fn returned() -> (Fixture, BackendServerId) {
@@ -53,3 +53,97 @@
     let next = fixture.start_all();
     assert_eq!(next.iter().map(|started| started.task.step).collect::<Vec<_>>(), [1, 1]);
 }
+
+const JOB: u64 = 7;
+
+/// A task that takes a whole backend server, on one that comes back under its id after each crash.
+fn with_one_task() -> (Fixture, BackendServerId) {
+    let mut fixture = Fixture::new(1);
+    fixture.submit(job_in("urgent", JOB, vec![step(1, 8)]));
+    (fixture, server_id(0))
+}
+
+#[test]
+fn crashes_are_charged_though_the_id_stays() {
+    let (mut fixture, server) = with_one_task();
+    let crashes = (0..10).take_while(|_| {
+        // It keeps off the place for a while.
+        fixture.advance(3500);
+        let started = fixture.start_all();
+        fixture.crash_and_return(&server);
+        !started.is_empty()
+    });
+    assert_eq!(crashes.count(), 3);
+    assert_eq!(fixture.state(JOB), Some(JobState::Failed));
+}
+
+#[test]
+fn so_is_one_that_is_known_only_after_the_lease() {
+    let (mut fixture, server) = with_one_task();
+    for _ in 0..3 {
+        fixture.advance(3500);
+        assert_eq!(fixture.start_all().len(), 1);
+        fixture.cut_past_lease(&server);
+        fixture.reconnect(&server);
+        fixture.crash_and_return(&server);
+    }
+    fixture.store_all();
+    assert_eq!(fixture.state(JOB), Some(JobState::Failed));
+}
+
+#[test]
+fn a_lease_that_is_over_is_no_crash_where_the_same_life_answers_again() {
+    let (mut fixture, server) = with_one_task();
+    for _ in 0..6 {
+        assert_eq!(fixture.start_all().len(), 1);
+        fixture.cut_past_lease(&server);
+        fixture.reconnect(&server);
+        fixture.advance(100);
+    }
+    assert_eq!(fixture.state(JOB), Some(JobState::Running));
+}
+
+/// It runs in the life that answers, or nowhere: the stored place tells which life it meant.
+#[test]
+fn what_an_earlier_scheduler_placed_in_another_life_starts_again_at_once() {
+    let (mut fixture, server) = with_one_task();
+    assert_eq!(fixture.start_all().len(), 1);
+    fixture.lose_unheard(&server);
+    fixture.elect_anew();
+    fixture.advance(3100);
+    let again = fixture.start_all();
+    assert_eq!(again.iter().map(run_of).collect::<Vec<_>>(), [2]);
+    for _ in 0..2 {
+        fixture.lose_unheard(&server);
+        fixture.elect_anew();
+        fixture.advance(3100);
+        fixture.start_all();
+    }
+    assert_eq!(fixture.state(JOB), Some(JobState::Failed), "three crashes, each told by the stored place alone");
+}
+
+#[test]
+fn nothing_is_placed_where_another_life_is_listed_than_the_one_that_answers() {
+    let (mut fixture, server) = with_one_task();
+    let earlier = ServerInfo { incarnation: fixture.incarnation(&server), ..info(0) };
+    fixture.scheduler.server_listed(server.clone(), earlier.clone(), fixture.now);
+    fixture.crash_and_return(&server);
+    assert!(fixture.start_all().is_empty(), "what is listed may have other room");
+    let next = ServerInfo { incarnation: fixture.incarnation(&server), ..earlier };
+    fixture.scheduler.server_listed(server, next, fixture.now);
+    assert_eq!(fixture.start_all().len(), 1);
+}
+
+#[test]
+fn a_life_that_had_said_that_it_leaves_has_not_crashed_when_the_next_one_answers() {
+    let (mut fixture, server) = with_one_task();
+    for _ in 0..6 {
+        let here = ServerInfo { incarnation: fixture.incarnation(&server), ..info(0) };
+        fixture.scheduler.server_listed(server.clone(), here.clone(), fixture.now);
+        assert_eq!(fixture.start_all().len(), 1);
+        let leaving = ServerInfo { draining: true, ..here };
+        fixture.scheduler.server_listed(server.clone(), leaving, fixture.now);
+        fixture.crash_and_return(&server);
+    }
+    assert_eq!(fixture.state(JOB), Some(JobState::Running));
+}
--- a/crates/scheduler/tests/upkeep.rs
+++ b/crates/scheduler/tests/upkeep.rs
@@ -149,3 +149,14 @@
     fixture.start_all();
     assert!(fixture.stops.is_empty());
 }
+
+#[test]
+fn a_machine_is_back_also_when_its_backend_server_has_the_id_that_it_had() {
+    let mut fixture = wave(2, 1);
+    let first = due(&mut fixture, vec![machine(0), machine(1)]);
+    assert_eq!(first, [machine_id(0)]);
+    hand_over(&mut fixture, &machine_id(0), UpkeepReply::Begun);
+    assert!(due(&mut fixture, vec![machine(0), machine(1)]).is_empty(), "its list may be older than the hand-over");
+    fixture.crash_and_return(&server_id(0));
+    assert_eq!(due(&mut fixture, vec![machine(0), machine(1)]), [machine_id(1)]);
+}
