--- a/crates/runtime/src/configuration.rs
+++ b/crates/runtime/src/configuration.rs
@@ -1,11 +1,14 @@
 //! The configuration as a box uses it: who may hand in what, and how it is served.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use derive_more::{Display, Error};
 use jobs::QueueId;
 use model::{CustomerId, Duration};
-use scheduler::Policy;
+use scheduler::{Policy, ServiceId};
 
 /// A queue's address.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,6 +45,8 @@
     pub document: Arc<[u8]>,
     /// Where queues are reached.
     pub routes: Vec<Route>,
+    /// The services that backend servers may belong to.
+    pub services: BTreeSet<ServiceId>,
     /// Whose each key is.
     pub keys: BTreeMap<String, CustomerId>,
     /// What the scheduler goes by.
--- a/crates/runtime/src/directory.rs
+++ b/crates/runtime/src/directory.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     active::Active,
-    border::ListedServer,
+    border::{DecodeError, ListedServer},
     follow::{Seen, WatchPace, follow},
     leader::Parts,
 };
@@ -46,7 +46,7 @@
 }
 
 fn take_all(parts: &Parts, active: &Arc<Active>, listed: &mut Listed, items: &[Item]) {
-    let (items, replaced) = newest_lives(parts, items);
+    let (items, replaced) = newest_lives(parts, listed, items);
     let now = parts.view.clock().now();
     for ListedServer { target, info } in replaced {
         // What an earlier scheduler placed there is over, and need not be waited for.
@@ -80,9 +80,9 @@
 ///
 /// Only the next life still writes, so its entry was written last. Taken for the newer life, the other one would end what runs there, and have
 /// it started elsewhere beside it.
-fn newest_lives<'i>(parts: &Parts, items: &'i [Item]) -> (Vec<&'i Item>, Vec<ListedServer>) {
+fn newest_lives<'i>(parts: &Parts, listed: &Listed, items: &'i [Item]) -> (Vec<&'i Item>, Vec<ListedServer>) {
     let read: Vec<(&Item, Option<ListedServer>)> =
-        items.iter().map(|item| (item, parts.decoder.server(item).ok())).collect();
+        items.iter().map(|item| (item, read(parts, listed, item).ok())).collect();
     let mut newest: HashMap<SocketAddr, Revision> = HashMap::new();
     for (item, server) in &read {
         let Some(server) = server else { continue };
@@ -100,7 +100,7 @@
 }
 
 fn take(parts: &Parts, active: &Arc<Active>, listed: &mut Listed, item: &Item) {
-    match parts.decoder.server(item) {
+    match read(parts, listed, item) {
         Ok(server) => {
             let id = server.target.id.clone();
             if listed.get(&id) == Some(&server) && active.links.is_open(&id) {
@@ -113,6 +113,19 @@
     }
 }
 
+/// Reads an entry, unless it comes from another writer: that one names no backend server, and above all none that would have taken the place of
+/// another one at its address.
+fn read(parts: &Parts, listed: &Listed, item: &Item) -> Result<ListedServer, DecodeError> {
+    let server = parts.decoder.server(item)?;
+    let service = &server.info.service;
+    let known = listed.get(&server.target.id).is_some_and(|known| known.info.service == *service);
+    let configured = || parts.view.configuration().is_some_and(|known| known.services.contains(service));
+    if known || configured() {
+        return Ok(server);
+    }
+    Err(DecodeError { key: item.key.clone(), why: format!("no configuration names the service {service}") })
+}
+
 fn take_server(parts: &Parts, active: &Arc<Active>, server: ListedServer) {
     let now = parts.view.clock().now();
     let ListedServer { target, info } = server;
--- a/crates/runtime/tests/access.rs
+++ b/crates/runtime/tests/access.rs
@@ -1,6 +1,9 @@
 //! Who may hand in what: the host, the longest prefix and the key decide.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use model::{CustomerId, Duration};
 use runtime::{CallLimits, Configuration, Denied, Route};
@@ -15,6 +18,7 @@
     Configuration {
         version: 3,
         document: Arc::from(&b""[..]),
+        services: BTreeSet::new(),
         routes: vec![
             route("jobs.example", "/desk/", "desk", false),
             route("jobs.example", "/desk/urgent/", "urgent", false),
