Let who answers at an address tell which life is there, not the list

Cause: the entry written last was taken for the newer life at an address. What a crashed life has written may be held up (by a cut, on its way) and reach the store after the next life has begun; then the living one was taken for over and its work started elsewhere beside it. Now the list only tells whom to call; the first answer of a life at an address ends the others that were there, and the crashed one's own link learns of it by the refusal.

--- a/crates/runtime/src/directory.rs
+++ b/crates/runtime/src/directory.rs
@@ -1,12 +1,14 @@
 //! Keeps the scheduler's backend servers as the platform lists them.
+//!
+//! The list may name several lives at one address: a crashed one is listed for some heartbeats more, and what it has written may come late, after the
+//! next life is at work. So the list tells only whom to call; who answers there tells which life it is ([`crate::link_worker`]).
 
 use std::{
     collections::{HashMap, HashSet},
-    net::SocketAddr,
     sync::Arc,
 };
 
-use model::{BackendServerId, Duration, Revision};
+use model::{BackendServerId, Duration};
 use outside::{Change, Item};
 
 use crate::{
@@ -46,18 +48,6 @@
 }
 
 fn take_all(parts: &Parts, active: &Arc<Active>, listed: &mut Listed, items: &[Item]) {
-    let (items, replaced) = newest_lives(parts, listed, items);
-    let now = parts.view.clock().now();
-    for ListedServer { target, info } in replaced {
-        // What an earlier scheduler placed there is over, and need not be waited for.
-        active.update(|scheduler| {
-            if scheduler.knows(&target.id) {
-                scheduler.server_listed(target.id.clone(), info, now);
-                scheduler.server_gone(&target.id, now);
-            }
-        });
-        active.links.close(&target.id);
-    }
     let there: HashSet<BackendServerId> =
         items.iter().filter_map(|item| parts.decoder.server_of_key(&item.key)).collect();
     // What runs is heard of first.
@@ -65,7 +55,7 @@
         let id = parts.decoder.server_of_key(&item.key);
         id.is_some_and(|id| active.lock().is_busy(&id))
     };
-    let (first, rest): (Vec<&Item>, Vec<&Item>) = items.into_iter().partition(busy);
+    let (first, rest): (Vec<&Item>, Vec<&Item>) = items.iter().partition(busy);
     for item in first.into_iter().chain(rest) {
         take(parts, active, listed, item);
     }
@@ -76,29 +66,6 @@
     }
 }
 
-/// The list without entries that a crash has left beside the next life at the same address, and these entries.
-///
-/// Only the next life still writes, so its entry was written last. Taken for the newer life, the other one would end what runs there, and have
-/// it started elsewhere beside it.
-fn newest_lives<'i>(parts: &Parts, listed: &Listed, items: &'i [Item]) -> (Vec<&'i Item>, Vec<ListedServer>) {
-    let read: Vec<(&Item, Option<ListedServer>)> =
-        items.iter().map(|item| (item, read(parts, listed, item).ok())).collect();
-    let mut newest: HashMap<SocketAddr, Revision> = HashMap::new();
-    for (item, server) in &read {
-        let Some(server) = server else { continue };
-        let latest = newest.entry(server.target.addr).or_insert(item.revision);
-        *latest = item.revision.max(*latest);
-    }
-    let (mut lives, mut replaced) = (Vec::new(), Vec::new());
-    for (item, server) in read {
-        match server {
-            Some(server) if newest[&server.target.addr] > item.revision => replaced.push(server),
-            _ => lives.push(item),
-        }
-    }
-    (lives, replaced)
-}
-
 fn take(parts: &Parts, active: &Arc<Active>, listed: &mut Listed, item: &Item) {
     match read(parts, listed, item) {
         Ok(server) => {
@@ -129,11 +96,6 @@
 fn take_server(parts: &Parts, active: &Arc<Active>, server: ListedServer) {
     let now = parts.view.clock().now();
     let ListedServer { target, info } = server;
-    // One address has one life at a time: the earlier one is over.
-    for replaced in active.links.replaced_by(&target) {
-        active.update(|scheduler| scheduler.server_gone(&replaced, now));
-        active.links.close(&replaced);
-    }
     active.update(|scheduler| scheduler.server_listed(target.id.clone(), info, now));
     active.links.open(&target, active);
 }
--- a/crates/runtime/src/link_worker.rs
+++ b/crates/runtime/src/link_worker.rs
@@ -41,7 +41,7 @@
 /// Renews leases, takes listings in and acknowledges ends, until the backend server or the scheduler is gone.
 pub(crate) async fn hold_loop(worker: Worker, stored: Receiver<()>) {
     let mut backoff = Backoff::new();
-    let (mut first, mut answered) = (true, false);
+    let (mut first, mut heard, mut answered) = (true, false, false);
     let id = worker.target.id.clone();
     while let Some(active) = worker.active.upgrade() {
         let Some((target, hold)) = worker.next_hold(&active, answered) else { break };
@@ -55,6 +55,9 @@
             Ok(HoldReply::Listing(listing)) => {
                 answered = true;
                 backoff.reset();
+                if !std::mem::replace(&mut heard, true) {
+                    worker.take_address(&active);
+                }
                 let now = worker.now();
                 active.update(|scheduler| scheduler.listing(&id, &listing, sent, now));
                 wait_for_store(&active, &id, &stored).await;
@@ -113,6 +116,15 @@
         self.parts.view.clock().now()
     }
 
+    /// It answers at its address. One address has one life at a time: any other that was there is over.
+    fn take_address(&self, active: &Active) {
+        let now = self.now();
+        for replaced in active.links.replaced_by(&self.target) {
+            active.update(|scheduler| scheduler.server_gone(&replaced, now));
+            active.links.close(&replaced);
+        }
+    }
+
     /// The life that the scheduler means now.
     fn target(&self, scheduler: &Scheduler) -> Target {
         Target { incarnation: scheduler.incarnation(&self.target.id), ..self.target.clone() }
