--- a/crates/martend/tests/soak/faults.rs
+++ b/crates/martend/tests/soak/faults.rs
@@ -45,7 +45,7 @@
     StoreDown,
     /// Watches hear nothing, and then their history is gone.
     ForgetHistory,
-    /// A backend server crashes and begins another life.
+    /// A backend server crashes and begins another life, in some runs under its id at times.
     CrashServer(usize),
     /// The operators change the configuration.
     Configure,
@@ -151,7 +151,9 @@
         }
         Fault::ForgetHistory => forget_history(world, lasts).await,
         Fault::CrashServer(i) => {
-            let crashed = world.platform.lock().await.crash_server(i).await;
+            let mut platform = world.platform.lock().await;
+            let keeps_id = world.returns && lasts.as_millis() % 2 == 1;
+            let crashed = if keeps_id { platform.return_server(i).await } else { platform.crash_server(i).await };
             crashed.expect("its address is free again");
         }
         Fault::Configure => world.configure().await,
--- a/crates/martend/tests/soak/main.rs
+++ b/crates/martend/tests/soak/main.rs
@@ -36,6 +36,8 @@
 struct Case {
     seed: u64,
     faults: Duration,
+    /// Backend servers that crash may come back under their ids; not so in runs that were kept before they could.
+    returns: bool,
 }
 
 fn main() -> ExitCode {
@@ -62,7 +64,7 @@
         (Ok(0), Ok(_), Ok(_)) => ci_cases(),
         (Ok(seeds), Ok(from), Ok(seconds)) => {
             let faults = Duration::from_secs(seconds);
-            (from..from + seeds).map(|seed| Case { seed, faults }).collect()
+            (from..from + seeds).map(|seed| Case { seed, faults, returns: true }).collect()
         }
         (Err(e), ..) | (_, Err(e), _) | (.., Err(e)) => return refuse(&e, &usage),
     };
@@ -79,18 +81,19 @@
 fn ci_cases() -> Vec<Case> {
     let lines = REGRESSIONS.lines().filter(|line| !line.starts_with('#') && !line.trim().is_empty());
     let case = |line: &str| {
-        let mut words = line.split_whitespace().map(|word| word.parse().expect("seed and seconds are numbers"));
-        let mut next = || words.next().expect("a line has a seed and seconds");
-        Case { seed: next(), faults: Duration::from_secs(next()) }
+        let mut words = line.split_whitespace();
+        let mut number = || words.next().and_then(|word| word.parse().ok()).expect("a line has a seed and seconds");
+        let (seed, faults) = (number(), Duration::from_secs(number()));
+        Case { seed, faults, returns: words.next() == Some("returns") }
     };
     let kept = lines.map(|line| case(line.split('#').next().unwrap_or_default()));
-    kept.chain([Case { seed: CI_SEED, faults: CI_FAULTS }]).collect()
+    kept.chain([Case { seed: CI_SEED, faults: CI_FAULTS, returns: true }]).collect()
 }
 
 fn run_all(cases: &[Case]) -> ExitCode {
     let mut failed = 0;
     for case in cases {
-        let broken = smol::block_on(World::play(case.seed, case.faults));
+        let broken = smol::block_on(World::play(case.seed, case.faults, case.returns));
         let verdict = if broken.is_empty() { "ok" } else { "FAILED" };
         println!("soak seed {} of {} s ... {verdict}", case.seed, case.faults.as_secs());
         for what in &broken {
--- a/crates/martend/tests/soak/world.rs
+++ b/crates/martend/tests/soak/world.rs
@@ -42,6 +42,8 @@
     pub(crate) ledger: Ledger,
     /// Logs of the boxes and of the faults; removed if nothing was broken.
     pub(crate) dir: PathBuf,
+    /// Backend servers that crash may come back under their ids.
+    pub(crate) returns: bool,
     fronts: Vec<SocketAddr>,
     version: AtomicU64,
     begun: Instant,
@@ -63,8 +65,8 @@
 
 impl World {
     /// Plays a seed; returns what was broken.
-    pub(crate) async fn play(seed: u64, length: Duration) -> Vec<String> {
-        let world = Arc::new(World::start(seed).await.expect("loopback can be used"));
+    pub(crate) async fn play(seed: u64, length: Duration, returns: bool) -> Vec<String> {
+        let world = Arc::new(World::start(seed, returns).await.expect("loopback can be used"));
         let _ends = EndsBoxes(Arc::clone(&world));
         let mut rng = Rng::with_seed(seed);
         let watching = smol::spawn(checks::watch(Arc::clone(&world)));
@@ -92,7 +94,7 @@
         broken
     }
 
-    async fn start(seed: u64) -> std::io::Result<World> {
+    async fn start(seed: u64, returns: bool) -> std::io::Result<World> {
         let dir = std::env::temp_dir().join(format!("martenscale-soak-{}-{seed}", std::process::id()));
         std::fs::create_dir_all(&dir)?;
         let setup = Setup { servers: SERVERS, key: KEY.to_owned(), slow_clocks: true, ..Setup::default() };
@@ -118,6 +120,7 @@
         Ok(World {
             oracle: Arc::clone(&platform.oracle),
             platform: Mutex::new(platform),
+            returns,
             fronts: boxes.iter().map(|a_box| a_box.front.addr).collect(),
             boxes: boxes.into_iter().map(Mutex::new).collect(),
             servers,
--- a/crates/runtime/src/border.rs
+++ b/crates/runtime/src/border.rs
@@ -93,7 +93,8 @@
 ///
 /// An order and an acknowledgement must reach no other life than the one that is meant, also if it has the same id.
 pub trait BackendServers: Send + Sync + 'static {
-    /// Renews, acknowledges and lists.
+    /// Renews, acknowledges and lists. A listing of another life than the one that is meant names it, and then nothing was renewed or
+    /// acknowledged.
     fn hold(&self, target: Target, hold: Hold) -> BoxFuture<'_, Result<HoldReply, NetError>>;
     /// Starts a run. The error is an answer that did not come.
     fn start(&self, target: Target, start: Start) -> BoxFuture<'_, StartReply>;
--- a/crates/runtime/src/link_worker.rs
+++ b/crates/runtime/src/link_worker.rs
@@ -138,6 +138,8 @@
         if !scheduler.knows(id) {
             return None;
         }
+        // The life that answered last may be over.
+        let answered = answered && scheduler.has_heard(id);
         // An unanswered call may have renewed the lease, so one that is out of reach is only asked, not renewed.
         let renews = answered && self.parts.view.may_schedule();
         if renews {
--- a/crates/scheduler/src/contact.rs
+++ b/crates/scheduler/src/contact.rs
@@ -124,6 +124,11 @@
         self.servers.contains_key(id)
     }
 
+    /// Whether a backend server has shown what it runs, in the life that it leads as far as is known.
+    pub fn has_heard(&self, id: &BackendServerId) -> bool {
+        self.servers.get(id).is_some_and(|server| server.stocked)
+    }
+
     /// Highest end that may be acknowledged to a backend server.
     pub fn acknowledged(&self, id: &BackendServerId) -> u64 {
         self.servers.get(id).map_or(0, |server| server.acknowledged)
