--- a/crates/scheduler/src/lives.rs
+++ b/crates/scheduler/src/lives.rs
@@ -17,9 +17,14 @@
         if known == Some(incarnation) {
             return;
         }
-        log::info!("server={id} event=life incarnation={incarnation} seen_end={}", server.seen_end);
         match known {
-            Some(known) => self.life_over(id, known, now),
+            Some(known) => {
+                log::info!(
+                    "server={id} event=life incarnation={incarnation} after={known} seen_end={}",
+                    server.seen_end
+                );
+                self.life_over(id, known, now);
+            }
             None => self.end_other_lives(id, incarnation, now),
         }
         if let Some(server) = self.server_mut(id) {
