Give no job up by crashes that struck nothing of it

Found by the fuzzer, which now lets backend servers be heard one way only and come back under their ids: with seed 83 a job failed after three crashes of which none had struck a run. Cause: an order on its way when its backend server crashed was charged like a run that had begun. Now two of three early crashes must have struck a run that is known to have begun (answered or listed); five of any kind give a task up as before, since its starts are used up then. Ruled out: counting only the known ones, which would let a task that crashes what starts it run on with a new scheduler after each crash.

--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -33,6 +33,9 @@
     /// Which run of it.
     #[serde(rename = "r")]
     pub run: RunNumber,
+    /// The run is known to have begun: its start was answered, or it was listed.
+    #[serde(rename = "b", default, skip_serializing_if = "is_false")]
+    pub begun: bool,
     /// The run is not known to have outlived its start.
     #[serde(rename = "e", default, skip_serializing_if = "is_false")]
     pub early: bool,
--- a/crates/scheduler/src/crashes.rs
+++ b/crates/scheduler/src/crashes.rs
@@ -27,6 +27,9 @@
 /// start three times more after three). Three, since two backend servers fail by chance under a task of some hours now and
 /// then, at 14,000 tasks: two starts are left for crashes that nobody could learn of.
 const EARLY_CRASHES: usize = 3;
+/// So many of them must have struck a run that is known to have begun. A start that got no answer, or that an earlier scheduler placed, may never have reached
+/// the backend server, and a job must not be given up by crashes that struck nothing of it (users' rules: two).
+const KNOWN_TO_HAVE_BEGUN: usize = 2;
 /// The same for all crashes under a task that ends by itself, whatever it had outlived: the last start that the rule
 /// allows has been used up by then.
 const CRASHES: usize = 5;
@@ -133,7 +136,9 @@
             let member = group.members.iter().find(here)?;
             let early = !group.outlived_start(server.silence.heard);
             let place = server.info.as_ref().map_or_else(|| Arc::from(""), |info| Arc::from(info.place.as_str()));
-            (member.phase != Phase::Planned).then_some((name, Crash { index: task.index, run: *run, early, place }))
+            let begun = member.phase == Phase::Running;
+            let crash = Crash { index: task.index, run: *run, begun, early, place };
+            (member.phase != Phase::Planned).then_some((name, crash))
         };
         server.members.iter().filter_map(charged).collect()
     }
@@ -221,6 +226,7 @@
     fn has_crashed_enough(&self, name: GroupId, index: u32) -> bool {
         let crashes = self.progress_of(name).crashes.iter().filter(|crash| crash.index == index);
         let (early, late): (Vec<&Crash>, Vec<&Crash>) = crashes.partition(|crash| crash.early);
-        early.len() >= EARLY_CRASHES || early.len() + late.len() >= CRASHES
+        let begun = early.iter().filter(|crash| crash.begun).count();
+        early.len() >= EARLY_CRASHES && begun >= KNOWN_TO_HAVE_BEGUN || early.len() + late.len() >= CRASHES
     }
 }
--- a/crates/scheduler/tests/common/server.rs
+++ b/crates/scheduler/tests/common/server.rs
@@ -39,6 +39,8 @@
     pub(crate) cut_until: u64,
     /// What cuts it off refuses connections in its name.
     pub(crate) cut_refuses: bool,
+    /// What it is told arrives, and its answers do not, until then.
+    pub(crate) mute_until: u64,
     /// It starts whatever it is told to, also what it has no room for.
     pub(crate) unguarded: bool,
     /// Since when it has the capacity that it has.
@@ -68,6 +70,7 @@
             lapsed_after: 0,
             cut_until: 0,
             cut_refuses: false,
+            mute_until: 0,
             unguarded: false,
             resized_at: 0,
             leaves_at: None,
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -247,6 +247,18 @@
         }
     }
 
+    /// What a backend server is told arrives, and its answers do not.
+    pub(crate) fn cut_answers(&mut self, i: usize, ms: u64) {
+        let id = self.servers.keys().nth(i % self.servers.len()).cloned();
+        if let Some(server) = id.and_then(|id| self.servers.get_mut(&id)) {
+            server.mute_until = server.mute_until.max(self.now + ms);
+        }
+    }
+
+    pub(crate) fn is_mute(&self, id: &BackendServerId) -> bool {
+        self.servers.get(id).is_some_and(|server| self.now < server.mute_until)
+    }
+
     pub(crate) fn reachable(&self, id: &BackendServerId) -> bool {
         self.servers.get(id).is_some_and(|server| server.cut_until <= self.now)
     }
@@ -291,6 +303,7 @@
         self.fail_tasks_until = 0;
         for server in self.servers.values_mut() {
             server.cut_until = 0;
+            server.mute_until = 0;
         }
         for i in 0..self.servers.len() {
             self.resize(i, 8);
--- a/crates/scheduler/tests/crashing.rs
+++ b/crates/scheduler/tests/crashing.rs
@@ -9,6 +9,7 @@
 
 use common::{Fixture, gang, info, job, job_in, step, world::World};
 use jobs::{JobId, JobState, OccurrenceId, Step, TaskId};
+use model::BackendServerId;
 use scheduler::ServerInfo;
 
 const JOB: JobId = JobId(1);
@@ -212,3 +213,28 @@
 fn nor_if_other_schedulers_are_elected_meanwhile() {
     (1..=10).for_each(|seed| play_beside_others(seed, true));
 }
+
+/// A start of the task is ordered and gets no answer, and its backend server crashes: nobody knows whether it had begun.
+fn crash_under_an_unanswered_start(fixture: &mut Fixture) -> bool {
+    fixture.scheduler.plan(fixture.now, fixture.now.millis());
+    fixture.store_all();
+    let starts: Vec<BackendServerId> =
+        fixture.scheduler.take_orders().iter().map(|order| order.subject().0.clone()).collect();
+    starts.first().inspect(|server| fixture.crash(server)).is_some()
+}
+
+/// Seen in fuzzing (seed 83, backend servers that come back under their ids): a job was given up after three crashes of which none had struck a run of it. The
+/// orders were on their way when the backend servers crashed, and each was charged as a run that had not outlived its start.
+#[test]
+fn crashes_give_no_task_up_that_is_not_known_to_have_begun_under_two_of_them() {
+    let mut fixture = Fixture::new(6);
+    fixture.submit(job(1, vec![step(1, 8)]));
+    for _ in 0..4 {
+        assert!(crash_under_an_unanswered_start(&mut fixture));
+        assert_eq!(fixture.state(1), Some(JobState::Running));
+    }
+    // By then its starts are used up, if each of them had begun.
+    assert!(crash_under_an_unanswered_start(&mut fixture));
+    fixture.store_all();
+    assert_eq!(fixture.state(1), Some(JobState::Failed));
+}
--- a/crates/scheduler/tests/fuzz.rs
+++ b/crates/scheduler/tests/fuzz.rs
@@ -27,6 +27,7 @@
     Resize(u8, u8),
     Cut(u8, u16),
     CutRefusing(u8, u16),
+    CutAnswers(u8, u16),
     Leave(u8),
     LoseOrders(u16),
     LoseWrites(u16),
@@ -49,6 +50,7 @@
         2 => (any::<u8>(), 0u8..9).prop_map(|(i, eighths)| Action::Resize(i, eighths)),
         2 => (any::<u8>(), 100u16..12_000).prop_map(|(i, ms)| Action::Cut(i, ms)),
         1 => (any::<u8>(), 100u16..12_000).prop_map(|(i, ms)| Action::CutRefusing(i, ms)),
+        2 => (any::<u8>(), 100u16..6000).prop_map(|(i, ms)| Action::CutAnswers(i, ms)),
         1 => any::<u8>().prop_map(Action::Leave),
         1 => (100u16..4000).prop_map(Action::LoseOrders),
         1 => (100u16..4000).prop_map(Action::LoseWrites),
@@ -104,6 +106,7 @@
         }
         Action::Cut(i, ms) => world.cut(i.into(), ms.into(), false),
         Action::CutRefusing(i, ms) => world.cut(i.into(), ms.into(), true),
+        Action::CutAnswers(i, ms) => world.cut_answers(i.into(), ms.into()),
         Action::Leave(i) => world.leave(i.into()),
         Action::LoseOrders(ms) => world.lose_orders_until = now + u64::from(ms),
         Action::LoseWrites(ms) => world.lose_writes_until = now + u64::from(ms),
