Take a repeated start that comes too late for a run that has begun

Cause: a backend server refuses a start as old if the run has ended or was stopped there. For a start that was sent once that cannot be; for one that was repeated it means that the first had gone through. It was taken for a run that does not run and never will, which was placed anew at once, though its end was listed unheard. Any other refusal of a repeated start tells of the repetition only, so that the run is stopped there and the listing decides; a refusal of what was listed meanwhile undoes nothing. Class: an answer to one order was taken for an answer about the run.

--- a/crates/runtime/src/link_worker.rs
+++ b/crates/runtime/src/link_worker.rs
@@ -266,6 +266,7 @@
     match reply {
         StartReply::Started => "started",
         StartReply::NoRoom => "no_room",
+        StartReply::Over => "over",
         StartReply::Refused => "refused",
         StartReply::NoTicket => "no_ticket",
         StartReply::Late => "late",
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -63,6 +63,8 @@
 pub enum StartReply {
     /// It runs.
     Started,
+    /// It has run, or was stopped: an earlier order for it had gone through. How it ended is listed.
+    Over,
     /// It does not run and never will: there is no room.
     NoRoom,
     /// It does not run and never will.
--- a/crates/scheduler/src/starts.rs
+++ b/crates/scheduler/src/starts.rs
@@ -53,6 +53,12 @@
                     self.observe_run_start(name, now);
                 }
             }
+            // What is known of a run that has begun: the next listing tells its end, or that it is lost. Taken for a refusal, a run that was done
+            // would be started again.
+            StartReply::Over => {
+                member.phase = Phase::Running;
+                member.settled = Some(now);
+            }
             StartReply::Unknown => self.start_unanswered(name, task.index, server, now),
             _ => self.start_refused(name, task, server, reply, now),
         }
@@ -83,6 +89,8 @@
         self.stop_group(name, reason, now);
     }
 
+    /// A start was refused. If it was the only one for its run, nothing of that runs; an earlier one may have gone through, or may yet, so that the run is
+    /// stopped there, and what the backend server lists of it decides.
     fn start_refused(&mut self, name: GroupId, task: TaskId, server: &BackendServerId, reply: StartReply, now: Moment) {
         log::info!("job={} event=start_refused task={task} server={server} why={reply:?}", task.occurrence.job);
         if reply == StartReply::NoTicket {
@@ -90,7 +98,12 @@
         } else {
             self.leave_alone(server, now);
         }
-        self.remove_member(name, task.index, None, now);
+        match self.member_mut(name, task.index, server).map(|member| member.phase) {
+            Some(Phase::Sent { tries: 1 }) => self.remove_member(name, task.index, None, now),
+            // It was listed meanwhile.
+            Some(Phase::Running) => return,
+            _ => {}
+        }
         self.stop_group(name, StopReason::GangBroken, now);
     }
 
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -266,6 +266,32 @@
         Some(Incarnation(1000 + self.returns.get(id).copied().unwrap_or(0)))
     }
 
+    /// Plans and stores; the starts that are to be sent, which nobody carries out.
+    pub(crate) fn ordered_starts(&mut self) -> Vec<Started> {
+        self.scheduler.plan(self.now, self.now.millis());
+        self.store_all();
+        self.repeated_starts()
+    }
+
+    /// The starts that are to be sent, which nobody carries out.
+    pub(crate) fn repeated_starts(&mut self) -> Vec<Started> {
+        let mut starts = Vec::new();
+        for order in self.scheduler.take_orders() {
+            match order {
+                Order::Start { server, task, run, saved, ticket, .. } => {
+                    starts.push(Started { server, task, run, saved, ticket });
+                }
+                other => self.stops.push(other),
+            }
+        }
+        starts
+    }
+
+    /// The scheduler hears what came of a start.
+    pub(crate) fn reply(&mut self, start: &Started, reply: StartReply) {
+        self.scheduler.start_replied(&start.server, start.task, start.run, reply, self.now);
+    }
+
     fn listed(&self, id: &BackendServerId) -> Vec<RunningTask> {
         let running = |s: &Started| RunningTask {
             task: s.task,
