--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -47,6 +47,7 @@
 mod tuning;
 mod unstored;
 mod upkeep;
+mod wave;
 
 pub use crate::{
     advice::{Question, Ticket},
@@ -62,5 +63,5 @@
     server::{Place, ServerInfo},
     timing::Timing,
     tuning::Tuning,
-    upkeep::{Machine, MachineId, UpkeepReply, WaveProgress, WaveRequest},
+    wave::{Machine, MachineId, UpkeepReply, WaveProgress, WaveRequest},
 };
