--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -410,6 +410,12 @@
         self.places[id].clone()
     }
 
+    /// A backend server is lost for good, and no scheduler hears of it.
+    pub(crate) fn vanish(&mut self, id: &BackendServerId) {
+        self.running.remove(id).expect("it was added");
+        self.infos.remove(id);
+    }
+
     /// A backend server crashes for good.
     pub(crate) fn lose(&mut self, id: &BackendServerId) {
         let lost = self.running.remove(id).expect("it was added");
