Ask the other box only once it knows who schedules

It hears of one by a watch of its own, and the test asked it as soon as the other one scheduled. What the test asks for is unchanged.

--- a/crates/martend/tests/common/mod.rs
+++ b/crates/martend/tests/common/mod.rs
@@ -113,6 +113,11 @@
         panic!("no box schedules");
     }
 
+    /// The box that schedules, as far as another one knows.
+    pub(crate) async fn known_scheduler(&self, i: usize) -> Option<String> {
+        self.status(i).await?["scheduler"].as_str().map(str::to_owned)
+    }
+
     /// Backend servers that a box has heard as the scheduler; `None` if it does not schedule.
     pub(crate) async fn heard_servers(&self, i: usize) -> Option<u64> {
         let status = self.status(i).await?;
--- a/crates/martend/tests/evacuation.rs
+++ b/crates/martend/tests/evacuation.rs
@@ -88,6 +88,11 @@
     smol::block_on(async {
         let world = World::start(2, 4).await;
         let scheduler = world.scheduler().await;
+        // The other box hears of it by a watch of its own, at times only after this.
+        until("the other box knows who schedules", || async {
+            world.known_scheduler(1 - scheduler).await == Some(format!("box-{scheduler}"))
+        })
+        .await;
         let (status, why) = operators(&world, 1 - scheduler, Method::PUT, "/v1/evacuations/az-1").await;
         assert_eq!(status, StatusCode::MISDIRECTED_REQUEST, "{why}");
         assert_eq!(why["scheduler"], format!("box-{scheduler}"));
