Let the world of tests withdraw starts as the host does

Trace: a start that was sent again had been queued before the scheduler heard the next life of its backend server, lapsed the run and placed it elsewhere; the world of tests then sent it to the next life. The host asks may_start before each start, which says no there: so the fault was the world's, and the check stays as it is.

A scheduler that has not reached a backend server has given it no lease, so it notes in the store how long earlier ones have left there at most, once a second while there is one, and gives what the note may name neither a lease nor work before the note is withdrawn. Each write has the revision of the one before as its condition, so that a late one never takes effect after a withdrawal. Ruled out: the time of day (clocks jump), fences alone (they tell nothing of time). The fuzzer plays the note with lost and late writes.

--- a/crates/runtime/src/leader.rs
+++ b/crates/runtime/src/leader.rs
@@ -14,7 +14,7 @@
     cleaner, directory, evacuation, intake,
     links::Links,
     settings::Settings,
-    upkeep,
+    unreached, upkeep,
     view::View,
     wait::{at_most, pause},
     writer,
@@ -62,8 +62,12 @@
     let mut scheduler = Scheduler::new(fence, clock.now(), settings.timing.clone(), configuration.policy.clone());
     let evacuations = evacuation::Known::default();
     let restored = async {
-        // Evacuations first: nothing may be placed before they are known.
-        let evacuations_to = evacuation::restore(parts, &evacuations, &mut scheduler).await;
+        // Evacuations first: nothing may be placed before they are known. So with what limits the wait for runs that are restored.
+        let evacuations = evacuation::restore(parts, &evacuations, &mut scheduler);
+        let (evacuations_to, note) = futures_lite::future::zip(evacuations, unreached::read(parts)).await;
+        if let Some(item) = note {
+            unreached::restore(&mut scheduler, &item);
+        }
         Some((evacuations_to, intake::restore(parts, &mut scheduler).await))
     };
     let expired = async {
@@ -82,6 +86,7 @@
         smol::spawn(directory::follow_servers(parts.clone(), Arc::clone(&active))),
         smol::spawn(intake::restore_ended(parts.clone(), Arc::clone(&active))),
         smol::spawn(writer::run(parts.clone(), Arc::clone(&active))),
+        smol::spawn(unreached::keep(parts.clone(), Arc::clone(&active))),
         smol::spawn(cleaner::run(parts.clone(), Arc::clone(&active))),
         smol::spawn(advice::ask(parts.clone(), Arc::clone(&active))),
         smol::spawn(upkeep::follow_waves(parts.clone(), Arc::clone(&active))),
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -28,6 +28,7 @@
 mod requests;
 mod running_box;
 mod settings;
+mod unreached;
 mod upkeep;
 mod view;
 mod wait;
--- a/crates/runtime/src/link_worker.rs
+++ b/crates/runtime/src/link_worker.rs
@@ -141,7 +141,7 @@
         // The life that answered last may be over.
         let answered = answered && scheduler.has_heard(id);
         // An unanswered call may have renewed the lease, so one that is out of reach is only asked, not renewed.
-        let renews = answered && self.parts.view.may_schedule();
+        let renews = answered && self.parts.view.may_schedule() && scheduler.may_renew(id);
         if renews {
             scheduler.lease_sent(id, now);
         }
--- a/crates/scheduler/src/contact.rs
+++ b/crates/scheduler/src/contact.rs
@@ -21,7 +21,7 @@
 impl Scheduler {
     /// The platform lists a backend server, or its account of itself has changed.
     pub fn server_listed(&mut self, id: BackendServerId, info: ServerInfo, now: Moment) {
-        let earlier = self.timing.earlier_leases_over(self.elected);
+        let earlier = self.earlier_leases_over(&id);
         let draining = info.draining;
         self.evacuations.note_zone(&info.availability_zone);
         let evacuated = self.evacuations.holds(&info.availability_zone);
@@ -81,6 +81,7 @@
         self.touch(id);
         self.servers.remove(id);
         self.trials.remove(id);
+        self.unreached.settle(id);
     }
 
     /// A backend server that has refused a start gets none for a while.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -45,6 +45,7 @@
 mod stops;
 mod timing;
 mod tuning;
+mod unreached;
 mod unstored;
 mod upkeep;
 mod wave;
@@ -63,5 +64,6 @@
     server::{Place, ServerInfo},
     timing::Timing,
     tuning::Tuning,
+    unreached::{UnreachedNote, UnreachedWrite},
     wave::{Machine, MachineId, UpkeepReply, WaveProgress, WaveRequest},
 };
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -41,7 +41,7 @@
     /// What was placed may run on, for as long as an earlier scheduler's leases keep it. Returns the groups that may run.
     fn restore_members(&mut self, id: OccurrenceId, job: &Job) -> Vec<GroupId> {
         let mut placed_groups = Vec::new();
-        let earlier = self.timing.earlier_leases_over(self.elected);
+        let by_election = self.timing.earlier_leases_over(self.elected);
         let occurrence = &mut self.jobs.get_mut(&id.job).expect("it was just restored").occurrences[id.number as usize];
         for (s, step) in occurrence.progress.groups.iter().enumerate() {
             for (g, group) in step.iter().enumerate() {
@@ -52,8 +52,10 @@
                     placed_groups.push(name);
                 }
                 for placed in &group.placed {
+                    let earlier = self.unreached.leases_over(&placed.server, by_election);
                     let server =
                         self.servers.entry(placed.server.clone()).or_insert_with(|| Server::new(None, earlier));
+                    self.unreached.wait_for(&placed.server);
                     server.used.add(&job.steps[s].counted_need());
                     server.members.insert(name.task(placed.index), group.run);
                     if !std::mem::replace(&mut server.touched, true) {
--- a/crates/scheduler/src/room.rs
+++ b/crates/scheduler/src/room.rs
@@ -84,7 +84,7 @@
         let server = self.servers.get(id)?;
         let info = server.info.as_ref()?;
         let set_aside = self.timing.tuning.set_aside && server.health.set_aside(now);
-        let open = server.open(now) && !set_aside && !self.trials.contains(id);
+        let open = server.open(now) && !set_aside && !self.trials.contains(id) && self.may_renew(id);
         Some(self.room_of(id, server, info, open, now))
     }
 
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -19,6 +19,7 @@
     rooms::Rooms,
     server::Server,
     timing::Timing,
+    unreached::Unreached,
     unstored::Unstored,
     upkeep::Upkeep,
 };
@@ -78,6 +79,8 @@
     pub(crate) lapsed: Lapsed,
     /// Backend servers where a suspect has not outlived its start: nothing is placed beside it.
     pub(crate) trials: BTreeSet<BackendServerId>,
+    /// Backend servers that the next scheduler is told not to have been reached.
+    pub(crate) unreached: Unreached,
     /// How long stops have taken lately.
     pub(crate) stop_times: StopTimes,
     /// Something has happened that may let a group start.
@@ -122,6 +125,7 @@
             touched: Vec::new(),
             timed: Vec::new(),
             trials: BTreeSet::new(),
+            unreached: Unreached::default(),
             lapsed: Lapsed::default(),
             stop_times: StopTimes::unseen(),
             plan_wanted: false,
@@ -253,6 +257,7 @@
         for id in over {
             self.note_lapsed(&id, now);
             self.lapse_members(&id, "lease_over", now);
+            self.unreached.settle(&id);
             if self.servers.get(&id).is_some_and(|server| !server.listed) {
                 log::info!("server={id} event=forgotten why=lease_over");
                 self.remove_server(&id);
--- /dev/null
+++ b/crates/scheduler/src/unreached.rs
@@ -0,0 +1,136 @@
+//! Backend servers that no scheduler has reached lately, told from one scheduler to the next.
+//!
+//! What runs on a lost backend server is over only when every lease is that an earlier scheduler can have given. A new scheduler reckons them from
+//! its own election, so elections that follow one another would begin that wait anew. But one that has not reached a backend server has given it
+//! no lease: it notes in the store how long earlier leases have left there, and the next goes on from that.
+//!
+//! A backend server that the note may name is given no lease and no work until the note is withdrawn: the next scheduler relies on
+//! it. A write without an answer may take effect later, so each has as its condition the revision that the one before left.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use model::{BackendServerId, Duration, Moment, Revision};
+use serde::{Deserialize, Serialize};
+
+use crate::Scheduler;
+
+/// A new scheduler reaches what answers within this; only what is left is worth a write.
+const FIRST_NOTE_AFTER: Duration = Duration::from_millis(1000);
+/// What the next scheduler is told to wait is at most this much too long.
+const NOTE_EVERY: Duration = Duration::from_millis(1000);
+
+/// Backend servers that a scheduler has not reached, as the store holds them: how long leases of earlier schedulers have left there at most.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnreachedNote {
+    /// In milliseconds from the write, so that no two clocks are compared.
+    left_ms: BTreeMap<BackendServerId, u64>,
+}
+
+/// A note that is to be stored.
+#[derive(Debug, Clone)]
+pub struct UnreachedWrite {
+    /// What.
+    pub note: UnreachedNote,
+    /// The store's revision of the note that it replaces; 0 if there is none.
+    pub replaces: Revision,
+    at: Moment,
+}
+
+/// What a scheduler knows of the note in the store.
+#[derive(Debug, Default)]
+pub(crate) struct Unreached {
+    /// Backend servers with runs of earlier schedulers, and not reached yet.
+    waiting: BTreeSet<BackendServerId>,
+    /// Backend servers that the note in the store may name.
+    named: BTreeSet<BackendServerId>,
+    /// When leases are over by an earlier scheduler's note.
+    noted_over: BTreeMap<BackendServerId, Moment>,
+    /// When the note that the store holds was drawn up.
+    noted_at: Option<Moment>,
+    revision: Revision,
+}
+
+impl Unreached {
+    /// When every lease that earlier schedulers can have given is over, if it is `by_election` without a note.
+    pub(crate) fn leases_over(&self, id: &BackendServerId, by_election: Moment) -> Moment {
+        self.noted_over.get(id).map_or(by_election, |noted| by_election.min(*noted))
+    }
+
+    /// A run of an earlier scheduler may go on there.
+    pub(crate) fn wait_for(&mut self, id: &BackendServerId) {
+        self.waiting.insert(id.clone());
+    }
+
+    /// It has answered, or is not known any more.
+    pub(crate) fn settle(&mut self, id: &BackendServerId) {
+        self.waiting.remove(id);
+    }
+
+    /// Whether the note in the store may name it.
+    pub(crate) fn names(&self, id: &BackendServerId) -> bool {
+        self.named.contains(id)
+    }
+
+    /// Whether the note may name one that has been reached.
+    fn is_to_be_withdrawn(&self) -> bool {
+        self.named.iter().any(|id| !self.waiting.contains(id))
+    }
+}
+
+impl Scheduler {
+    /// Takes over the note of an earlier scheduler, before anything else is restored.
+    pub fn restore_unreached(&mut self, note: &UnreachedNote, revision: Revision) {
+        let over = |(id, left): (&BackendServerId, &u64)| (id.clone(), self.elected + Duration::from_millis(*left));
+        self.unreached.noted_over = note.left_ms.iter().map(over).collect();
+        self.unreached.named = note.left_ms.keys().cloned().collect();
+        self.unreached.noted_at = Some(self.elected);
+        self.unreached.revision = revision;
+    }
+
+    /// When every lease that earlier schedulers can have given a backend server is over.
+    pub(crate) fn earlier_leases_over(&self, id: &BackendServerId) -> Moment {
+        self.unreached.leases_over(id, self.timing.earlier_leases_over(self.elected))
+    }
+
+    /// Whether a backend server may be given a lease: the next scheduler may have been told that it was given none.
+    pub fn may_renew(&self, id: &BackendServerId) -> bool {
+        !self.unreached.names(id)
+    }
+
+    /// The note that should be stored now, if any. The backend servers that it names count as named from here on, whatever comes of the write.
+    pub fn next_unreached_write(&mut self, now: Moment) -> Option<UnreachedWrite> {
+        let new = now.since(self.elected) < FIRST_NOTE_AFTER;
+        let fresh = self.unreached.noted_at.is_some_and(|at| now.since(at) < NOTE_EVERY);
+        let due = !self.unreached.waiting.is_empty() && !new && !fresh;
+        if !due && !self.unreached.is_to_be_withdrawn() {
+            return None;
+        }
+        let left = |id: &BackendServerId| {
+            let over = self.servers.get(id)?.lease_over;
+            Some((id.clone(), over.since(now).millis()))
+        };
+        let note = UnreachedNote { left_ms: self.unreached.waiting.iter().filter_map(left).collect() };
+        let newly: Vec<BackendServerId> = note.left_ms.keys().filter(|id| !self.unreached.names(id)).cloned().collect();
+        self.unreached.named.extend(newly);
+        Some(UnreachedWrite { note, replaces: self.unreached.revision, at: now })
+    }
+
+    /// The store has taken a note, at `revision`: what it does not name may be given leases again.
+    pub fn unreached_stored(&mut self, write: UnreachedWrite, revision: Revision) {
+        let before = std::mem::take(&mut self.unreached.named);
+        self.unreached.named = write.note.left_ms.into_keys().collect();
+        self.unreached.noted_at = Some(write.at);
+        self.unreached.revision = revision;
+        for id in before {
+            if !self.unreached.names(&id) {
+                self.touch(&id);
+                self.plan_wanted = true;
+            }
+        }
+    }
+
+    /// The store holds another note than was to be replaced: an earlier write of ours took effect after all.
+    pub fn unreached_found(&mut self, revision: Revision) {
+        self.unreached.revision = revision;
+    }
+}
--- a/crates/scheduler/tests/common/events.rs
+++ b/crates/scheduler/tests/common/events.rs
@@ -4,7 +4,7 @@
 
 use jobs::{OccurrenceId, RunNumber, TaskId};
 use model::{AvailabilityZoneId, BackendServerId, Incarnation, Moment, Revision};
-use scheduler::{Batch, EndKind, EvacuatedBy, Listing, StartReply, Unanswered};
+use scheduler::{Batch, EndKind, EvacuatedBy, Listing, StartReply, Unanswered, UnreachedWrite};
 
 use super::{
     server::FakeServer,
@@ -77,6 +77,19 @@
     WriteLost {
         leader: usize,
     },
+    Note {
+        leader: usize,
+        write: UnreachedWrite,
+        answered: bool,
+    },
+    Noted {
+        leader: usize,
+        write: UnreachedWrite,
+        result: Result<Revision, Revision>,
+    },
+    NoteLost {
+        leader: usize,
+    },
     /// A scheduler hears that the platform no longer lists a backend server.
     Unlisted {
         leader: usize,
@@ -156,6 +169,21 @@
             }
             Event::Written { leader, batch, result } => self.on_written(leader, batch, result),
             Event::WriteLost { leader } => self.leaders[leader].writing = false,
+            Event::Note { leader, write, answered } => {
+                let result = self.write_note(leader, &write);
+                if answered {
+                    self.after(STEP_MS, Event::Noted { leader, write, result });
+                }
+            }
+            Event::Noted { leader, write, result } => {
+                let leader = &mut self.leaders[leader];
+                leader.noting = false;
+                match result {
+                    Ok(revision) => leader.scheduler.unreached_stored(write, revision),
+                    Err(found) => leader.scheduler.unreached_found(found),
+                }
+            }
+            Event::NoteLost { leader } => self.leaders[leader].noting = false,
             Event::Unlisted { leader, server } => {
                 let now = self.moment();
                 self.leaders[leader].scheduler.server_unlisted(&server, now);
--- a/crates/scheduler/tests/common/leading.rs
+++ b/crates/scheduler/tests/common/leading.rs
@@ -19,6 +19,7 @@
         leader.scheduler.plan(now, wall);
         leader.scheduler.check_kept(now).unwrap_or_else(|why| panic!("at {wall}: {why}"));
         self.write_next(i);
+        self.write_next_note(i);
         self.renew(i);
         for order in self.leaders[i].scheduler.take_orders() {
             self.send(i, order);
@@ -40,6 +41,23 @@
         }
     }
 
+    /// A write of the note may be lost, or take effect late, as any other.
+    fn write_next_note(&mut self, i: usize) {
+        let now = self.moment();
+        if self.leaders[i].noting || self.now < self.store_down_until {
+            return;
+        }
+        let Some(write) = self.leaders[i].scheduler.next_unreached_write(now) else { return };
+        self.leaders[i].noting = true;
+        if self.now < self.lose_writes_until && self.rng.bool() {
+            let late = if self.rng.bool() { STEP_MS } else { 1000 + self.rng.u64(..5000) };
+            self.after(late, Event::Note { leader: i, write, answered: false });
+            self.after(300, Event::NoteLost { leader: i });
+        } else {
+            self.after(STEP_MS, Event::Note { leader: i, write, answered: true });
+        }
+    }
+
     pub(crate) fn renew(&mut self, i: usize) {
         let ids: Vec<BackendServerId> = self.servers.keys().cloned().collect();
         for id in ids {
@@ -61,7 +79,8 @@
                 return;
             }
             let life = leader.scheduler.incarnation(&id);
-            let until = leader.reached.contains(&id).then(|| lease_until(&leader.clocks, &id, life, now)).flatten();
+            let renews = leader.reached.contains(&id) && leader.scheduler.may_renew(&id);
+            let until = renews.then(|| lease_until(&leader.clocks, &id, life, now)).flatten();
             if until.is_some() {
                 leader.scheduler.lease_sent(&id, moment);
             }
@@ -79,6 +98,10 @@
         let life = self.leaders[i].scheduler.incarnation(order.subject().0);
         match order {
             Order::Start { server, task, run, saved, .. } => {
+                // As the host does: the order may have waited since an earlier life.
+                if !self.leaders[i].scheduler.may_start(&server, task, run) {
+                    return self.leaders[i].scheduler.start_withdrawn(&server, task, run, now);
+                }
                 let Some(until) = lease_until(&self.leaders[i].clocks, &server, life, self.now) else { return };
                 self.leaders[i].scheduler.lease_sent(&server, now);
                 let answered = !lost && self.reachable(&server);
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -18,7 +18,7 @@
 use model::{AvailabilityZoneId, BackendServerId, CustomerId, Duration, Incarnation, Moment, Revision};
 use scheduler::{
     Advice, CustomerPolicy, End, EndKind, Listing, Order, Place, Policy, QueuePolicy, RunningTask, Scheduler,
-    ServerInfo, ServiceId, StartReply, Timing, Unanswered,
+    ServerInfo, ServiceId, StartReply, Timing, Unanswered, UnreachedNote,
 };
 
 pub(crate) const SERVICE: &str = "desk";
@@ -120,6 +120,8 @@
     places: BTreeMap<BackendServerId, Place>,
     jobs: Vec<Job>,
     stored: BTreeMap<OccurrenceId, (Progress, Revision)>,
+    /// Backend servers that the latest scheduler had not reached.
+    note: Option<(UnreachedNote, Revision)>,
     /// The number of the newest backend server.
     added: usize,
     running: BTreeMap<BackendServerId, Vec<Started>>,
@@ -146,6 +148,7 @@
             places: BTreeMap::new(),
             jobs: Vec::new(),
             stored: BTreeMap::new(),
+            note: None,
             added: servers,
             running: BTreeMap::new(),
             cut: Vec::new(),
@@ -205,6 +208,15 @@
             }
         }
         self.scheduler.tick(self.now);
+        self.store_note();
+    }
+
+    fn store_note(&mut self) {
+        if let Some(write) = self.scheduler.next_unreached_write(self.now) {
+            self.revision += 1;
+            self.note = Some((write.note.clone(), Revision(self.revision)));
+            self.scheduler.unreached_stored(write, Revision(self.revision));
+        }
     }
 
     pub(crate) fn store_all(&mut self) {
@@ -334,6 +346,9 @@
         self.now = self.now + Duration::from_millis(1000);
         let fence = Fence(self.scheduler.fence().0 + 1);
         let mut next = Scheduler::new(fence, self.now, Timing::default(), self.policy.clone());
+        if let Some((note, revision)) = &self.note {
+            next.restore_unreached(note, *revision);
+        }
         for job in self.jobs.clone() {
             next.add_job(job);
         }
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -9,7 +9,7 @@
 
 use jobs::{Fence, Job, JobId, JobState, OccurrenceId, Progress, TaskId};
 use model::{AvailabilityZoneId, BackendServerId, Duration, Incarnation, Moment, Revision};
-use scheduler::{Batch, EndKind, EvacuatedBy, Scheduler, ServerInfo, Timing};
+use scheduler::{Batch, EndKind, EvacuatedBy, Scheduler, ServerInfo, Timing, UnreachedNote, UnreachedWrite};
 
 use super::{events::Event, info, policy, server::FakeServer, server_id};
 
@@ -23,6 +23,8 @@
     pub(crate) fence: Fence,
     pub(crate) alive: bool,
     pub(crate) writing: bool,
+    /// A note of what it has not reached is on its way to the store.
+    pub(crate) noting: bool,
     /// Availability zones that it knows to be evacuated.
     pub(crate) evacuated: BTreeSet<AvailabilityZoneId>,
     /// Renews no more from here on: its election cannot be confirmed.
@@ -60,6 +62,8 @@
     pub(crate) leaders: Vec<Leader>,
     pub(crate) events: Vec<(u64, Event)>,
     pub(crate) stored: BTreeMap<OccurrenceId, (Progress, Revision)>,
+    /// Backend servers that a scheduler had not reached.
+    pub(crate) note: Option<(UnreachedNote, Revision)>,
     pub(crate) revision: u64,
     pub(crate) holder: Fence,
     pub(crate) jobs: BTreeMap<JobId, Job>,
@@ -88,6 +92,7 @@
             leaders: Vec::new(),
             events: Vec::new(),
             stored: BTreeMap::new(),
+            note: None,
             revision: 1,
             holder: Fence(0),
             jobs: BTreeMap::new(),
@@ -167,6 +172,9 @@
         let mut scheduler = Scheduler::new(self.holder, now, World::timing(), policy());
         let evacuated: BTreeSet<AvailabilityZoneId> = self.evacuated.keys().cloned().collect();
         scheduler.set_evacuated(EvacuatedBy::Platform, &evacuated, now);
+        if let Some((note, revision)) = &self.note {
+            scheduler.restore_unreached(note, *revision);
+        }
         for job in self.jobs.values() {
             scheduler.add_job(job.clone());
         }
@@ -184,6 +192,7 @@
             fence: self.holder,
             alive: true,
             writing: false,
+            noting: false,
             evacuated,
             renews_until: u64::MAX,
             clocks: BTreeMap::new(),
@@ -296,6 +305,18 @@
         Ok(Revision(self.revision))
     }
 
+    /// A note of what a scheduler has not reached arrives at the store. The error is the revision of the one that stands there.
+    pub(crate) fn write_note(&mut self, leader: usize, write: &UnreachedWrite) -> Result<Revision, Revision> {
+        let found = self.note.as_ref().map_or(Revision(0), |(_, revision)| *revision);
+        if self.leaders[leader].fence != self.holder || found != write.replaces {
+            return Err(found);
+        }
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        self.note = Some((write.note.clone(), revision));
+        Ok(revision)
+    }
+
     pub(crate) fn heal(&mut self) {
         self.store_down_until = 0;
         self.lose_writes_until = 0;
--- a/crates/scheduler/tests/elections.rs
+++ b/crates/scheduler/tests/elections.rs
@@ -6,8 +6,9 @@
 
 mod common;
 
-use common::{Fixture, job_in, step};
-use model::Duration;
+use common::{Fixture, Started, job_in, step};
+use model::{BackendServerId, Duration, Revision};
+use scheduler::{Listing, RunningTask};
 
 /// Leases of the scheduler that was deposed first are over by then, counted from the first election: 8 s in which it may renew without knowing, a lease
 /// of 6 s on the slowest clock, and some slack.
@@ -32,3 +33,73 @@
     }
     panic!("it does not run again within {OVER} of the first election");
 }
+
+/// A new scheduler, and a run on a backend server that it has not reached for a while.
+fn elected_out_of_reach(servers: usize) -> (Fixture, Started) {
+    let mut fixture = Fixture::new(servers);
+    fixture.submit(job_in("urgent", 1, vec![step(1, 8)]));
+    let started = fixture.start_all().remove(0);
+    fixture.vanish(&started.server);
+    fixture.elect_anew();
+    fixture.now = fixture.now + Duration::from_millis(1500);
+    (fixture, started)
+}
+
+/// A backend server answers, and still runs what it ran.
+fn answer(fixture: &mut Fixture, started: &Started) {
+    let running = RunningTask { task: started.task, run: started.run, saved: None, percent: 1, latency_ms: None };
+    let listing = Listing { running: vec![running], ..Listing::default() };
+    fixture.scheduler.listing(&started.server, &listing, fixture.now, fixture.now);
+}
+
+/// The next scheduler waits only as long as the note says, so a backend server that the note names must get no lease.
+#[test]
+fn what_is_noted_as_unreached_gets_no_lease_before_the_note_is_withdrawn() {
+    let (mut fixture, started) = elected_out_of_reach(2);
+    let id: &BackendServerId = &started.server;
+    assert!(fixture.scheduler.may_renew(id), "nothing is noted yet");
+    let lost = fixture.scheduler.next_unreached_write(fixture.now).expect("it is out of reach");
+    assert!(!fixture.scheduler.may_renew(id), "the write may take effect at any time");
+    answer(&mut fixture, &started);
+    assert!(!fixture.scheduler.may_renew(id), "the note may stand in the store");
+    let withdrawal = fixture.scheduler.next_unreached_write(fixture.now).expect("it has answered");
+    assert_eq!(withdrawal.replaces, lost.replaces, "only one of the two can take effect");
+    fixture.scheduler.unreached_stored(withdrawal, Revision(500));
+    assert!(fixture.scheduler.may_renew(id));
+    assert!(fixture.scheduler.next_unreached_write(fixture.now).is_none(), "nothing is out of reach");
+}
+
+#[test]
+fn a_note_that_took_effect_late_is_withdrawn_in_its_turn() {
+    let (mut fixture, started) = elected_out_of_reach(2);
+    fixture.scheduler.next_unreached_write(fixture.now).expect("it is out of reach");
+    answer(&mut fixture, &started);
+    fixture.scheduler.next_unreached_write(fixture.now).expect("it has answered");
+    fixture.scheduler.unreached_found(Revision(500));
+    assert!(!fixture.scheduler.may_renew(&started.server), "the store holds the first note");
+    let again = fixture.scheduler.next_unreached_write(fixture.now).expect("it has answered");
+    assert_eq!(again.replaces, Revision(500));
+    fixture.scheduler.unreached_stored(again, Revision(501));
+    assert!(fixture.scheduler.may_renew(&started.server));
+}
+
+/// One call a second at most, whatever the size of the fleet, and none where all is reached.
+#[test]
+fn notes_do_not_grow_with_the_fleet() {
+    for servers in [2, 40] {
+        let (mut fixture, _) = elected_out_of_reach(servers);
+        let mut writes = 0;
+        for _ in 0..100 {
+            fixture.now = fixture.now + Duration::from_millis(100);
+            if let Some(write) = fixture.scheduler.next_unreached_write(fixture.now) {
+                writes += 1;
+                fixture.scheduler.unreached_stored(write, Revision(500 + writes));
+            }
+        }
+        assert!((8..=11).contains(&writes), "{writes} writes in 10 s with {servers} backend servers");
+        let mut calm = Fixture::new(servers);
+        calm.elect_anew();
+        calm.now = calm.now + Duration::from_secs(5);
+        assert!(calm.scheduler.next_unreached_write(calm.now).is_none());
+    }
+}
