Let boxes learn the configuration and each other by way of a few named ones

Cause: what each box asks of the store grew with boxes x something. Each read the whole list of boxes every 15 s: boxes squared. Now the scheduler alone reads the list and names 32 boxes, or the square root of their number, by weighted rendezvous hashing (wide links first, those that answer); the others wait at one of those, of their own zone first, for what is new. A named box vouches only by its own watch of the store; whoever finds none that does asks the store. The watch on the scheduler's key, which tells of the named boxes too, waits 30 s, and the probe for the store's sign of life, which reads that key anyway, shows what the watch has missed. Where there are 32 boxes or fewer all watch the store as before. Ruled out: reads spread over time (the same bytes, and a change is late everywhere), longer watches alone (the burst stays). Tests: documents that the store and one box send at 586, 1,172 and 2,344 boxes; 40 real boxes of which 32 watch and 28 are then killed.

--- a/crates/martend/tests/common/mod.rs
+++ b/crates/martend/tests/common/mod.rs
@@ -129,6 +129,11 @@
         self.status(i).await?["open_jobs"].as_u64()
     }
 
+    /// The version of the configuration that is in force at a box.
+    pub(crate) async fn configuration_version(&self, i: usize) -> Option<u64> {
+        self.status(i).await?["configuration_version"].as_u64()
+    }
+
     async fn status(&self, i: usize) -> Option<serde_json::Value> {
         let addr = self.boxes[i].addrs[3];
         let reply = self.client.call(addr, Method::GET, "/v1/status", Default::default(), PATIENCE).await.ok()?;
--- a/crates/outside/src/coordination.rs
+++ b/crates/outside/src/coordination.rs
@@ -110,8 +110,8 @@
 pub trait CoordinationStore: Send + Sync + 'static {
     /// Reads a key.
     fn get(&self, key: String) -> BoxFuture<'_, Result<Option<Item>, StoreError>>;
-    /// Whether the store answers at all within `limit`, by a cheap read of a key.
-    fn answers(&self, key: String, limit: Duration) -> BoxFuture<'_, bool>;
+    /// Reads a key within `limit`, at less cost than [`CoordinationStore::get`]: what is told may be seconds old.
+    fn peek(&self, key: String, limit: Duration) -> BoxFuture<'_, Result<Option<Item>, StoreError>>;
     /// Reads a page of what is under a prefix: from its first key, or from the first key above `after`.
     fn page(&self, prefix: String, after: Option<String>) -> BoxFuture<'_, Result<Page, StoreError>>;
     /// Waits for changes under a prefix after a revision.
--- a/crates/runtime/src/election.rs
+++ b/crates/runtime/src/election.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     active::ActiveSlot,
+    box_list,
     follow::{Seen, WatchPace, follow},
     keys,
     leader::{self, Finished, Parts},
@@ -49,8 +50,8 @@
 /// How long a renewal may take before it is made again: above a slow store's answer (60 times 4 ms), and so short that
 /// one that is lost leaves time for another within a lease of 1 s.
 const RENEWAL_LIMIT: Duration = Duration::from_millis(400);
-/// Longest wait of the watch on the key.
-const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// Longest wait of the watch on the key. What it misses while it has gone silent, the questions whether the store is reached show.
+const WATCH_WAIT: Duration = Duration::from_secs(30);
 
 /// The value of the scheduler's key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -98,15 +99,20 @@
     }
 }
 
-/// Follows who schedules.
+/// Follows who schedules, and which boxes the others go through.
 pub(crate) async fn follow_leader(store: Arc<dyn CoordinationStore>, view: Arc<View>) {
     let on = |seen: Seen| match seen {
-        Seen::All(items) => view.set_leader(items.iter().find(|item| item.key == keys::SCHEDULER).and_then(leader_of)),
+        Seen::All(items) => {
+            view.set_leader(items.iter().find(|item| item.key == keys::SCHEDULER).and_then(leader_of));
+            items.iter().filter(|item| item.key == keys::RELAY_BOXES).for_each(|item| box_list::take(&view, item));
+        }
         Seen::Changes(changes) => {
             for change in &changes {
                 match change {
-                    Change::Put(item) => view.set_leader(leader_of(item)),
-                    Change::Removed { .. } => view.set_leader(None),
+                    Change::Put(item) if item.key == keys::SCHEDULER => view.set_leader(leader_of(item)),
+                    Change::Removed { key } if key == keys::SCHEDULER => view.set_leader(None),
+                    Change::Put(item) if item.key == keys::RELAY_BOXES => box_list::take(&view, item),
+                    Change::Put(_) | Change::Removed { .. } => {}
                 }
             }
         }
@@ -114,7 +120,7 @@
     follow(&*store, &view, keys::SCHEDULER, None, WatchPace::at_once(WATCH_WAIT), on).await;
 }
 
-fn leader_of(item: &Item) -> Option<Leader> {
+pub(crate) fn leader_of(item: &Item) -> Option<Leader> {
     let record: Record = serde_json::from_slice(&item.value).ok()?;
     Some(Leader { box_id: record.box_id, addr: record.addr, fence: Fence(item.revision.0) })
 }
--- a/crates/runtime/src/follow.rs
+++ b/crates/runtime/src/follow.rs
@@ -54,26 +54,49 @@
     store: &dyn CoordinationStore,
     view: &View,
     prefix: &str,
-    mut from: Option<Revision>,
-    WatchPace { wait, rest }: WatchPace,
+    from: Option<Revision>,
+    pace: WatchPace,
     mut on: impl FnMut(Seen),
 ) {
-    let mut backoff = Backoff::new();
+    let mut follower = Follower { from, backoff: Backoff::new() };
     loop {
-        let result = match from {
-            None => Ok(Some(read(store, view, prefix, &mut on).await)),
-            Some(at) => view.unless_back(watch(store, prefix, at, wait, &mut on)).await,
+        follower.step(store, view, prefix, pace, &mut on).await;
+    }
+}
+
+/// Up to where a prefix is known.
+pub(crate) struct Follower {
+    /// `None` if it has to be read.
+    pub(crate) from: Option<Revision>,
+    pub(crate) backoff: Backoff,
+}
+
+impl Follower {
+    /// Reads the prefix, or watches it once, and tells `on` what is news. Returns whether the store has answered; if not, there was a pause.
+    pub(crate) async fn step(
+        &mut self,
+        store: &dyn CoordinationStore,
+        view: &View,
+        prefix: &str,
+        WatchPace { wait, rest }: WatchPace,
+        on: &mut impl FnMut(Seen),
+    ) -> bool {
+        let result = match self.from {
+            None => Ok(Some(read(store, view, prefix, on).await)),
+            Some(at) => view.unless_back(watch(store, prefix, at, wait, on)).await,
         };
         match result {
             Ok(at) => {
                 view.store_answered();
-                backoff.reset();
-                from = at;
+                self.backoff.reset();
+                self.from = at;
                 pause(rest).await;
+                true
             }
             Err(e) => {
                 log::debug!("event=watch_failed prefix={prefix} why={e}");
-                backoff.wait().await;
+                self.backoff.wait().await;
+                false
             }
         }
     }
--- a/crates/runtime/src/keys.rs
+++ b/crates/runtime/src/keys.rs
@@ -5,6 +5,8 @@
 
 /// The elected scheduler; the key's revision is its fence.
 pub(crate) const SCHEDULER: &str = "marten/scheduler";
+/// Boxes that others go through. Under the key of the scheduler, so that one watch tells of both.
+pub(crate) const RELAY_BOXES: &str = "marten/scheduler/relays";
 /// What callers have handed in and cancelled.
 pub(crate) const INTAKE: &str = "marten/in/";
 /// Records of jobs that are over and have left the intake.
--- a/crates/runtime/src/leader.rs
+++ b/crates/runtime/src/leader.rs
@@ -11,8 +11,9 @@
     active::{Active, ActiveSlot},
     advice,
     border::{Adviser, BackendServers, Decoder, Machines},
-    cleaner, directory, evacuation, intake,
+    box_list, cleaner, directory, evacuation, intake,
     links::Links,
+    relay::Peers,
     settings::Settings,
     unreached, upkeep,
     view::View,
@@ -38,6 +39,7 @@
     /// `None` on a platform that has no upkeep.
     pub(crate) machines: Option<Arc<dyn Machines>>,
     pub(crate) view: Arc<View>,
+    pub(crate) peers: Arc<Peers>,
 }
 
 /// How scheduling ended.
@@ -86,6 +88,7 @@
         smol::spawn(directory::follow_servers(parts.clone(), Arc::clone(&active))),
         smol::spawn(intake::restore_ended(parts.clone(), Arc::clone(&active))),
         smol::spawn(writer::run(parts.clone(), Arc::clone(&active))),
+        smol::spawn(box_list::name_relay_boxes(parts.clone(), Arc::clone(&active))),
         smol::spawn(unreached::keep(parts.clone(), Arc::clone(&active))),
         smol::spawn(cleaner::run(parts.clone(), Arc::clone(&active))),
         smol::spawn(advice::ask(parts.clone(), Arc::clone(&active))),
--- a/crates/runtime/src/measure.rs
+++ b/crates/runtime/src/measure.rs
@@ -99,13 +99,8 @@
         Box::pin(measured("get", self.0.get(key)))
     }
 
-    fn answers(&self, key: String, limit: Duration) -> BoxFuture<'_, bool> {
-        Box::pin(async move {
-            let answers = self.0.answers(key, limit).await;
-            let outcome = if answers { "answered" } else { "lost" };
-            metrics::counter!("martenscale_store_calls_total", "kind" => "probe", "outcome" => outcome).increment(1);
-            answers
-        })
+    fn peek(&self, key: String, limit: Duration) -> BoxFuture<'_, Result<Option<Item>, StoreError>> {
+        Box::pin(measured("peek", self.0.peek(key, limit)))
     }
 
     fn page(&self, prefix: String, after: Option<String>) -> BoxFuture<'_, Result<Page, StoreError>> {
--- a/crates/runtime/src/probe.rs
+++ b/crates/runtime/src/probe.rs
@@ -1,17 +1,19 @@
-//! Whether the store is reached, found out by asking it.
+//! Whether the store is reached, found out by asking it who schedules: what the watch on that has missed shows as well.
 
 use std::sync::Arc;
 
 use model::Duration;
 use outside::CoordinationStore;
 
-use crate::{keys, view::View, wait::pause};
+use crate::{election, keys, view::View, wait::pause};
 
 /// The store is asked for a sign of life once it has been silent for so long.
 const ASK_AFTER: Duration = Duration::from_millis(300);
 /// From one question to the next, whether or not the one before was answered: within this the store's return is found
 /// out, and a caller that comes back is taken.
 const ASK_EVERY: Duration = Duration::from_millis(150);
+/// An answer tells of a time at most so long ago ("seconds", by the users' protocol page).
+const OLDEST: Duration = Duration::from_secs(10);
 /// Limit of a question: a slow store takes 60 times its 4 ms.
 const LIMIT: Duration = Duration::from_millis(500);
 
@@ -27,8 +29,12 @@
         }
         let (store, view) = (Arc::clone(&store), Arc::clone(&view));
         let ask = async move {
-            if store.answers(keys::SCHEDULER.to_owned(), LIMIT).await {
+            if let Ok(item) = store.peek(keys::SCHEDULER.to_owned(), LIMIT).await {
                 view.store_answered();
+                match item {
+                    Some(item) => election::leader_of(&item).into_iter().for_each(|leader| view.take_leader(leader)),
+                    None => view.take_no_leader(OLDEST),
+                }
             }
         };
         smol::spawn(ask).detach();
--- a/crates/runtime/src/relay.rs
+++ b/crates/runtime/src/relay.rs
@@ -106,10 +106,23 @@
         within(limit, client.taken(relay::TakenRequest { revision: since.0, what: Some(what) })).await.map(|_| ())
     }
 
-    /// Asks another box for a configuration above a version, as the operators wrote it.
-    pub(crate) async fn configuration(&self, addr: SocketAddr, above: u64, limit: Duration) -> Option<Vec<u8>> {
+    /// Whether another box answers, and reaches the store.
+    pub(crate) async fn answers(&self, addr: SocketAddr, limit: Duration) -> bool {
+        self.configuration(addr, u64::MAX, Duration::ZERO, limit).await.is_some()
+    }
+
+    /// Asks another box for a configuration above a version, as the operators wrote it; empty if there is none within `wait`. With a
+    /// wait, the other box answers only if it follows the configuration in the store.
+    pub(crate) async fn configuration(
+        &self,
+        addr: SocketAddr,
+        above: u64,
+        wait: Duration,
+        limit: Duration,
+    ) -> Option<Vec<u8>> {
         let mut client = self.client(addr);
-        let reply = within(limit, client.configuration(relay::ConfigurationRequest { above })).await.ok()?;
+        let req = relay::ConfigurationRequest { above, wait_ms: wait.millis() };
+        let reply = within(limit, client.configuration(req)).await.ok()?;
         Some(reply.document)
     }
 }
--- a/crates/runtime/src/relay_service.rs
+++ b/crates/runtime/src/relay_service.rs
@@ -8,17 +8,22 @@
 use wire::relay::{self, cancel_reply, relay_server::Relay, state_reply, submit_reply, taken_request::What};
 
 use crate::{
-    border::Decoder,
+    Configuration,
     requests::{Requests, StateOutcome, Taken},
     view::View,
 };
 
+/// A box vouches for its configuration if its own watch of the store has been answered within this: the longest wait of that watch, and a slow store's
+/// answer.
+const CONFIRMED_WITHIN: Duration = Duration::from_millis(3000);
+/// Who waits for a configuration is told within this that the store is not reached any more.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+
 /// Answers other boxes.
 #[derive(Clone)]
 pub(crate) struct RelayService {
     pub(crate) requests: Arc<Requests>,
     pub(crate) view: Arc<View>,
-    pub(crate) decoder: Arc<dyn Decoder>,
 }
 
 #[tonic::async_trait]
@@ -61,11 +66,12 @@
         &self,
         req: Request<relay::ConfigurationRequest>,
     ) -> Result<Response<relay::ConfigurationReply>, Status> {
-        if !self.view.reaches_store() {
-            return Err(Status::unavailable("this box does not reach the store"));
+        let req = req.into_inner();
+        let wait = Duration::from_millis(req.wait_ms);
+        if wait > Duration::ZERO && !self.view.is_configuration_confirmed(CONFIRMED_WITHIN) {
+            return Err(Status::unavailable("this box does not follow the configuration in the store"));
         }
-        let above = req.into_inner().above;
-        let newer = self.view.configuration().filter(|newest| newest.version > above);
+        let newer = self.newer_configuration(req.above, wait).await?;
         let reply = newer.map_or_else(relay::ConfigurationReply::default, |newest| relay::ConfigurationReply {
             version: newest.version,
             document: newest.document.to_vec(),
@@ -88,13 +94,18 @@
 }
 
 impl RelayService {
-    /// Takes a configuration that another box gave.
-    pub(crate) fn take_document(&self, document: &[u8]) {
-        match self.decoder.configuration(document) {
-            Ok(new) => {
-                self.view.take_configuration(new);
+    /// A configuration above a version, if there comes one within `wait` while the store is reached.
+    async fn newer_configuration(&self, above: u64, wait: Duration) -> Result<Option<Arc<Configuration>>, Status> {
+        let until = self.view.clock().now() + wait;
+        loop {
+            if !self.view.reaches_store() {
+                return Err(Status::unavailable("this box does not reach the store"));
+            }
+            let left = until.since(self.view.clock().now());
+            let newer = self.view.configuration_above(above, left.min(LOOK_EVERY)).await;
+            if newer.is_some() || left == Duration::ZERO {
+                return Ok(newer);
             }
-            Err(e) => log::error!("event=configuration_unreadable from=box why={e}"),
         }
     }
 }
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -1,9 +1,9 @@
 //! One box: its beliefs, its requests, and its part in the election.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::sync::Arc;
 
 use model::{AvailabilityZoneId, BoxId, Duration};
-use outside::{Clock, CoordinationStore, Item, Put, Transaction};
+use outside::{Clock, CoordinationStore};
 use scheduler::EvacuationStatus;
 use serde::Serialize;
 use smol::net::TcpListener;
@@ -12,30 +12,26 @@
 use crate::{
     active::ActiveSlot,
     border::{Adviser, BackendServers, Decoder, Machines},
+    box_list,
+    configuration_watch::{self, follow_configuration},
     election,
     evacuation::{self, EvacuationOutcome},
-    follow::{Seen, WatchPace, follow},
-    keys,
     leader::Parts,
     measure::MeasuredStore,
-    pages, probe,
+    probe,
     relay::Peers,
     relay_service::RelayService,
     requests::Requests,
     settings::Settings,
     view::View,
-    wait::{Backoff, pause},
+    wait::pause,
 };
 
-/// How often the list of boxes is read.
-const BOXES_EVERY: Duration = Duration::from_secs(15);
 /// How often a box that does not reach the store asks another for the configuration.
 const ASK_EVERY: Duration = Duration::from_millis(500);
 /// Limit of such a question, whose answer may be a whole configuration: one of 1,400 queues is 280 KB, which takes
 /// 0.25 s over a link of 10 Mbit/s.
 const ASK_LIMIT: Duration = Duration::from_millis(1000);
-/// Limit of a write that only tells where a box is.
-const WRITE_LIMIT: Duration = Duration::from_secs(1);
 
 /// What a box believes; fields of a scheduler are there on the box that schedules.
 #[derive(Debug, Clone, Serialize)]
@@ -115,8 +111,7 @@
             settings.seeds.clone(),
             settings.peers_address,
         ));
-        let relay =
-            RelayService { requests: Arc::clone(&requests), view: Arc::clone(&view), decoder: Arc::clone(&decoder) };
+        let relay = RelayService { requests: Arc::clone(&requests), view: Arc::clone(&view) };
         let parts = Parts {
             store: Arc::clone(&store),
             servers,
@@ -124,15 +119,15 @@
             adviser: beside.adviser,
             machines: beside.machines,
             view: Arc::clone(&view),
+            peers: Arc::clone(&peers),
         };
-        let wait = settings.watch_wait;
         let tasks = vec![
             smol::spawn(net::grpc::serve(listener, RelayServer::new(relay.clone()))),
-            smol::spawn(follow_configuration(parts.clone(), wait)),
+            smol::spawn(follow_configuration(settings.clone(), parts.clone())),
             smol::spawn(probe::run(Arc::clone(&store), Arc::clone(&view))),
             smol::spawn(election::follow_leader(Arc::clone(&store), Arc::clone(&view))),
-            smol::spawn(keep_boxes(settings.clone(), parts.clone())),
-            smol::spawn(ask_for_configuration(relay, peers)),
+            smol::spawn(box_list::list_this_box(settings.clone(), parts.clone())),
+            smol::spawn(ask_for_configuration(relay, parts.clone())),
             smol::spawn(election::run(settings.clone(), parts, active.clone())),
         ];
         RunningBox { requests, view, active, store, box_id: settings.box_id, _tasks: tasks }
@@ -201,57 +196,8 @@
     }
 }
 
-async fn follow_configuration(parts: Parts, wait: Duration) {
-    let key = parts.decoder.configuration_key();
-    let on = |seen: Seen| {
-        for item in seen.written().iter().filter(|item| item.key == key) {
-            match parts.decoder.configuration(&item.value) {
-                Ok(new) => {
-                    parts.view.take_configuration(new);
-                }
-                Err(e) => log::error!("event=configuration_unreadable revision={} why={e}", item.revision),
-            }
-        }
-    };
-    follow(&*parts.store, &parts.view, &key, None, WatchPace::at_once(wait), on).await;
-}
-
-/// Tells where this box is, and reads where the others are.
-async fn keep_boxes(settings: Settings, parts: Parts) {
-    list_this_box(&settings, &parts).await;
-    loop {
-        if let Ok(snapshot) = pages::read_once(&*parts.store, keys::BOXES).await {
-            parts.view.set_boxes(boxes(&snapshot.items));
-        }
-        pause(BOXES_EVERY).await;
-    }
-}
-
-async fn list_this_box(settings: &Settings, parts: &Parts) {
-    let here = settings.peers_address.to_string().into_bytes();
-    let put = Put { key: keys::member_box(&settings.box_id), value: here, lease: None };
-    let mut backoff = Backoff::new();
-    loop {
-        let transaction = Transaction { put: vec![put.clone()], ..Transaction::default() };
-        match parts.store.commit(transaction, WRITE_LIMIT).await {
-            Ok(_) => return,
-            Err(e) => log::debug!("event=box_not_listed why={e}"),
-        }
-        backoff.wait().await;
-    }
-}
-
-fn boxes(items: &[Item]) -> BTreeMap<BoxId, SocketAddr> {
-    let entry = |item: &Item| {
-        let id = item.key.strip_prefix(keys::BOXES)?.parse().ok()?;
-        let addr = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
-        Some((id, addr))
-    };
-    items.iter().filter_map(entry).collect()
-}
-
 /// While the store is out of reach, asks other boxes for the configuration.
-async fn ask_for_configuration(relay: RelayService, peers: Arc<Peers>) {
+async fn ask_for_configuration(relay: RelayService, parts: Parts) {
     loop {
         pause(ASK_EVERY).await;
         if relay.view.reaches_store() {
@@ -259,11 +205,11 @@
         }
         let above = relay.view.configuration().map_or(0, |known| known.version);
         for addr in relay.requests.others() {
-            match peers.configuration(addr, above, ASK_LIMIT).await {
+            match parts.peers.configuration(addr, above, Duration::ZERO, ASK_LIMIT).await {
                 Some(document) => {
                     relay.view.peer_answered();
                     if !document.is_empty() {
-                        relay.take_document(&document);
+                        configuration_watch::take_document(&parts, &document);
                     }
                     break;
                 }
--- a/crates/runtime/src/view.rs
+++ b/crates/runtime/src/view.rs
@@ -1,7 +1,6 @@
 //! What a box believes of the world, each belief with its age or version.
 
 use std::{
-    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
 };
@@ -12,7 +11,7 @@
 use outside::{Clock, StoreError};
 use smol::channel::{Receiver, Sender};
 
-use crate::Configuration;
+use crate::{Configuration, relay_boxes::RelayBoxes, wait::at_most};
 
 /// Who schedules.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -26,16 +25,19 @@
 struct Beliefs {
     configuration: Option<Arc<Configuration>>,
     leader: Option<Leader>,
-    /// A scheduler has been known since this box began.
-    leader_seen: bool,
+    leader_since: Moment,
+    /// The newest scheduler that this box has known of since it began.
+    newest_fence: Option<Fence>,
     /// The store answered at this time.
     store_seen: Option<Moment>,
     /// Another box that reaches the store answered at this time.
     peer_seen: Option<Moment>,
     /// Until when this box may schedule, if it is elected.
     schedules_until: Moment,
-    /// Where other boxes are, as the store last told.
-    boxes: BTreeMap<BoxId, SocketAddr>,
+    /// Boxes that the others go through, as the store last told.
+    relay_boxes: Arc<RelayBoxes>,
+    /// This box's own watch of the store last told then that the configuration is the newest.
+    configuration_confirmed: Option<Moment>,
     draining: bool,
 }
 
@@ -46,6 +48,8 @@
     changed: (Sender<()>, Receiver<()>),
     /// Notified when the store answers after a silence.
     store_back: Event,
+    /// Notified when there is a newer configuration.
+    configuration_changed: Event,
     clock: Arc<dyn Clock>,
     /// The store counts as out of reach once it has been silent for longer.
     store_silence: Duration,
@@ -57,6 +61,7 @@
             beliefs: Mutex::default(),
             changed: smol::channel::bounded(1),
             store_back: Event::new(),
+            configuration_changed: Event::new(),
             clock,
             store_silence,
         }
@@ -81,6 +86,7 @@
         log::info!("event=configuration version={} before={}", new.version, old.unwrap_or(0));
         beliefs.configuration = Some(Arc::new(new));
         drop(beliefs);
+        self.configuration_changed.notify(usize::MAX);
         if old.is_none() {
             self.tell_change();
         }
@@ -93,7 +99,7 @@
 
     /// Whether this box has known of a scheduler since it began.
     pub(crate) fn has_seen_leader(&self) -> bool {
-        self.lock().leader_seen
+        self.lock().newest_fence.is_some()
     }
 
     pub(crate) fn set_leader(&self, leader: Option<Leader>) {
@@ -105,12 +111,28 @@
             Some(new) => log::info!("event=scheduler_known box={} fence={}", new.box_id, new.fence),
             None => log::info!("event=scheduler_unknown"),
         }
-        beliefs.leader_seen |= leader.is_some();
+        beliefs.newest_fence = beliefs.newest_fence.max(leader.as_ref().map(|leader| leader.fence));
         beliefs.leader = leader;
+        beliefs.leader_since = self.clock.now();
         drop(beliefs);
         self.tell_change();
     }
 
+    /// Someone has told that there was no scheduler at some time within `age`.
+    pub(crate) fn take_no_leader(&self, age: Duration) {
+        let since = self.lock().leader_since;
+        if self.clock.now().since(since) > age {
+            self.set_leader(None);
+        }
+    }
+
+    /// Someone has told who scheduled at some time: news only if it is a later scheduler than any that was known.
+    pub(crate) fn take_leader(&self, leader: Leader) {
+        if self.lock().newest_fence < Some(leader.fence) {
+            self.set_leader(Some(leader));
+        }
+    }
+
     /// This box's election is confirmed: it may give orders and renew leases until then.
     pub(crate) fn set_schedules_until(&self, until: Moment) {
         self.lock().schedules_until = until;
@@ -192,12 +214,41 @@
         seen.is_some_and(|seen| now.since(seen) <= self.store_silence)
     }
 
-    pub(crate) fn set_boxes(&self, boxes: BTreeMap<BoxId, SocketAddr>) {
-        self.lock().boxes = boxes;
+    pub(crate) fn set_relay_boxes(&self, relay_boxes: RelayBoxes) {
+        self.lock().relay_boxes = Arc::new(relay_boxes);
+    }
+
+    /// Boxes that the others go through; none before the store has told.
+    pub(crate) fn relay_boxes(&self) -> Arc<RelayBoxes> {
+        Arc::clone(&self.lock().relay_boxes)
     }
 
-    pub(crate) fn boxes(&self) -> Vec<SocketAddr> {
-        self.lock().boxes.values().copied().collect()
+    /// The store has told this box that the configuration is the newest.
+    pub(crate) fn confirm_configuration(&self) {
+        let now = self.clock.now();
+        self.lock().configuration_confirmed = Some(now);
+    }
+
+    /// Whether the store has told this box within `limit` that the configuration is the newest.
+    pub(crate) fn is_configuration_confirmed(&self, limit: Duration) -> bool {
+        let now = self.clock.now();
+        self.lock().configuration_confirmed.is_some_and(|at| now.since(at) <= limit)
+    }
+
+    /// Waits until there is a configuration above a version, for at most `limit`.
+    pub(crate) async fn configuration_above(&self, above: u64, limit: Duration) -> Option<Arc<Configuration>> {
+        let newer = || self.configuration().filter(|known| known.version > above);
+        let comes = async {
+            loop {
+                let changed = self.configuration_changed.listen();
+                if newer().is_some() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        at_most(limit, comes).await;
+        newer()
     }
 
     /// The box is leaving: it takes no new connections and stands in no election.
--- a/crates/wire/src/relay_generated.rs
+++ b/crates/wire/src/relay_generated.rs
@@ -236,6 +236,9 @@
 pub struct ConfigurationRequest {
     #[prost(uint64, tag = "1")]
     pub above: u64,
+    /// How long the answer may wait for one. If it may, the box answers only if it follows the configuration in the store.
+    #[prost(uint64, tag = "2")]
+    pub wait_ms: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ConfigurationReply {
