Learn how fast backend servers work, and let urgent work go to the fast ones

A third is slow, a gang of 5.4 keeps off them by chance once in nine times, and 1.7 is more than the 1.5 that an urgent job may take. 132 of 350 backend servers did anything: fast ones stood free.

Learned per life of a backend server: runs are compared with the others of their step, by progress from 12 % on (a gang ends as one, its members' progress is their own), by ends where nothing told before; median, outliers weighed down, some eight runs count. Only what is beside the fleet's mean counts, and only where backend servers differ by more than chance (ratio of variances). Nothing is stored: a new scheduler learns again. 40 bytes each. Used: an urgent gang goes where its slowest member is of the fastest class that has room, urgent tasks take fast ones first; racks and data first, as before. Tests: a third slow, gangs that just fit, members told apart by progress, equal speeds with declarations off, speeds that swap, a run that takes 7 times as long, failing at once, the next life.

--- a/crates/scheduler/src/choose.rs
+++ b/crates/scheduler/src/choose.rs
@@ -14,6 +14,7 @@
     live::GroupId,
     room::Room,
     rooms::{Rack, Rooms, Slot},
+    speed::SpeedClass,
 };
 
 /// How long a group waits for another backend server than one where it failed.
@@ -60,7 +61,7 @@
             return filling.places;
         }
         let far_is_worth_it = self.far_is_worth_it(candidate, wanted.step, rooms, now);
-        for (near, doubtful) in [(true, false), (true, true), (false, false), (false, true)] {
+        for (near, doubtful, speed) in tiers(wanted, rooms) {
             if !near && (wanted.step.data_rack.is_none() || !far_is_worth_it) {
                 continue;
             }
@@ -70,7 +71,7 @@
                     return filling.places;
                 }
                 let mut order = fitting_rooms(wanted, rooms, rack, &part);
-                order.retain(|(_, room, _)| room.doubtful == doubtful);
+                order.retain(|(_, room, _)| room.doubtful == doubtful && speed.is_none_or(|speed| room.speed == speed));
                 order.sort_by(|a, b| fullest_first(&part, a.1, b.1));
                 self.fill_with_tasks(candidate, wanted, rooms, order, &mut filling, now);
             }
@@ -112,7 +113,8 @@
         }
     }
 
-    /// Places a gang: in one rack if it fits there; else over several, if it may be. `None` if it must wait.
+    /// Places a gang, an urgent one on backend servers of which the slowest is as fast as can be: it ends when its slowest member does.
+    /// `None` if it must wait.
     pub(crate) fn choose_gang(
         &self,
         name: GroupId,
@@ -120,6 +122,24 @@
         rooms: &Rooms,
         part: impl Fn(&Room) -> Need,
         now: Moment,
+    ) -> Option<Places> {
+        let slowest = rooms.slowest();
+        let classes = SpeedClass::ALL.iter().filter(|class| wanted.urgent && **class < slowest);
+        let mut faster = classes.filter_map(|class| {
+            let part = |room: &Room| if room.speed <= *class { part(room) } else { Need::default() };
+            self.choose_gang_among(name, wanted, rooms, part, now)
+        });
+        faster.next().or_else(|| self.choose_gang_among(name, wanted, rooms, &part, now))
+    }
+
+    /// Places a gang: in one rack if it fits there; else over several, if it may be. `None` if it must wait.
+    fn choose_gang_among(
+        &self,
+        name: GroupId,
+        wanted: &Wanted<'_>,
+        rooms: &Rooms,
+        part: impl Fn(&Room) -> Need,
+        now: Moment,
     ) -> Option<Places> {
         let count = u64::from(wanted.step.count);
         let slots = self.slots_by_rack(name, wanted, rooms, &part, now);
@@ -223,6 +243,19 @@
     }
 }
 
+/// In which order rooms are taken: near, trusted and, by urgent tasks, fast ones first.
+fn tiers(wanted: &Wanted<'_>, rooms: &Rooms) -> Vec<(bool, bool, Option<SpeedClass>)> {
+    let speeds = match rooms.slowest() {
+        slowest if wanted.urgent && slowest > SpeedClass::Usual => SpeedClass::ALL.map(Some).to_vec(),
+        _ => vec![None],
+    };
+    let mut tiers = Vec::new();
+    for (near, doubtful) in [(true, false), (true, true), (false, false), (false, true)] {
+        tiers.extend(speeds.iter().map(|&speed| (near, doubtful, speed)));
+    }
+    tiers
+}
+
 fn is_near(step: &Step, rack: &Arc<str>) -> bool {
     step.data_rack.as_ref().is_none_or(|data| data == rack)
 }
--- a/crates/scheduler/src/contact.rs
+++ b/crates/scheduler/src/contact.rs
@@ -79,6 +79,7 @@
 
     pub(crate) fn remove_server(&mut self, id: &BackendServerId) {
         self.touch(id);
+        self.forget_speed(id);
         self.servers.remove(id);
         self.trials.remove(id);
         self.unreached.settle(id);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -41,6 +41,7 @@
 mod runs;
 mod scheduler;
 mod server;
+mod speed;
 mod starts;
 mod stops;
 mod timing;
@@ -62,6 +63,7 @@
     policy::{Advice, CustomerPolicy, Policy, QueuePolicy, ServiceId},
     scheduler::{Counts, Scheduler},
     server::{Place, ServerInfo},
+    speed::SpeedReport,
     timing::Timing,
     tuning::Tuning,
     unreached::{UnreachedNote, UnreachedWrite},
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -84,6 +84,7 @@
             }
             Phase::Planned | Phase::Running => {}
         }
+        self.measure_progress(name, id, running, now);
     }
 
     /// Runs that no one wants here: stopped, and their room counted until they are gone.
--- a/crates/scheduler/src/live.rs
+++ b/crates/scheduler/src/live.rs
@@ -5,7 +5,10 @@
 use jobs::{Duration, Job, JobState, OccurrenceId, Placed, Progress, Saved, Step, StepId, TaskId};
 use model::{BackendServerId, Incarnation, Moment, Revision};
 
-use crate::pace::Pace;
+use crate::{
+    pace::Pace,
+    speed::{Measured, StepTimes},
+};
 
 /// How far a start has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,6 +47,8 @@
     /// See [`crate::RunningTask::latency_ms`].
     pub(crate) latency_ms: Option<f64>,
     pub(crate) pace: Pace,
+    /// Whether its speed has told of its backend server's.
+    pub(crate) measured: Measured,
 }
 
 impl Member {
@@ -61,6 +66,7 @@
             percent_at: Moment::ZERO,
             latency_ms: None,
             pace: Pace::full(),
+            measured: Measured::NotYet,
         }
     }
 
@@ -150,6 +156,8 @@
     pub(crate) store_revision: Revision,
     /// Backend servers with ends that wait for this to be stored.
     pub(crate) ends_from: Vec<BackendServerId>,
+    /// What its runs have taken, by step.
+    pub(crate) times: Vec<StepTimes>,
     /// As `progress.groups`.
     pub(crate) groups: Vec<Vec<Group>>,
 }
@@ -165,6 +173,7 @@
             stored_version: 0,
             store_revision: Revision(0),
             ends_from: Vec::new(),
+            times: vec![StepTimes::default(); job.steps.len()],
             groups,
         }
     }
--- a/crates/scheduler/src/lives.rs
+++ b/crates/scheduler/src/lives.rs
@@ -38,6 +38,7 @@
             return;
         }
         self.end_life(id, now);
+        self.forget_speed(id);
         self.advice.forget_tickets(id);
         self.plan_wanted = true;
         if let Some(server) = self.server_mut(id) {
--- a/crates/scheduler/src/outcomes.rs
+++ b/crates/scheduler/src/outcomes.rs
@@ -60,6 +60,9 @@
             let took = now.since(self.group(name).stopped_at);
             self.stop_times.note(took);
         }
+        if end.kind == EndKind::Done {
+            self.measure_end(name, end.task.index, id, now);
+        }
         self.remove_member(name, end.task.index, end.saved.clone(), now);
         match end.kind {
             EndKind::Done => self.apply_done(name, id, now),
--- a/crates/scheduler/src/room.rs
+++ b/crates/scheduler/src/room.rs
@@ -9,6 +9,7 @@
     Scheduler,
     policy::ServiceId,
     server::{Place, Server, ServerInfo},
+    speed::SpeedClass,
 };
 
 /// Room of one backend server.
@@ -38,6 +39,8 @@
     pub(crate) serving: u64,
     /// A task failed there lately and none has been done since.
     pub(crate) doubtful: bool,
+    /// How fast it works.
+    pub(crate) speed: SpeedClass,
 }
 
 /// Accelerators of a service.
@@ -106,6 +109,7 @@
             best_effort: 0,
             serving: 0,
             doubtful: self.timing.tuning.doubt && server.health.doubtful(now),
+            speed: if self.timing.tuning.speed { server.speed.class(&self.fleet_speed) } else { SpeedClass::default() },
         };
         for task in server.members.keys() {
             let Some(name) = self.group_of(*task) else { continue };
--- a/crates/scheduler/src/rooms.rs
+++ b/crates/scheduler/src/rooms.rs
@@ -14,6 +14,7 @@
     policy::ServiceId,
     room::{Room, Totals},
     server::Server,
+    speed::SpeedClass,
 };
 
 /// Names a backend server's room while plans are made: an index that stays with it for as long as it is known.
@@ -41,6 +42,8 @@
     unused: Vec<Slot>,
     racks: BTreeMap<Arc<str>, Rack>,
     totals: BTreeMap<ServiceId, Totals>,
+    /// How many rooms there are of each class of speed.
+    speeds: BTreeMap<SpeedClass, usize>,
     /// Rooms that the latest plan has claimed or promised parts of.
     claimed: Vec<Slot>,
 }
@@ -61,6 +64,12 @@
         rack.slots.iter().filter_map(|&slot| self.open_room(slot).map(|room| (slot, room)))
     }
 
+    /// The slowest class that there is.
+    pub(crate) fn slowest(&self) -> SpeedClass {
+        let there = self.speeds.iter().rev().find(|(_, rooms)| **rooms > 0);
+        there.map_or_else(SpeedClass::default, |(class, _)| *class)
+    }
+
     /// Whether a rack is known.
     pub(crate) fn has_rack(&self, name: &Arc<str>) -> bool {
         self.racks.contains_key(name)
@@ -139,6 +148,7 @@
     fn replace(&mut self, slot: Slot, room: Option<Room>) {
         let Some(old) = self.rooms[slot.0].take() else { return };
         self.totals.entry(old.service.clone()).or_default().remove(&old);
+        *self.speeds.entry(old.speed).or_default() -= 1;
         match room {
             Some(room) if room.rack == old.rack => self.put(slot, room),
             Some(room) => {
@@ -163,6 +173,7 @@
 
     fn put(&mut self, slot: Slot, room: Room) {
         self.totals.entry(room.service.clone()).or_default().add(&room);
+        *self.speeds.entry(room.speed).or_default() += 1;
         self.rooms[slot.0] = Some(room);
     }
 
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -18,6 +18,7 @@
     ready::ReadySteps,
     rooms::Rooms,
     server::Server,
+    speed::FleetSpeed,
     timing::Timing,
     unreached::Unreached,
     unstored::Unstored,
@@ -81,6 +82,8 @@
     pub(crate) trials: BTreeSet<BackendServerId>,
     /// Backend servers that the next scheduler is told not to have been reached.
     pub(crate) unreached: Unreached,
+    /// How fast backend servers work on the mean.
+    pub(crate) fleet_speed: FleetSpeed,
     /// How long stops have taken lately.
     pub(crate) stop_times: StopTimes,
     /// Something has happened that may let a group start.
@@ -127,6 +130,7 @@
             trials: BTreeSet::new(),
             unreached: Unreached::default(),
             lapsed: Lapsed::default(),
+            fleet_speed: FleetSpeed::default(),
             stop_times: StopTimes::unseen(),
             plan_wanted: false,
             last_look: elected,
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -12,7 +12,7 @@
 use jobs::{Need, OccurrenceId, RunNumber, TaskId};
 use model::{AvailabilityZoneId, Duration, Incarnation, Moment};
 
-use crate::{health::Health, policy::ServiceId};
+use crate::{health::Health, policy::ServiceId, speed::Speed};
 
 /// A backend server that leaves is silent and unlisted within this of each other: 25 ms apart on the users' bench.
 /// One that is cut off is unlisted three heartbeats after the last (users: 1.5 s each), so at least 3 s later, and the
@@ -126,6 +126,7 @@
     /// It gets no new work before this, since it refused a start.
     pub(crate) not_before: Moment,
     pub(crate) health: Health,
+    pub(crate) speed: Speed,
     /// The next plan looks at its room anew.
     pub(crate) touched: bool,
 }
@@ -151,6 +152,7 @@
             evacuated: false,
             not_before: Moment::ZERO,
             health: Health::default(),
+            speed: Speed::default(),
             touched: false,
         }
     }
--- a/crates/scheduler/src/tuning.rs
+++ b/crates/scheduler/src/tuning.rs
@@ -25,6 +25,8 @@
     pub doubt: bool,
     /// Backend servers on which several jobs have failed take no work for a while.
     pub set_aside: bool,
+    /// Urgent work goes to the backend servers that have shown to be fast.
+    pub speed: bool,
     /// Jobs of one priority go by their deadlines, not in the order in which they came.
     pub deadline_order: bool,
 }
@@ -41,6 +43,7 @@
             avoidance: true,
             doubt: true,
             set_aside: true,
+            speed: true,
             deadline_order: true,
         }
     }
--- /dev/null
+++ b/crates/scheduler/tests/speed.rs
@@ -0,0 +1,191 @@
+//! Fast and slow backend servers: learned from what runs there, and used by work that is urgent.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::{Fixture, Started, gang, job_in, server_id, step};
+use jobs::Step;
+use model::{BackendServerId, Duration};
+use scheduler::{EndKind, Listing, RunningTask, SpeedReport};
+
+/// Declared by every step of these tests, in seconds.
+const DECLARED_S: f64 = 2.0;
+/// How often backend servers tell of what they run, in milliseconds.
+const TOLD_EVERY_MS: u64 = 200;
+
+/// Backend servers that work at speeds of their own: a factor on the time that a run takes.
+struct Fleet {
+    fixture: Fixture,
+    factors: BTreeMap<BackendServerId, f64>,
+    next_job: u64,
+}
+
+impl Fleet {
+    fn new(factors: &[f64]) -> Fleet {
+        let factors = factors.iter().enumerate().map(|(i, factor)| (server_id(i), *factor)).collect();
+        let fixture = Fixture::new(BTreeMap::len(&factors));
+        Fleet { fixture, factors, next_job: 1 }
+    }
+
+    /// Runs a step to its end; the declared time is off by `off`. Returns where its tasks ran.
+    fn run(&mut self, queue: &str, step: Step, off: f64) -> Vec<BackendServerId> {
+        let is_gang = step.gang;
+        self.fixture.submit(job_in(queue, self.next_job, vec![step]));
+        self.next_job += 1;
+        let mut going = self.fixture.start_all();
+        let places = going.iter().map(|start| start.server.clone()).collect();
+        let begun = self.fixture.now;
+        while !going.is_empty() {
+            self.fixture.now = self.fixture.now + Duration::from_millis(TOLD_EVERY_MS);
+            let at_s = self.fixture.now.since(begun).secs_f64();
+            let factors = self.factors.clone();
+            let percent = |id: &BackendServerId| (at_s / (DECLARED_S * off * factors[id]) * 100.0).min(100.0) as u32;
+            self.tell(&going, percent);
+            let done = |start: &Started| percent(&start.server) == 100;
+            let all_done = going.iter().all(done);
+            let (over, rest) = going.into_iter().partition(|start| if is_gang { all_done } else { done(start) });
+            going = rest;
+            for start in over {
+                self.fixture.end(&start, EndKind::Done);
+            }
+        }
+        self.fixture.store_all();
+        places
+    }
+
+    /// All tell what they run, and how far that has come.
+    fn tell(&mut self, going: &[Started], percent: impl Fn(&BackendServerId) -> u32) {
+        let now = self.fixture.now;
+        for id in self.factors.keys() {
+            let row = |start: &Started| RunningTask {
+                task: start.task,
+                run: start.run,
+                saved: None,
+                percent: percent(id),
+                latency_ms: None,
+            };
+            let running = going.iter().filter(|start| start.server == *id).map(row).collect();
+            let listing = Listing { running, ..Listing::default() };
+            self.fixture.scheduler.listing(id, &listing, now, now);
+        }
+    }
+
+    fn report(&self, i: usize) -> SpeedReport {
+        self.fixture.scheduler.speed(&server_id(i)).expect("it is known")
+    }
+
+    /// The slowest of these backend servers.
+    fn slowest(&self, places: &[BackendServerId]) -> f64 {
+        places.iter().map(|id| self.factors[id]).fold(0.0, f64::max)
+    }
+}
+
+/// A third of the fleet takes 2.4 times as long as the rest.
+fn a_third_slow(servers: usize) -> Vec<f64> {
+    (0..servers).map(|i| if i % 3 == 1 { 1.7 } else { 0.7 }).collect()
+}
+
+/// Some work on all at once, with declared times that are off by half either way.
+fn teach(fleet: &mut Fleet, rounds: usize) {
+    let width = fleet.factors.len() as u32;
+    for round in 0..rounds {
+        let places = fleet.run("urgent", step(width, 8), [0.6, 1.0, 1.6][round % 3]);
+        assert_eq!(places.len(), fleet.factors.len());
+    }
+}
+
+#[test]
+fn a_third_of_the_fleet_is_slow_and_urgent_gangs_keep_off_it() {
+    let mut fleet = Fleet::new(&a_third_slow(12));
+    teach(&mut fleet, 2);
+    for _ in 0..5 {
+        let places = fleet.run("urgent", gang(6, 8), 1.0);
+        assert!(fleet.slowest(&places) < 1.0, "{places:?}");
+    }
+}
+
+/// A gang ends as one: only the progress of its members tells them apart.
+#[test]
+fn members_of_gangs_tell_by_their_progress() {
+    let mut fleet = Fleet::new(&a_third_slow(12));
+    for _ in 0..4 {
+        fleet.run("urgent", gang(12, 8), 1.3);
+    }
+    let factors: Vec<f64> = (0..12).map(|i| fleet.report(i).factor).collect();
+    for (i, factor) in factors.iter().enumerate() {
+        assert!(if i % 3 == 1 { *factor > 1.3 } else { *factor < 1.0 }, "{i}: {factors:?}");
+    }
+}
+
+/// Wider than the fast ones: it starts at once, with as few of the slow ones as can be.
+#[test]
+fn a_gang_that_just_fits_takes_slow_ones_too() {
+    let mut fleet = Fleet::new(&a_third_slow(12));
+    teach(&mut fleet, 2);
+    let places = fleet.run("urgent", gang(12, 8), 1.0);
+    assert_eq!(places.len(), 12);
+}
+
+#[test]
+fn equal_speeds_change_nothing_however_far_declared_times_are_off() {
+    let mut fleet = Fleet::new(&[1.0; 12]);
+    teach(&mut fleet, 9);
+    for i in 0..12 {
+        let factor = fleet.report(i).factor;
+        assert!((0.87..1.15).contains(&factor), "{i}: {factor}");
+    }
+}
+
+#[test]
+fn speeds_that_swap_are_followed_within_twenty_ends() {
+    let mut fleet = Fleet::new(&a_third_slow(12));
+    teach(&mut fleet, 20);
+    for factor in fleet.factors.values_mut() {
+        *factor = if *factor > 1.0 { 0.7 } else { 1.7 };
+    }
+    teach(&mut fleet, 20);
+    for i in 0..12 {
+        let factor = fleet.report(i).factor;
+        assert!(if i % 3 == 1 { factor < 0.9 } else { factor > 1.0 }, "{i}: {factor}");
+    }
+}
+
+/// A few runs take seven times as long wherever they are.
+#[test]
+fn one_run_in_many_that_takes_long_condemns_no_backend_server() {
+    let mut fleet = Fleet::new(&[1.0; 12]);
+    teach(&mut fleet, 3);
+    fleet.factors.insert(server_id(4), 7.0);
+    teach(&mut fleet, 1);
+    fleet.factors.insert(server_id(4), 1.0);
+    assert!(fleet.report(4).factor < 1.5, "{}", fleet.report(4).factor);
+    teach(&mut fleet, 4);
+    assert!(fleet.report(4).factor < 1.2, "{}", fleet.report(4).factor);
+}
+
+#[test]
+fn one_that_fails_all_at_once_does_not_look_fast() {
+    let mut fleet = Fleet::new(&[1.0; 4]);
+    teach(&mut fleet, 3);
+    for _ in 0..3 {
+        fleet.fixture.submit(job_in("batch", fleet.next_job, vec![step(4, 8)]));
+        fleet.next_job += 1;
+        for start in fleet.fixture.start_all() {
+            let kind = if start.server == server_id(0) { EndKind::Failed } else { EndKind::Done };
+            fleet.fixture.now = fleet.fixture.now + Duration::from_millis(5);
+            fleet.fixture.end(&start, kind);
+        }
+    }
+    assert!(fleet.report(0).factor > 0.85, "{}", fleet.report(0).factor);
+}
+
+/// The next life may be of another kind, on another machine.
+#[test]
+fn the_next_life_begins_anew() {
+    let mut fleet = Fleet::new(&a_third_slow(12));
+    teach(&mut fleet, 4);
+    assert!(fleet.report(1).factor > 1.3);
+    fleet.fixture.crash_and_return(&server_id(1));
+    assert_eq!(fleet.report(1).runs, 0);
+}
