--- a/crates/scheduler/src/speed.rs
+++ b/crates/scheduler/src/speed.rs
@@ -76,9 +76,11 @@
 /// And from so many standard errors of that ratio above 1: among few, chance alone makes more of a difference.
 const ABOVE_CHANCE: f64 = 3.0;
 
-/// Between classes, in the logarithm of the time that a run takes.
-const FAST_BELOW: f64 = -0.15;
-const SLOW_FROM: f64 = 0.15;
+/// Beside the mean, in the logarithm of the time that a run takes: from here on one counts as faster or slower.
+const APART: f64 = 0.15;
+/// And from so many standard errors on: what little is known is more often chance.
+const SURE: f64 = 2.0;
+/// From here on one counts as slowest.
 const SLOWEST_FROM: f64 = 0.4;
 
 impl Speed {
@@ -88,10 +90,11 @@
     }
 
     pub(crate) fn class(&self, fleet: &FleetSpeed) -> SpeedClass {
+        let apart = APART.max(SURE / self.certainty.sqrt());
         match self.beside(fleet) {
             _ if !fleet.differ => SpeedClass::Usual,
-            log if log < FAST_BELOW => SpeedClass::Fast,
-            log if log < SLOW_FROM => SpeedClass::Usual,
+            log if log < -apart => SpeedClass::Fast,
+            log if log < apart => SpeedClass::Usual,
             log if log < SLOWEST_FROM => SpeedClass::Slow,
             _ => SpeedClass::Slowest,
         }
