Let writes of other jobs go on beside one that gets no answer, and give that one up in time

Cause: one write at a time held the whole fleet, and one without an answer cost it 0.8 s, 60 or more of all jobs waiting behind it: what grows with the fleet is how many jobs wait for one answer. Now a write goes to jobs that no other write under way has; another leaves once the one before has had no answer for 20 ms, 8 at most, and only while the store answers at all; and a write is given up after the time that answers have taken lately (mean and four deviations, at least 0.1 s, doubled until one is answered: RFC 6298). The order that rules need, between writes of one job, stays: one is under way for each. Weighed against reading back what became of a write on another connection: making it again does the same in one call, since its condition tells. Tests: the limit learned from answers, batches of different jobs, a change during its write; the fuzzer plays three writes at once.

--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -8,6 +8,7 @@
 mod active;
 pub mod addresses;
 mod advice;
+pub mod answer_time;
 pub mod border;
 mod box_list;
 mod cleaner;
--- a/crates/runtime/src/wait.rs
+++ b/crates/runtime/src/wait.rs
@@ -27,9 +27,15 @@
 
     /// Waits, but no longer than what is left of the caller's time.
     pub(crate) async fn wait_at_most(&mut self, left: Duration) {
-        let pause = self.pause.scaled(0.5 + fastrand::f64() / 2.0).min(left);
+        let next = self.next();
+        pause(next.min(left)).await;
+    }
+
+    /// How long to wait before the next try.
+    pub(crate) fn next(&mut self) -> Duration {
+        let next = self.pause.scaled(0.5 + fastrand::f64() / 2.0);
         self.pause = self.pause.scaled(2.0).min(LONGEST_PAUSE);
-        smol::Timer::after(pause.into()).await;
+        next
     }
 }
 
--- a/crates/runtime/src/writer.rs
+++ b/crates/runtime/src/writer.rs
@@ -1,63 +1,148 @@
-//! Writes the scheduler's progress to the store, one call at a time, as much in each as has come up.
+//! Writes the scheduler's progress to the store, as much in each call as has come up.
+//!
+//! While the store answers at once, there is one write at a time. Where an answer is slow or lost, others go on beside it, of other jobs.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard},
+};
 
 use jobs::OccurrenceId;
 use model::{Duration, Revision};
 use outside::{Committed, Item, Put, StoreError, Transaction};
 use scheduler::Batch;
+use smol::channel::{Receiver, Sender};
 
-use crate::{active::Active, evacuation, keys, leader::Parts, wait::Backoff};
+use crate::{
+    active::Active,
+    answer_time::AnswerTime,
+    evacuation, keys,
+    leader::Parts,
+    wait::{Backoff, at_most, pause},
+};
 
 /// What one call may hold, conditions and writes together (users' store).
 const MOST_IN_A_CALL: usize = 32;
-/// A write that has no answer by then is made up for by the next. Above a slow store's answer (60 times 4 ms).
+/// A write that has no answer by then at the latest is made up for by the next. Above a slow store's answer (60 times 4 ms).
 const WRITE_LIMIT: Duration = Duration::from_millis(800);
+/// Most writes under way.
+const MOST_AT_ONCE: usize = 8;
+/// Another write leaves beside one that has had no answer for so long: sooner, what comes up meanwhile goes together into the next, which saves calls.
+const BESIDE_AFTER: Duration = Duration::from_millis(20);
+/// While the store has answered nothing for so long, more than one write at a time would ask it in vain.
+const LATELY: Duration = Duration::from_millis(500);
+
+/// What the writes of one scheduler share.
+struct Writer {
+    parts: Parts,
+    active: Arc<Active>,
+    answer_time: Mutex<AnswerTime>,
+    backoff: Mutex<Backoff>,
+    /// Holds a token when a write is over.
+    over: (Sender<()>, Receiver<()>),
+}
 
 /// Writes until another scheduler is found in the store, or until it is dropped.
 pub(crate) async fn run(parts: Parts, active: Arc<Active>) {
-    let mut backoff = Backoff::new();
+    let writer = Arc::new(Writer {
+        parts,
+        active: Arc::clone(&active),
+        answer_time: Mutex::new(AnswerTime::at_most(WRITE_LIMIT)),
+        backoff: Mutex::new(Backoff::new()),
+        over: smol::channel::bounded(1),
+    });
+    let mut under_way: Vec<smol::Task<()>> = Vec::new();
     loop {
-        let batch = next_batch(&active);
-        let Some(batch) = batch else {
-            active.changed().await;
-            continue;
-        };
-        let transaction = transaction(&parts, &active, &batch);
-        match parts.view.unless_back(parts.store.commit(transaction, WRITE_LIMIT)).await {
-            Ok(Committed::Done(revision)) => {
-                backoff.reset();
+        under_way.retain(|write| !write.is_finished());
+        if !under_way.is_empty() {
+            let over = async {
+                let _ = writer.over.1.recv().await;
+            };
+            if under_way.len() >= MOST_AT_ONCE || !writer.store_answers() {
+                over.await;
+                continue;
+            }
+            at_most(BESIDE_AFTER, over).await;
+        }
+        match next_batch(&active) {
+            Some(batch) => under_way.push(smol::spawn(Arc::clone(&writer).write(batch))),
+            None => active.changed().await,
+        }
+    }
+}
+
+impl Writer {
+    /// Whether the store has answered lately.
+    fn store_answers(&self) -> bool {
+        self.parts.view.store_age().is_some_and(|age| age < LATELY)
+    }
+
+    /// Makes one write; what it has not stored is given again.
+    async fn write(self: Arc<Writer>, batch: Batch) {
+        let Writer { parts, active, .. } = &*self;
+        let transaction = transaction(parts, active, &batch);
+        let limit = self.lock().limit();
+        let sent = parts.view.clock().now();
+        let result = parts.view.unless_back(parts.store.commit(transaction, limit)).await;
+        let took = parts.view.clock().now().since(sent);
+        match &result {
+            Ok(_) => {
+                self.lock().answered(took);
+                self.backoff.lock().expect("no holder panics").reset();
                 parts.view.store_answered();
+            }
+            Err(StoreError::Lost { .. }) => self.lock().not_answered(),
+            Err(StoreError::Refused { .. }) => {}
+        }
+        match result {
+            Ok(Committed::Done(revision)) => {
                 let acknowledged = active.update(|scheduler| scheduler.stored(batch, revision));
                 active.links.tell_stored(&acknowledged);
             }
+            Ok(Committed::Conflict(items)) if !holds_key(active, &items) => {
+                log::info!("event=deposed fence={} why=scheduler_key_changed", active.fence);
+                active.depose();
+            }
             Ok(Committed::Conflict(items)) => {
-                if !holds_key(&active, &items) {
-                    log::info!("event=deposed fence={} why=scheduler_key_changed", active.fence);
-                    active.depose();
-                    return;
-                }
-                evacuation::take_found(&parts, &active, &batch.places_in, &items);
-                active.lock().found_in_store(&revisions_found(&batch, &items));
+                evacuation::take_found(parts, active, &batch.places_in, &items);
+                let found = revisions_found(&batch, &items);
+                active.update(|scheduler| {
+                    scheduler.found_in_store(&found);
+                    scheduler.not_stored(&batch);
+                });
             }
-            Ok(Committed::LeaseGone) => backoff.wait().await,
+            Ok(Committed::LeaseGone) => self.give_back(&batch).await,
             Err(e) => {
                 let doubt = matches!(e, StoreError::Lost { .. });
                 log::info!(
-                    "event=write_failed fence={} entries={} doubt={doubt} why={e}",
+                    "event=write_failed fence={} entries={} doubt={doubt} limit_ms={} why={e}",
                     active.fence,
-                    batch.entries.len()
+                    batch.entries.len(),
+                    limit.millis()
                 );
-                backoff.wait().await;
+                self.give_back(&batch).await;
             }
         }
+        // A full channel holds the news already.
+        let _ = self.over.0.try_send(());
+    }
+
+    /// What was not stored is written again, after a pause.
+    async fn give_back(&self, batch: &Batch) {
+        let next = self.backoff.lock().expect("no holder panics").next();
+        pause(next).await;
+        self.active.update(|scheduler| scheduler.not_stored(batch));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, AnswerTime> {
+        self.answer_time.lock().expect("no holder panics")
     }
 }
 
 /// As many occurrences as fit in one call: each takes a condition and a write, beside one condition for the scheduler's
 /// key and one for each availability zone.
 fn next_batch(active: &Active) -> Option<Batch> {
-    let scheduler = active.lock();
+    let mut scheduler = active.lock();
     let conditions = 1 + scheduler.availability_zones();
     scheduler.next_batch((MOST_IN_A_CALL.saturating_sub(conditions) / 2).max(1))
 }
--- a/crates/scheduler/src/batch.rs
+++ b/crates/scheduler/src/batch.rs
@@ -42,13 +42,14 @@
 
     /// What should be stored next, at most `most` entries; `None` if everything is stored.
     ///
-    /// Only one batch may be under way at a time. The same changes are given again until
-    /// [`Scheduler::stored`] is told of them, so that a write without an answer is made up for by the next:
-    /// either it took effect, which the next finds by its conflict, or the next makes its condition false.
-    pub fn next_batch(&self, most: usize) -> Option<Batch> {
+    /// Several batches may be under way, each occurrence in one of them: the writes of one follow each other, and one that gets no answer holds up no
+    /// other. What is in a batch is given again once [`Scheduler::not_stored`] is told of it, so that a write without an answer is made up for by
+    /// the next: either it took effect, which the next finds by its conflict, or the next makes its condition false.
+    pub fn next_batch(&mut self, most: usize) -> Option<Batch> {
         let mut tasks = 0;
         let mut entries: Vec<Entry> = Vec::new();
-        for entry in self.dirty.iter().filter_map(|id| self.entry(id)).take(most) {
+        let free = self.dirty.iter().filter(|id| !self.under_way.contains(id));
+        for entry in free.filter_map(|id| self.entry(id)).take(most) {
             tasks += entry.progress.groups.iter().map(Vec::len).sum::<usize>();
             if tasks > MOST_TASKS && !entries.is_empty() {
                 break;
@@ -59,9 +60,17 @@
             return None;
         }
         let places_in = entries.iter().flat_map(|entry| self.places_in(entry.occurrence)).collect();
+        self.under_way.extend(entries.iter().map(|entry| entry.occurrence));
         Some(Batch { entries, places_in })
     }
 
+    /// A batch was not stored, or nothing is known of it.
+    pub fn not_stored(&mut self, batch: &Batch) {
+        for entry in &batch.entries {
+            self.under_way.remove(&entry.occurrence);
+        }
+    }
+
     /// Where an occurrence has members that were not ordered yet.
     fn places_in(&self, id: OccurrenceId) -> impl Iterator<Item = AvailabilityZoneId> {
         let members = self.occurrence(id).groups.iter().flatten().flat_map(|group| &group.members);
@@ -85,6 +94,7 @@
         let mut acknowledged = Vec::new();
         for entry in batch.entries {
             let id = entry.occurrence;
+            self.under_way.remove(&id);
             self.entry_stored(entry, revision);
             acknowledged.extend(self.acknowledge_held_by(id));
         }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -92,6 +92,8 @@
     last_look: Moment,
     /// Occurrences whose progress the store does not hold as it is.
     pub(crate) dirty: Unstored,
+    /// Occurrences of which a write is under way.
+    pub(crate) under_way: BTreeSet<OccurrenceId>,
     /// Occurrences that may have starts to send since the store took their progress.
     pub(crate) unsent: BTreeSet<OccurrenceId>,
     pub(crate) orders: Vec<Order>,
@@ -136,6 +138,7 @@
             last_look: elected,
             servers: BTreeMap::new(),
             dirty: Unstored::default(),
+            under_way: BTreeSet::new(),
             unsent: BTreeSet::new(),
             orders: Vec::new(),
             upkeep: Upkeep::default(),
--- a/crates/scheduler/tests/common/events.rs
+++ b/crates/scheduler/tests/common/events.rs
@@ -76,6 +76,7 @@
     },
     WriteLost {
         leader: usize,
+        batch: Batch,
     },
     Note {
         leader: usize,
@@ -168,7 +169,10 @@
                 }
             }
             Event::Written { leader, batch, result } => self.on_written(leader, batch, result),
-            Event::WriteLost { leader } => self.leaders[leader].writing = false,
+            Event::WriteLost { leader, batch } => {
+                self.leaders[leader].writing -= 1;
+                self.leaders[leader].scheduler.not_stored(&batch);
+            }
             Event::Note { leader, write, answered } => {
                 let result = self.write_note(leader, &write);
                 if answered {
@@ -284,13 +288,14 @@
 
     fn on_written(&mut self, index: usize, batch: Batch, result: Result<Revision, BTreeMap<OccurrenceId, Revision>>) {
         let leader = &mut self.leaders[index];
-        leader.writing = false;
+        leader.writing -= 1;
         match result {
             Ok(revision) => {
                 leader.scheduler.stored(batch, revision);
             }
             Err(found) if leader.fence == self.holder => {
                 leader.scheduler.found_in_store(&found);
+                leader.scheduler.not_stored(&batch);
                 self.on_evacuations_told(index);
             }
             Err(_) => leader.alive = false,
--- a/crates/scheduler/tests/common/leading.rs
+++ b/crates/scheduler/tests/common/leading.rs
@@ -10,6 +10,9 @@
     world::{ClockReading, LEASE_MS, STEP_MS, World},
 };
 
+/// Writes of one scheduler under way, each of other jobs.
+const WRITES_AT_ONCE: usize = 3;
+
 impl World {
     pub(crate) fn run_leader(&mut self, i: usize) {
         let now = self.moment();
@@ -27,15 +30,15 @@
     }
 
     pub(crate) fn write_next(&mut self, i: usize) {
-        if self.leaders[i].writing || self.now < self.store_down_until {
+        if self.leaders[i].writing >= WRITES_AT_ONCE || self.now < self.store_down_until {
             return;
         }
         let Some(batch) = self.leaders[i].scheduler.next_batch(4) else { return };
-        self.leaders[i].writing = true;
+        self.leaders[i].writing += 1;
         if self.now < self.lose_writes_until && self.rng.bool() {
             let late = if self.rng.bool() { STEP_MS } else { 1000 + self.rng.u64(..5000) };
-            self.after(late, Event::Write { leader: i, batch, answered: false });
-            self.after(300, Event::WriteLost { leader: i });
+            self.after(late, Event::Write { leader: i, batch: batch.clone(), answered: false });
+            self.after(300, Event::WriteLost { leader: i, batch });
         } else {
             self.after(STEP_MS, Event::Write { leader: i, batch, answered: true });
         }
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -22,7 +22,8 @@
     pub(crate) scheduler: Scheduler,
     pub(crate) fence: Fence,
     pub(crate) alive: bool,
-    pub(crate) writing: bool,
+    /// How many writes are under way.
+    pub(crate) writing: usize,
     /// A note of what it has not reached is on its way to the store.
     pub(crate) noting: bool,
     /// Availability zones that it knows to be evacuated.
@@ -191,7 +192,7 @@
             scheduler,
             fence: self.holder,
             alive: true,
-            writing: false,
+            writing: 0,
             noting: false,
             evacuated,
             renews_until: u64::MAX,
--- a/crates/scheduler/tests/storing.rs
+++ b/crates/scheduler/tests/storing.rs
@@ -75,3 +75,39 @@
     assert!(batch.entries[0].progress.done());
     assert_eq!(running[1].run, RunNumber(1));
 }
+
+/// A write that gets no answer holds up its own jobs alone.
+#[test]
+fn writes_under_way_are_of_different_jobs() {
+    let mut fixture = Fixture::new(8);
+    for id in 1..=6 {
+        fixture.submit(job_in("urgent", id, vec![step(1, 8)]));
+    }
+    fixture.scheduler.plan(fixture.now, fixture.now.millis());
+    let first = fixture.scheduler.next_batch(2).expect("six wait");
+    let second = fixture.scheduler.next_batch(2).expect("four wait");
+    let jobs = |batch: &scheduler::Batch| batch.entries.iter().map(|entry| entry.occurrence).collect::<Vec<_>>();
+    assert!(jobs(&first).iter().all(|id| !jobs(&second).contains(id)));
+    // The answer to the second comes; the first is still waited for.
+    fixture.scheduler.stored(second, model::Revision(7));
+    let third = fixture.scheduler.next_batch(9).expect("two wait");
+    assert_eq!(third.entries.len(), 2);
+    assert!(fixture.scheduler.next_batch(9).is_none(), "all are under way or stored");
+    fixture.scheduler.not_stored(&first);
+    let again = fixture.scheduler.next_batch(9).expect("the first was lost");
+    assert_eq!(jobs(&again), jobs(&first));
+}
+
+/// What changes while its write is under way is written once more, after it.
+#[test]
+fn a_change_during_a_write_waits_for_its_answer() {
+    let mut fixture = Fixture::new(2);
+    fixture.submit(job_in("urgent", 1, vec![step(1, 8)]));
+    fixture.scheduler.plan(fixture.now, fixture.now.millis());
+    let placed = fixture.scheduler.next_batch(9).expect("it was placed");
+    fixture.scheduler.cancel(jobs::JobId(1), fixture.now);
+    assert!(fixture.scheduler.next_batch(9).is_none(), "its write is under way");
+    fixture.scheduler.stored(placed, model::Revision(7));
+    let stopped = fixture.scheduler.next_batch(9).expect("it has changed since");
+    assert_eq!(stopped.entries[0].replaces, model::Revision(7));
+}
