Take on as many backend servers as a box bears, and no more

Cause: one box carries all, whatever it has. Now a box holds links to what runs something, which it must, and to as many others as its memory (45 KB each), descriptors and share of a core bear, in whole racks; connections for orders are kept only as far as descriptors go. What it costs: nothing where a box bears all (1 core, 1,024 MB, 16,384 descriptors: 12,000; 0.25 core, 260 MB, 4,100: 3,000). Said by event=carries_a_part and the gauge of held ones. Tests: what boxes of four sizes take on.

--- a/crates/martend/src/deployment/settings.rs
+++ b/crates/martend/src/deployment/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use model::{AvailabilityZoneId, BoxId, CheckError, Duration, JsonPath};
+use runtime::carrying::Carrying;
 use scheduler::{Timing, Tuning};
 use serde::{Deserialize, Serialize};
 
@@ -57,6 +58,9 @@
     /// Memory that the box's process may take, in MB.
     #[serde(default = "much_memory")]
     pub memory_mb: f64,
+    /// Descriptors that the box's process may take.
+    #[serde(default = "many_descriptors")]
+    pub descriptors: usize,
     /// The shortest lease of the store, in milliseconds.
     pub shortest_ttl_ms: u64,
     /// The longest lease that a backend server grants, in milliseconds.
@@ -121,6 +125,7 @@
                 cpu_share: raw.cpu_share,
                 link_mbps: raw.link_mbps,
                 memory_mb: raw.memory_mb,
+                carrying: Carrying::of(raw.cpu_share, raw.memory_mb, raw.descriptors),
                 election_ttl,
                 watch_wait: WATCH_WAIT,
                 store_silence: STORE_SILENCE,
@@ -155,6 +160,7 @@
     if raw.link_mbps.is_nan() || raw.link_mbps <= 0.0 {
         return Err(CheckError::new(&path.field("link_mbps"), raw.link_mbps, "allowed is more than 0"));
     }
+    within(&path, "descriptors", raw.descriptors as u64, 256, 10_000_000)?;
     if raw.memory_mb.is_nan() || raw.memory_mb <= 0.0 {
         return Err(CheckError::new(&path.field("memory_mb"), raw.memory_mb, "allowed is more than 0"));
     }
@@ -171,6 +177,10 @@
 }
 
 /// Memory of which the settings tell nothing is taken for enough.
+fn many_descriptors() -> usize {
+    16_384
+}
+
 fn much_memory() -> f64 {
     1024.0
 }
--- a/crates/runtime/src/directory.rs
+++ b/crates/runtime/src/directory.rs
@@ -55,7 +55,12 @@
         let id = parts.decoder.server_of_key(&item.key);
         id.is_some_and(|id| active.lock().is_busy(&id))
     };
-    let (first, rest): (Vec<&Item>, Vec<&Item>) = items.iter().partition(busy);
+    let (first, mut rest): (Vec<&Item>, Vec<&Item>) = items.iter().partition(busy);
+    if !active.links.has_room_for(items.len()) {
+        // Whole racks, of which a gang may ask for one.
+        rest.sort_by_cached_key(|item| parts.decoder.server(item).map(|server| server.info.rack).ok());
+        log::warn!("event=carries_a_part fence={} listed={}", active.fence, items.len());
+    }
     for item in first.into_iter().chain(rest) {
         take(parts, active, listed, item);
     }
@@ -70,7 +75,7 @@
     match read(parts, listed, item) {
         Ok(server) => {
             let id = server.target.id.clone();
-            if listed.get(&id) == Some(&server) && active.links.is_open(&id) {
+            if listed.get(&id) == Some(&server) && (active.links.is_open(&id) || !may_open(active, &id)) {
                 return;
             }
             take_server(parts, active, server.clone());
@@ -97,7 +102,14 @@
     let now = parts.view.clock().now();
     let ListedServer { target, info } = server;
     active.update(|scheduler| scheduler.server_listed(target.id.clone(), info, now));
-    active.links.open(&target, active);
+    if may_open(active, &target.id) {
+        active.links.open(&target, active);
+    }
+}
+
+/// Whether a backend server may have a link: what it runs must be renewed, however many the box carries.
+fn may_open(active: &Active, id: &BackendServerId) -> bool {
+    active.links.has_room() || active.lock().is_busy(id)
 }
 
 fn remove(parts: &Parts, active: &Arc<Active>, listed: &mut Listed, key: &str) {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod answer_time;
 pub mod border;
 mod box_list;
+pub mod carrying;
 mod cleaner;
 mod configuration;
 mod configuration_watch;
--- a/crates/runtime/src/links.rs
+++ b/crates/runtime/src/links.rs
@@ -44,6 +44,8 @@
     parts: Parts,
     /// How long each renewal keeps what runs.
     lease: Duration,
+    /// Most links, but for those to backend servers that run something.
+    most: usize,
     table: Mutex<Table>,
     first_calls: Arc<Turns>,
 }
@@ -55,14 +57,35 @@
 }
 
 impl Links {
-    pub(crate) fn new(parts: Parts, lease: Duration) -> Links {
-        Links { parts, lease, table: Mutex::default(), first_calls: Arc::new(Turns::new(FIRST_CALLS, FIRST_TURN)) }
+    pub(crate) fn new(parts: Parts, lease: Duration, most: usize) -> Links {
+        Links {
+            parts,
+            lease,
+            most,
+            table: Mutex::default(),
+            first_calls: Arc::new(Turns::new(FIRST_CALLS, FIRST_TURN)),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Table> {
         self.table.lock().expect("no holder panics")
     }
 
+    /// Whether the box can carry one more backend server.
+    pub(crate) fn has_room(&self) -> bool {
+        self.lock().by_id.len() < self.most
+    }
+
+    /// Whether it can carry so many in all.
+    pub(crate) fn has_room_for(&self, servers: usize) -> bool {
+        servers <= self.most
+    }
+
+    /// How many links there are.
+    pub(crate) fn len(&self) -> usize {
+        self.lock().by_id.len()
+    }
+
     /// Opens a link unless there is one. A backend server that comes back under its id may do so at another address.
     pub(crate) fn open(&self, target: &Target, active: &Arc<Active>) {
         let mut table = self.lock();
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -59,6 +59,8 @@
     pub servers: Option<usize>,
     /// Backend servers not heard under this fence.
     pub unheard_servers: Option<usize>,
+    /// Backend servers that this box holds links to. Fewer than are known where it cannot carry all.
+    pub held_servers: Option<usize>,
     /// Occurrences of which something could start and is held back, or finds no room.
     pub waiting: Option<usize>,
     /// Occurrences whose progress the store does not hold yet.
@@ -149,6 +151,7 @@
             open_jobs: counts.map(|counts| counts.open_jobs),
             servers: counts.map(|counts| counts.servers),
             unheard_servers: counts.map(|counts| counts.unheard_servers),
+            held_servers: self.active.get().map(|active| active.links.len()),
             waiting: counts.map(|counts| counts.waiting),
             unstored: counts.map(|counts| counts.unstored),
             evacuations: self.evacuations(),
@@ -183,6 +186,7 @@
         set("martenscale_open_jobs", Some(number(status.open_jobs).unwrap_or(0.0)));
         set("martenscale_servers", Some(number(status.servers).unwrap_or(0.0)));
         set("martenscale_unheard_servers", Some(number(status.unheard_servers).unwrap_or(0.0)));
+        set("martenscale_held_servers", Some(number(status.held_servers).unwrap_or(0.0)));
         set("martenscale_waiting_occurrences", Some(number(status.waiting).unwrap_or(0.0)));
         set("martenscale_unstored_occurrences", Some(number(status.unstored).unwrap_or(0.0)));
         let evacuations = status.evacuations.unwrap_or_default();
