Tell operators how fast backend servers work

The status of the box that schedules tells of how many the speed is known, how much more they differ than by chance, whether urgent work goes by it, and the ten slowest with factor, runs and age; a gauge tells the spread.

--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -4,7 +4,7 @@
 
 use model::{AvailabilityZoneId, BoxId, Duration};
 use outside::{Clock, CoordinationStore};
-use scheduler::EvacuationStatus;
+use scheduler::{EvacuationStatus, SpeedSummary};
 use serde::Serialize;
 use smol::net::TcpListener;
 use wire::relay::relay_server::RelayServer;
@@ -65,6 +65,8 @@
     pub waiting: Option<usize>,
     /// Occurrences whose progress the store does not hold yet.
     pub unstored: Option<usize>,
+    /// How fast backend servers work.
+    pub speeds: Option<SpeedSummary>,
     /// Availability zones where nothing starts.
     pub evacuations: Option<Vec<EvacuationStatus>>,
 }
@@ -154,6 +156,7 @@
             held_servers: self.active.get().map(|active| active.links.len()),
             waiting: counts.map(|counts| counts.waiting),
             unstored: counts.map(|counts| counts.unstored),
+            speeds: self.active.get().map(|active| active.lock().speeds(self.view.clock().now())),
             evacuations: self.evacuations(),
         }
     }
@@ -189,6 +192,7 @@
         set("martenscale_held_servers", Some(number(status.held_servers).unwrap_or(0.0)));
         set("martenscale_waiting_occurrences", Some(number(status.waiting).unwrap_or(0.0)));
         set("martenscale_unstored_occurrences", Some(number(status.unstored).unwrap_or(0.0)));
+        set("martenscale_speed_spread", Some(status.speeds.map_or(0.0, |speeds| speeds.spread)));
         let evacuations = status.evacuations.unwrap_or_default();
         set("martenscale_evacuated_zones", Some(evacuations.len() as f64));
         set("martenscale_evacuated_running_tasks", Some(evacuations.iter().map(|e| e.running_tasks as f64).sum()));
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -63,7 +63,7 @@
     policy::{Advice, CustomerPolicy, Policy, QueuePolicy, ServiceId},
     scheduler::{Counts, Scheduler},
     server::{Place, ServerInfo},
-    speed::SpeedReport,
+    speed::{SpeedReport, SpeedSummary},
     timing::Timing,
     tuning::Tuning,
     unreached::{UnreachedNote, UnreachedWrite},
--- a/crates/scheduler/src/speed.rs
+++ b/crates/scheduler/src/speed.rs
@@ -212,21 +212,55 @@
 pub struct SpeedReport {
     /// The backend server.
     pub server: BackendServerId,
-    /// How many times as long as elsewhere a run takes there, as far as is known.
+    /// How many times as long as on the mean of the fleet a run takes there, as far as is known.
     pub factor: f64,
     /// Runs that this rests on.
     pub runs: u32,
-    /// When the latest of them told; `None` if nothing is known.
-    #[serde(skip)]
-    pub at: Option<Moment>,
+    /// Since the latest of them told, in milliseconds; `None` if nothing is known.
+    pub age_ms: Option<u64>,
 }
 
+/// How much backend servers differ, for people.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct SpeedSummary {
+    /// Backend servers of which something is known.
+    pub known: usize,
+    /// How much more they differ than by chance, as a ratio of variances; about 1 if they are alike.
+    pub spread: f64,
+    /// Whether urgent work goes by it.
+    pub in_use: bool,
+    /// The slowest, from the slowest on.
+    pub slowest: Vec<SpeedReport>,
+}
+
+/// So many of the slowest backend servers are told of.
+const SLOWEST_TOLD: usize = 10;
+
 impl Scheduler {
     /// How fast a backend server works; `None` if it is not known.
-    pub fn speed(&self, id: &BackendServerId) -> Option<SpeedReport> {
+    pub fn speed(&self, id: &BackendServerId, now: Moment) -> Option<SpeedReport> {
         let speed = self.servers.get(id)?.speed;
-        let (Speed { runs, at, .. }, factor) = (speed, speed.beside(&self.fleet_speed).exp());
-        Some(SpeedReport { server: id.clone(), factor, runs, at: (runs > 0).then_some(at) })
+        Some(SpeedReport {
+            server: id.clone(),
+            factor: speed.beside(&self.fleet_speed).exp(),
+            runs: speed.runs,
+            age_ms: (speed.runs > 0).then(|| now.since(speed.at).millis()),
+        })
+    }
+
+    /// How much backend servers differ.
+    pub fn speeds(&self, now: Moment) -> SpeedSummary {
+        let known = self.servers.iter().filter(|(_, server)| server.speed.runs > 0);
+        let mut slowest: Vec<(f64, &BackendServerId)> =
+            known.map(|(id, server)| (server.speed.beside(&self.fleet_speed), id)).collect();
+        slowest.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let report = |&(_, id): &(f64, &BackendServerId)| self.speed(id, now);
+        SpeedSummary {
+            known: self.fleet_speed.known,
+            spread: self.fleet_speed.spread(),
+            in_use: self.fleet_speed.differ && self.timing.tuning.speed,
+            slowest: slowest.iter().take(SLOWEST_TOLD).filter_map(report).collect(),
+        }
     }
 
     /// A run has told how far it has come.
@@ -292,7 +326,7 @@
             let after = server.speed;
             all_move |= self.fleet_speed.note(&before, &after);
             if after.class(&self.fleet_speed) != class {
-                self.say_speed(id);
+                self.say_speed(id, now);
                 self.touch(id);
             }
         }
@@ -316,8 +350,8 @@
         all.iter().for_each(|id| self.touch(id));
     }
 
-    fn say_speed(&self, id: &BackendServerId) {
-        let Some(SpeedReport { factor, runs, .. }) = self.speed(id) else { return };
+    fn say_speed(&self, id: &BackendServerId, now: Moment) {
+        let Some(SpeedReport { factor, runs, .. }) = self.speed(id, now) else { return };
         let class = self.servers[id].speed.class(&self.fleet_speed);
         log::info!("server={id} event=speed class={class:?} factor={factor:.2} runs={runs}");
     }
--- a/crates/scheduler/tests/speed.rs
+++ b/crates/scheduler/tests/speed.rs
@@ -72,7 +72,7 @@
     }
 
     fn report(&self, i: usize) -> SpeedReport {
-        self.fixture.scheduler.speed(&server_id(i)).expect("it is known")
+        self.fixture.scheduler.speed(&server_id(i), self.fixture.now).expect("it is known")
     }
 
     /// The slowest of these backend servers.
@@ -99,6 +99,9 @@
 fn a_third_of_the_fleet_is_slow_and_urgent_gangs_keep_off_it() {
     let mut fleet = Fleet::new(&a_third_slow(12));
     teach(&mut fleet, 2);
+    let summary = fleet.fixture.scheduler.speeds(fleet.fixture.now);
+    assert!(summary.in_use && summary.known == 12 && summary.spread > 2.0, "{summary:?}");
+    assert!(summary.slowest[0].factor > 1.3 && summary.slowest[0].age_ms.is_some(), "{summary:?}");
     for _ in 0..5 {
         let places = fleet.run("urgent", gang(6, 8), 1.0);
         assert!(fleet.slowest(&places) < 1.0, "{places:?}");
--- a/xtask/src/plans.rs
+++ b/xtask/src/plans.rs
@@ -29,7 +29,7 @@
         "{:>15} {:>15} {:>20} {:>20} {:>20} {:>20}\n",
         "backend servers", "groups waiting", "nothing moved, us", "one end, us", "64 placed, us", "gang makes room, us"
     );
-    for servers in [50, 350, 1100, 3000] {
+    for servers in [50, 350, 1100, 3000, 6000, 12_000] {
         for waiting in [100, 1000, 10_000] {
             let mut bed = Bed::new(servers, Tuning::default());
             bed.fill();
