Measure restored runs from when they are heard, and let few boxes all watch the store

A new scheduler took runs of the one before for begun at its election, so that those that were further looked fast: in the test, backend servers of equal speed came out at 1.5 after one election. Now such runs are measured from the first word on (fails before, passes after). Of few boxes, one that was silent as it was asked was not named and went through others for 15 s, though all were to watch the store as before.

--- a/crates/runtime/src/relay_boxes.rs
+++ b/crates/runtime/src/relay_boxes.rs
@@ -45,9 +45,9 @@
         RelayBoxes { of: boxes.len(), named: named.collect() }
     }
 
-    /// Whether boxes that are not named themselves ask one that is, in place of the store.
+    /// Whether a box asks one that is named, in place of the store. Where boxes are few, one that is not named was only silent as it was asked.
     pub fn stand_between(&self, here: &BoxId) -> bool {
-        self.of > self.named.len() && !self.named.contains_key(here)
+        self.of > LEAST && !self.named.contains_key(here)
     }
 
     /// Whom a box asks first, second and so on: those of its own availability zone before the others, since bytes between zones are
--- a/crates/runtime/tests/relay_boxes.rs
+++ b/crates/runtime/tests/relay_boxes.rs
@@ -55,6 +55,15 @@
     }
 }
 
+/// One of a few boxes that did not answer when they were named is not named, and watches the store all the same.
+#[test]
+fn a_box_that_was_silent_among_few_watches_the_store() {
+    let mut left = boxes(8);
+    left.remove(&id(3));
+    let relay_boxes = RelayBoxes { of: 8, ..RelayBoxes::choose(&left) };
+    assert!(!relay_boxes.stand_between(&id(3)));
+}
+
 #[test]
 fn wide_links_are_named_first() {
     let relay_boxes = RelayBoxes::choose(&boxes(586));
--- a/crates/scheduler/src/live.rs
+++ b/crates/scheduler/src/live.rs
@@ -72,7 +72,13 @@
 
     /// A task that an earlier scheduler placed, found by one elected at `elected`.
     pub(crate) fn restored(placed: &Placed, elected: Moment) -> Member {
-        Member { phase: Phase::Restored, settled: Some(elected), pace: Pace::unknown(), ..Member::planned(placed) }
+        Member {
+            phase: Phase::Restored,
+            settled: Some(elected),
+            pace: Pace::unknown(),
+            measured: Measured::BegunBefore,
+            ..Member::planned(placed)
+        }
     }
 }
 
--- a/crates/scheduler/src/speed.rs
+++ b/crates/scheduler/src/speed.rs
@@ -191,6 +191,8 @@
 pub(crate) enum Measured {
     /// Nothing yet.
     NotYet,
+    /// Nothing, and it had begun before this scheduler was elected: how long ago is not known.
+    BegunBefore,
     /// So much was done at that time.
     From(Moment, u32),
     /// Its speed has been taken in.
@@ -278,7 +280,7 @@
                 let whole_s = now.since(from).secs_f64() * 100.0 / f64::from(percent - done);
                 self.learn_speed(name, id, whole_s, now);
             }
-            Measured::NotYet if percent > 0 => member.measured = Measured::From(now, percent),
+            Measured::NotYet | Measured::BegunBefore if percent > 0 => member.measured = Measured::From(now, percent),
             _ => {}
         }
     }
--- a/crates/scheduler/tests/speed.rs
+++ b/crates/scheduler/tests/speed.rs
@@ -192,3 +192,23 @@
     fleet.fixture.crash_and_return(&server_id(1));
     assert_eq!(fleet.report(1).runs, 0);
 }
+
+/// A new scheduler finds runs that are on their way and does not know when each began: taken for begun at its election, those that are further would look
+/// fast.
+#[test]
+fn runs_of_an_earlier_scheduler_are_measured_from_when_they_are_heard() {
+    let mut fleet = Fleet::new(&[1.0; 12]);
+    fleet.fixture.submit(job_in("urgent", 1, vec![step(12, 8)]));
+    let going = fleet.fixture.start_all();
+    fleet.fixture.percent = 0;
+    fleet.fixture.elect_anew();
+    let even = |id: &BackendServerId| (0..12).step_by(2).any(|i| server_id(i) == *id);
+    for told in [0, 40] {
+        fleet.fixture.now = fleet.fixture.now + Duration::from_millis(800);
+        fleet.tell(&going, |id| told + if even(id) { 15 } else { 45 });
+    }
+    for i in 0..12 {
+        let report = fleet.report(i);
+        assert!((0.9..1.1).contains(&report.factor) && report.runs > 0, "{i}: {report:?}");
+    }
+}
