Start tasks again on fast backend servers

Cause: a task whose run was lost or failed was placed like any other work that can wait, without regard to speed.

Ruled out: late answers of witnesses, as suspected before.

Change: work that starts again takes fast backend servers first, as urgent work does.

Measured: speed.rs fails before (the task starts on s01, one of the slow third) and passes after.

--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use jobs::{OccurrenceId, Resources, Step, StepId};
+use jobs::{OccurrenceId, Resources, RunNumber, Step, StepId};
 use model::{BackendServerId, Duration, Moment};
 
 use crate::{
@@ -76,6 +76,9 @@
     pub(crate) service: &'a ServiceId,
     /// Whether runs may be preempted for it.
     pub(crate) urgent: bool,
+    /// Whether it takes fast backend servers first: it is urgent, or starts again, and the rest of its job has been
+    /// under way since its first start.
+    pub(crate) prefers_fast: bool,
     /// Whether half of the slack of the job is used up.
     pub(crate) slack_half_used: bool,
     /// Whether its occurrence is stalled; it then accepts any backend server that can run it.
@@ -200,6 +203,7 @@
         let last_attempt = candidate.groups.iter().any(|&group| is_last_attempt(&progress[group]));
         let need = step.counted_resources();
         let urgent = queue.priority == 0 || step.long_running;
+        let prefers_fast = urgent || candidate.groups.iter().all(|&group| progress[group].run > RunNumber(0));
         let allowed = queue.permits.map(|_| self.permits.allowed(candidate.step_id(), now));
         let slack_half_used = self.wall_ms(now) >= candidate.half_slack_ms;
         let is_stalled = candidate.is_stalled;
@@ -208,6 +212,7 @@
             need,
             service: &queue.service,
             urgent,
+            prefers_fast,
             slack_half_used,
             is_stalled,
             has_failed,
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -128,7 +128,7 @@
         }
     }
 
-    /// Places a gang; `None` if it has to wait. For an urgent gang, the slowest backend server is as fast as
+    /// Places a gang; `None` if it has to wait. For a gang that prefers fast backend servers, the slowest is as fast as
     /// possible, since a gang ends with its slowest member.
     pub(crate) fn place_gang(
         &self,
@@ -139,7 +139,7 @@
         now: Moment,
     ) -> Option<Placements> {
         let slowest = fleet.slowest();
-        let faster_classes = SpeedClass::ALL.iter().filter(|class| requirements.urgent && **class < slowest);
+        let faster_classes = SpeedClass::ALL.iter().filter(|class| requirements.prefers_fast && **class < slowest);
         let mut faster = faster_classes.filter_map(|class| {
             let part =
                 |server: &ServerCapacity| if server.speed <= *class { part(server) } else { Resources::default() };
@@ -277,10 +277,10 @@
 }
 
 /// Returns the order in which kinds of backend servers are filled: near ones first, then those that are not suspect,
-/// then, for urgent tasks, fast ones.
+/// then, for tasks that prefer them, fast ones.
 fn tiers(requirements: &Requirements<'_>, fleet: &FleetCapacity) -> Vec<(bool, bool, Option<SpeedClass>)> {
     let speeds = match fleet.slowest() {
-        slowest if requirements.urgent && slowest > SpeedClass::Usual => SpeedClass::ALL.map(Some).to_vec(),
+        slowest if requirements.prefers_fast && slowest > SpeedClass::Usual => SpeedClass::ALL.map(Some).to_vec(),
         _ => vec![None],
     };
     let mut tiers = Vec::new();
--- a/crates/scheduler/tests/speed.rs
+++ b/crates/scheduler/tests/speed.rs
@@ -213,3 +213,25 @@
         assert!((0.9..1.1).contains(&report.factor) && report.runs > 0, "{i}: {report:?}");
     }
 }
+
+/// Guards against a step that ends late because of one task: the task's run is lost or fails, and it starts again on
+/// one of the slowest backend servers while fast ones are free. The job's next step waits for it.
+#[test]
+fn a_task_that_starts_again_takes_a_fast_server() {
+    let mut fleet = Fleet::new(&a_third_slow(12));
+    train(&mut fleet, 2);
+    for i in 0..3 {
+        // The other tasks fill the backend servers before the slow one with index 3 i + 1.
+        fleet.fixture.submit(job_in("batch", fleet.next_job, vec![step(3 * i + 1, 8)]));
+        fleet.next_job += 1;
+        let open_runs = fleet.fixture.start_all();
+        fleet.fixture.complete(&open_runs[0], CompletionKind::Failed);
+        let again = fleet.fixture.start_all();
+        assert_eq!(again.len(), 1);
+        assert!(fleet.factors[&again[0].server] < 1.0, "{}", again[0].server);
+        for start in open_runs[1..].iter().chain(&again) {
+            fleet.fixture.complete(start, CompletionKind::Done);
+        }
+        fleet.fixture.store_all();
+    }
+}
