Limit the preference for fast servers to the last tasks of a step

Cause: let all work that starts again take fast backend servers, preempted gangs too, where only what a job waits for alone gains by it.

Change: only independent tasks that start again and are all that is left of their step prefer fast backend servers.

Measured: speed.rs fails without the rule (the task starts on s01).

--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use jobs::{OccurrenceId, Resources, RunNumber, Step, StepId};
+use jobs::{GroupProgress, OccurrenceId, Resources, RunNumber, Step, StepId};
 use model::{BackendServerId, Duration, Moment};
 
 use crate::{
@@ -76,8 +76,8 @@
     pub(crate) service: &'a ServiceId,
     /// Whether runs may be preempted for it.
     pub(crate) urgent: bool,
-    /// Whether it takes fast backend servers first: it is urgent, or starts again, and the rest of its job has been
-    /// under way since its first start.
+    /// Whether independent tasks take fast backend servers first: they are urgent, or they start again and all else of
+    /// their step is done, so that the job waits for them alone.
     pub(crate) prefers_fast: bool,
     /// Whether half of the slack of the job is used up.
     pub(crate) slack_half_used: bool,
@@ -203,7 +203,7 @@
         let last_attempt = candidate.groups.iter().any(|&group| is_last_attempt(&progress[group]));
         let need = step.counted_resources();
         let urgent = queue.priority == 0 || step.long_running;
-        let prefers_fast = urgent || candidate.groups.iter().all(|&group| progress[group].run > RunNumber(0));
+        let prefers_fast = urgent || is_rest_of_step(progress, &candidate.groups);
         let allowed = queue.permits.map(|_| self.permits.allowed(candidate.step_id(), now));
         let slack_half_used = self.wall_ms(now) >= candidate.half_slack_ms;
         let is_stalled = candidate.is_stalled;
@@ -222,3 +222,9 @@
         })
     }
 }
+
+/// Returns whether the groups have run before and are all that is left of their step.
+fn is_rest_of_step(progress: &[GroupProgress], groups: &[usize]) -> bool {
+    let starts_again = |group: usize| progress[group].run > RunNumber(0) && groups.contains(&group);
+    progress.iter().enumerate().all(|(group, state)| state.done || starts_again(group))
+}
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -128,7 +128,7 @@
         }
     }
 
-    /// Places a gang; `None` if it has to wait. For a gang that prefers fast backend servers, the slowest is as fast as
+    /// Places a gang; `None` if it has to wait. For an urgent gang, the slowest backend server is as fast as
     /// possible, since a gang ends with its slowest member.
     pub(crate) fn place_gang(
         &self,
@@ -139,7 +139,7 @@
         now: Moment,
     ) -> Option<Placements> {
         let slowest = fleet.slowest();
-        let faster_classes = SpeedClass::ALL.iter().filter(|class| requirements.prefers_fast && **class < slowest);
+        let faster_classes = SpeedClass::ALL.iter().filter(|class| requirements.urgent && **class < slowest);
         let mut faster = faster_classes.filter_map(|class| {
             let part =
                 |server: &ServerCapacity| if server.speed <= *class { part(server) } else { Resources::default() };
