Keep learned speeds and stop times in the store

A new scheduler treated all backend servers as equally fast until it had measured them again. It now reads them from pages in the platform's store, which the scheduler writes under the fencing token where a class or a factor has changed.

--- a/crates/runtime/src/keys.rs
+++ b/crates/runtime/src/keys.rs
@@ -19,6 +19,8 @@
 pub(crate) const UNREACHABLE: &str = "marten/unreached";
 /// Key of the record of witnesses: backend servers that confirm who schedules.
 pub(crate) const WITNESSES: &str = "marten/witnesses";
+/// Prefix of the pages of what schedulers have learned.
+pub(crate) const LEARNED: &str = "marten/learned/";
 /// Prefix of the list of boxes with their addresses.
 pub(crate) const BOXES: &str = "marten/box/";
 
@@ -86,6 +88,14 @@
     key.strip_prefix(EVACUATIONS)?.parse().ok()
 }
 
+pub(crate) fn learned(page: u32) -> String {
+    format!("{LEARNED}{page}")
+}
+
+pub(crate) fn learned_page(key: &str) -> Option<u32> {
+    key.strip_prefix(LEARNED)?.parse().ok()
+}
+
 pub(crate) fn member_box(id: &BoxId) -> String {
     format!("{BOXES}{id}")
 }
--- a/crates/runtime/src/leader.rs
+++ b/crates/runtime/src/leader.rs
@@ -13,6 +13,7 @@
     context::Context,
     directory, evacuation,
     evacuation_revisions::EvacuationRevisions,
+    learned,
     links::Links,
     maintenance, permits,
     platform::Target,
@@ -54,6 +55,7 @@
     let clock = cx.view.clock();
     let mut scheduler = Scheduler::new(fence, clock.now(), settings.timing.clone(), configuration.policy.clone());
     let evacuations = EvacuationRevisions::default();
+    let mut learned_pages = learned::begin_read(cx, settings.timing.tuning.keep_learned);
     let restored = async {
         // Evacuations come first, since no run may be placed before they are known. The same holds for the records that
         // limit how long to wait for restored runs.
@@ -73,6 +75,7 @@
     };
     let restored = futures_lite::FutureExt::or(restored, expired).await;
     let Some((evacuations_at, submissions_at)) = restored else { return LeaderExit::NotRestored };
+    learned_pages.restore_if_read(cx, &mut scheduler).await;
     let links = Links::new(cx.clone(), settings.capacity.servers);
     let active = Arc::new(Active::new(scheduler, evacuations, links));
     log::info!("event=scheduling fence={fence} revision={submissions_at} {:?}", active.lock().counts());
@@ -96,6 +99,7 @@
         smol::spawn(box_list::publish_relay_boxes(cx.clone(), Arc::clone(&active))),
         smol::spawn(unreachable::run(cx.clone(), Arc::clone(&active))),
         smol::spawn(witnesses::run(cx.clone(), Arc::clone(&active))),
+        smol::spawn(learned::run(cx.clone(), Arc::clone(&active), learned_pages)),
         smol::spawn(cleaner::run(cx.clone(), Arc::clone(&active))),
         smol::spawn(permits::run(cx.clone(), Arc::clone(&active))),
         smol::spawn(maintenance::follow_requests(cx.clone(), Arc::clone(&active))),
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -19,6 +19,7 @@
 mod follow;
 mod keys;
 mod leader;
+mod learned;
 mod link_worker;
 mod links;
 mod maintenance;
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -205,7 +205,8 @@
         set("martenscale_waiting_occurrences", Some(number(status.waiting).unwrap_or(0.0)));
         set("martenscale_standing_occurrences", Some(number(status.stalled).unwrap_or(0.0)));
         set("martenscale_unstored_occurrences", Some(number(status.pending_writes).unwrap_or(0.0)));
-        set("martenscale_speed_spread", Some(status.speeds.map_or(0.0, |speeds| speeds.spread)));
+        set("martenscale_speed_spread", Some(status.speeds.as_ref().map_or(0.0, |speeds| speeds.spread)));
+        set("martenscale_learned_restored_servers", Some(status.speeds.map_or(0.0, |speeds| speeds.restored as f64)));
         let evacuations = status.evacuations.unwrap_or_default();
         set("martenscale_evacuated_zones", Some(evacuations.len() as f64));
         set("martenscale_evacuated_running_tasks", Some(evacuations.iter().map(|e| e.running_tasks as f64).sum()));
--- a/crates/scheduler/src/contact.rs
+++ b/crates/scheduler/src/contact.rs
@@ -31,6 +31,7 @@
         server.update_info(info);
         server.evacuated = evacuated;
         self.plan_requested = true;
+        self.apply_restored_speed(&id, now);
         self.stop_unordered_if_shrunk(&id, now);
         if draining && !was_draining {
             log::info!("server={id} event=draining fence={}", self.fence);
--- a/crates/scheduler/src/headroom.rs
+++ b/crates/scheduler/src/headroom.rs
@@ -36,7 +36,7 @@
 const MAX_STOP_TIME: Duration = Duration::from_millis(3000);
 
 /// Mean time of recent stops, from the decision until the end of the run is listed.
-#[derive(Debug)]
+#[derive(Debug, PartialEq)]
 pub(crate) struct StopDurations {
     mean_s: f64,
 }
@@ -46,6 +46,12 @@
         StopDurations { mean_s: INITIAL_STOP_TIME.secs_f64() }
     }
 
+    /// Makes the mean from that of an earlier scheduler, which counts for `share`.
+    pub(crate) fn restored(mean: Duration, share: f64) -> StopDurations {
+        let initial_s = INITIAL_STOP_TIME.secs_f64();
+        StopDurations { mean_s: initial_s + share * (mean.min(MAX_STOP_TIME).secs_f64() - initial_s) }
+    }
+
     pub(crate) fn mean_s(&self) -> f64 {
         self.mean_s
     }
--- a/crates/scheduler/src/incarnations.rs
+++ b/crates/scheduler/src/incarnations.rs
@@ -26,11 +26,15 @@
                 );
                 self.incarnation_ended(id, previous, now);
             }
-            None => self.end_other_incarnations(id, incarnation, now),
+            None => {
+                self.end_other_incarnations(id, incarnation, now);
+                self.check_restored_speed(id, incarnation);
+            }
         }
         if let Some(server) = self.server_mut(id) {
             server.set_incarnation(incarnation);
         }
+        self.apply_restored_speed(id, now);
     }
 
     /// Ends an incarnation of a backend server, since another one responds under the same id. Idempotent.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -24,6 +24,7 @@
 mod headroom;
 mod health;
 mod incarnations;
+mod learned;
 mod listing;
 mod maintenance;
 mod maintenance_batch;
@@ -60,6 +61,7 @@
     completions::{Completion, CompletionKind, Listing, RunningTask},
     contact::CallFailure,
     evacuation::{EvacuatedBy, EvacuationError, EvacuationStatus},
+    learned::{LearnedPage, LearnedWrite},
     maintenance_batch::{Machine, MachineId, MaintenanceProgress, MaintenanceReply, MaintenanceRequest},
     observations::Observation,
     orders::{Order, StartReply},
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -11,6 +11,7 @@
     evacuation::Evacuations,
     fleet_capacity::FleetCapacity,
     headroom::StopDurations,
+    learned::Learned,
     maintenance::Maintenance,
     observations::Observation,
     orders::Order,
@@ -97,6 +98,8 @@
     pub(crate) fleet_speed: FleetSpeed,
     /// How long recent stops have taken.
     pub(crate) stop_durations: StopDurations,
+    /// What the store holds of the two.
+    pub(crate) learned: Learned,
     /// Whether something has happened that may let a group start.
     pub(crate) plan_requested: bool,
     /// When leases and stops were last checked.
@@ -148,6 +151,7 @@
             stalled: Stalled::default(),
             fleet_speed: FleetSpeed::default(),
             stop_durations: StopDurations::initial(),
+            learned: Learned::new(),
             plan_requested: false,
             last_check: elected,
             servers: BTreeMap::new(),
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -277,6 +277,6 @@
 
 /// Whether two reports of a backend server may come from the same incarnation. A platform that reports no
 /// incarnations gives each an id of its own, so they do if either is unknown.
-fn may_be_same_incarnation(one: Option<Incarnation>, other: Option<Incarnation>) -> bool {
+pub(crate) fn may_be_same_incarnation(one: Option<Incarnation>, other: Option<Incarnation>) -> bool {
     one.zip(other).is_none_or(|(one, other)| one == other)
 }
--- a/crates/scheduler/src/speed.rs
+++ b/crates/scheduler/src/speed.rs
@@ -20,6 +20,10 @@
 const STEP_VARIANCE: f64 = 0.25;
 /// Variance among backend servers before anything is learned about one.
 const SERVER_VARIANCE: f64 = 0.12;
+/// Precision (inverse variance) that a measured run adds at most, and the one of a backend server of which nothing is
+/// learned.
+pub(crate) const RUN_PRECISION: f64 = 1.0 / RUN_VARIANCE;
+pub(crate) const PRIOR_PRECISION: f64 = 1.0 / SERVER_VARIANCE;
 /// Largest precision (inverse variance) of a learned speed. About eight runs count, so that the estimate follows
 /// changes.
 const MAX_PRECISION: f64 = 8.0 / RUN_VARIANCE;
@@ -82,13 +86,35 @@
 
 /// Distance from the mean, in the logarithm of a run's duration, from which on a backend server counts as faster or
 /// slower.
-const CLASS_DISTANCE: f64 = 0.15;
+pub(crate) const CLASS_DISTANCE: f64 = 0.15;
 /// The same distance in standard errors: a difference that rests on few runs is more often chance.
 const CLASS_STANDARD_ERRORS: f64 = 2.0;
 /// Distance from the mean from which on a backend server counts as slowest.
 const SLOWEST_DISTANCE: f64 = 0.4;
 
 impl Speed {
+    /// Makes a speed from the record of an earlier scheduler.
+    pub(crate) fn restored(log_factor: f64, precision: f64, runs: u32, at: Moment) -> Speed {
+        Speed { log_factor, precision, runs, at }
+    }
+
+    pub(crate) fn is_known(&self) -> bool {
+        self.runs > 0
+    }
+
+    pub(crate) fn log_factor(&self) -> f64 {
+        self.log_factor
+    }
+
+    pub(crate) fn measured_at(&self) -> Moment {
+        self.at
+    }
+
+    /// Returns the precision beyond that of a backend server of which nothing is learned.
+    pub(crate) fn learned_precision(&self) -> f64 {
+        self.precision - PRIOR_PRECISION
+    }
+
     /// Returns the logarithm of the ratio of a run's duration here to that on the mean of the fleet.
     fn relative_to(&self, fleet: &FleetSpeed) -> f64 {
         if self.runs == 0 { 0.0 } else { self.log_factor - fleet.mean }
@@ -107,8 +133,7 @@
 
     /// Returns the expected square of the learned logarithm if all backend servers were equally fast.
     fn expected_square(&self) -> f64 {
-        let learned = self.precision - 1.0 / SERVER_VARIANCE;
-        learned / self.precision.powi(2)
+        self.learned_precision() / self.precision.powi(2)
     }
 
     /// Learns from a run. `log_ratio` is the logarithm of the ratio of its duration to the expected one, and
@@ -161,6 +186,11 @@
         has_changed
     }
 
+    /// Whether backend servers differ by more than chance.
+    pub(crate) fn differs(&self) -> bool {
+        self.differ
+    }
+
     fn add(&mut self, speed: &Speed, sign: f64) {
         if speed.runs > 0 {
             self.sum += sign * speed.log_factor;
@@ -235,8 +265,10 @@
 /// Differences between backend servers, for operators.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct SpeedSummary {
-    /// Number of backend servers whose speed was measured.
+    /// Number of backend servers whose speed is known, measured or restored.
     pub known: usize,
+    /// Number of them whose speed was restored from an earlier scheduler and not measured yet.
+    pub restored: usize,
     /// Ratio of the variance among backend servers to the one expected by chance; about 1 if they are equally fast.
     pub spread: f64,
     /// Whether urgent work prefers fast backend servers.
@@ -269,6 +301,7 @@
         let report = |&(_, id): &(f64, &BackendServerId)| self.speed(id, now);
         SpeedSummary {
             known: self.fleet_speed.known,
+            restored: self.learned.unmeasured(),
             spread: self.fleet_speed.spread(),
             in_use: self.fleet_speed.differ && self.timing.tuning.speed,
             slowest: slowest.iter().take(REPORTED_SLOWEST).filter_map(report).collect(),
@@ -337,6 +370,7 @@
             let (before, class) = (server.speed, server.speed.class(&self.fleet_speed));
             server.speed.learn(log_ratio - expected, variance, now);
             let after = server.speed;
+            self.learned.forget(id);
             fleet_changed |= self.fleet_speed.record(&before, &after);
             if after.class(&self.fleet_speed) != class {
                 self.log_speed(id, now);
@@ -350,9 +384,15 @@
 
     /// Resets the speed of a backend server whose incarnation has ended: the next may run on other hardware.
     pub(crate) fn reset_speed(&mut self, id: &BackendServerId) {
+        self.learned.forget(id);
+        self.set_speed(id, Speed::default());
+    }
+
+    /// Replaces the speed of a backend server by one that was not measured.
+    pub(crate) fn set_speed(&mut self, id: &BackendServerId, speed: Speed) {
         let Some(server) = self.servers.get_mut(id) else { return };
-        let speed = std::mem::take(&mut server.speed);
-        if self.fleet_speed.record(&speed, &Speed::default()) {
+        let before = std::mem::replace(&mut server.speed, speed);
+        if self.fleet_speed.record(&before, &speed) {
             self.mark_all_stale();
         }
     }
--- a/crates/scheduler/src/tuning.rs
+++ b/crates/scheduler/src/tuning.rs
@@ -28,6 +28,8 @@
     pub set_aside: bool,
     /// Whether urgent work prefers backend servers that were measured to be fast.
     pub speed: bool,
+    /// Whether learned speeds and the mean duration of stops are kept in the store for the next scheduler.
+    pub keep_learned: bool,
     /// Whether jobs of one priority are ordered by deadline; otherwise by submission.
     pub deadline_order: bool,
 }
@@ -45,6 +47,7 @@
             doubt: true,
             set_aside: true,
             speed: true,
+            keep_learned: true,
             deadline_order: true,
         }
     }
