Test learned pages under load and failures

Guards against urgent gangs on slow backend servers after an election, and against pages that are lost, false or too large.

--- a/crates/scheduler/src/learned/handover.rs
+++ b/crates/scheduler/src/learned/handover.rs
@@ -134,7 +134,7 @@
         KnownSpeed {
             id,
             incarnation: server.incarnation.or_else(|| restored.copied().flatten()),
-            log_factor: stored_log(server.speed.log_factor()),
+            log_factor: stored_log(server.speed.log_factor() - self.fleet_speed.latest_mean()),
             class: server.speed.class(&self.fleet_speed),
             measured_at: restored.is_none().then(|| server.speed.measured_at()),
         }
--- a/crates/scheduler/src/learned/record.rs
+++ b/crates/scheduler/src/learned/record.rs
@@ -31,6 +31,8 @@
     pub(super) id: BackendServerId,
     /// Incarnation that was measured; `None` on a platform where each has an id of its own.
     pub(super) incarnation: Option<Incarnation>,
+    /// Logarithm of the ratio of a run's duration there to that on the mean of the fleet. What is learned by itself
+    /// drifts with the declared durations of all jobs, so that pages of different times would not fit together.
     pub(super) log_factor: f64,
     /// Number of runs that it counts for, from 1 to [`MAX_STORED_RUNS`].
     pub(super) runs: u32,
--- a/crates/scheduler/src/speed.rs
+++ b/crates/scheduler/src/speed.rs
@@ -172,7 +172,7 @@
         self.add(before, -1.0);
         self.add(after, 1.0);
         self.known = self.known + usize::from(after.runs > 0) - usize::from(before.runs > 0);
-        let mean = if self.known == 0 { 0.0 } else { self.sum / self.known as f64 };
+        let mean = self.latest_mean();
         let differ = self.spread() > if self.differ { EQUAL_BELOW_RATIO } else { self.chance_limit() };
         let has_changed = (mean - self.mean).abs() > MIN_MEAN_CHANGE || differ != self.differ;
         if has_changed {
@@ -186,6 +186,11 @@
         has_changed
     }
 
+    /// Returns the mean of all learned logarithms; the one in use follows it in steps.
+    pub(crate) fn latest_mean(&self) -> f64 {
+        if self.known == 0 { 0.0 } else { self.sum / self.known as f64 }
+    }
+
     /// Whether backend servers differ by more than chance.
     pub(crate) fn differs(&self) -> bool {
         self.differ
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -6,7 +6,9 @@
 mod capacity;
 mod crashes;
 pub(crate) mod events;
+pub(crate) mod fleet;
 mod leading;
+pub(crate) mod learned;
 mod oracle;
 mod platform;
 mod restarts;
@@ -25,6 +27,8 @@
     RunningTask, Scheduler, ServerAddress, ServerInfo, ServiceId, StartReply, Timing, UnreachableRecord, WitnessRecord,
 };
 
+use learned::{LearnedStore, wall_ms};
+
 pub(crate) const SERVICE: &str = "desk";
 
 /// A start that a backend server was ordered to make.
@@ -128,6 +132,8 @@
     unreachable: Option<(UnreachableRecord, Revision)>,
     /// Stored record of the witnesses, with its revision.
     witnesses: Option<(WitnessRecord, Revision)>,
+    /// Stored pages of what schedulers have learned.
+    pub(crate) learned: LearnedStore,
     /// Whether every earlier scheduler renews leases by witnesses only.
     witnesses_binding: bool,
     /// Number of the newest backend server.
@@ -162,6 +168,7 @@
             stored: BTreeMap::new(),
             unreachable: None,
             witnesses: None,
+            learned: LearnedStore::new(Fence(10)),
             witnesses_binding: true,
             added: servers,
             running: BTreeMap::new(),
@@ -224,6 +231,7 @@
         self.scheduler.tick(self.now);
         self.store_unreachable();
         self.store_witnesses();
+        self.learned.store_next(&mut self.scheduler, self.now);
     }
 
     fn store_unreachable(&mut self) {
@@ -382,6 +390,8 @@
         }
         let (witnesses, at) = self.witnesses.clone().map_or((None, Revision(0)), |(record, at)| (Some(record), at));
         next.restore_witnesses(witnesses, at, self.witnesses_binding);
+        self.learned.elect(fence);
+        next.restore_learned(self.learned.pages(), self.now, wall_ms(self.now));
         for job in self.jobs.clone() {
             next.add_job(job);
         }
