--- a/crates/marten/src/output.rs
+++ b/crates/marten/src/output.rs
@@ -54,6 +54,14 @@
         let counts: Vec<String> = jobs.iter().map(|(name, n)| format!("{name} {n}")).collect();
         print_line!("jobs: {}", counts.join(", "));
     }
+    if let Some(speeds) = report.get("speeds").filter(|speeds| speeds.is_object()) {
+        print_line!(
+            "speeds: {} known, {} of them restored and not measured yet; in use {}",
+            text(speeds, "known"),
+            text(speeds, "restored"),
+            text(speeds, "in_use"),
+        );
+    }
     table("boxes", report.get("boxes"), &["id", "live", "leaving", "returns"]);
     table("backend servers", report.get("backend_servers"), &["id", "open", "revision", "leases", "held", "why"]);
 }
--- a/crates/scheduler/src/learned/codec.rs
+++ b/crates/scheduler/src/learned/codec.rs
@@ -13,6 +13,8 @@
 const VERSION: u32 = 1;
 /// Largest value that is decoded: [`MAX_ENTRIES`] entries with the longest ids, of 64 bytes, take less.
 const MAX_BYTES: usize = 256 * 1024;
+/// Longest id, and so the longest prefix of one: a false page must not make long ids of many short ones.
+const MAX_ID_BYTES: usize = 64;
 /// Unit of a stored logarithm, an eighth of the distance that makes a backend server fast or slow.
 const LOG_UNIT: f64 = 0.02;
 /// Separator of ids that are not packed; no id contains it.
@@ -50,7 +52,7 @@
 #[derive(Debug)]
 pub(super) struct DecodedPage {
     pub(super) record: PageRecord,
-    /// Ids of the dropped entries, each with the reason.
+    /// Ids of the dropped entries, shortened to the length of valid ones, each with the reason.
     pub(super) dropped: Vec<(String, &'static str)>,
 }
 
@@ -97,6 +99,9 @@
 
 /// Decodes the entries; `None` if a column cannot be decoded or has another length than the others.
 fn decode_columns(raw: &RawPage) -> Option<DecodedPage> {
+    if raw.prefix.len() > MAX_ID_BYTES {
+        return None;
+    }
     let logs = BASE64.decode(&raw.logs).ok()?;
     let count = logs.len();
     let ids = unpack_ids(raw)?;
@@ -111,7 +116,7 @@
         let log_factor = f64::from(i8::from_be_bytes([logs[i]])) * LOG_UNIT;
         match check_entry(&id, incarnations[i], log_factor, runs[i]) {
             Ok(entry) => entries.push(entry),
-            Err(why) => dropped.push((id, why)),
+            Err(why) => dropped.push((id.chars().take(MAX_ID_BYTES).collect(), why)),
         }
     }
     Some(DecodedPage { record: PageRecord { written_ms: raw.at, stop_ms: raw.stop_ms, entries }, dropped })
--- a/crates/scheduler/src/learned/handover.rs
+++ b/crates/scheduler/src/learned/handover.rs
@@ -86,6 +86,7 @@
 
     /// Applies a restored speed once the backend server's incarnation is known as far as the platform reports it.
     pub(crate) fn apply_restored_speed(&mut self, id: &BackendServerId, now: Moment) {
+        self.drop_expired_pending(now);
         let Some(server) = self.servers.get(id) else { return };
         let listed = server.info.as_ref().and_then(|info| info.incarnation);
         if server.info.is_none() && server.incarnation.is_none() {
@@ -101,6 +102,12 @@
         }
     }
 
+    fn drop_expired_pending(&mut self, now: Moment) {
+        if now.since(self.elected) >= PENDING_LIMIT {
+            self.learned.pending.clear();
+        }
+    }
+
     /// Handles the first response of a backend server: a restored speed of another incarnation is dropped. The
     /// platform's list may name an incarnation that has ended.
     pub(crate) fn check_restored_speed(&mut self, id: &BackendServerId, incarnation: Incarnation) {
@@ -120,9 +127,7 @@
             return None;
         }
         self.learned.compared_at = Some(now);
-        if now.since(self.elected) >= PENDING_LIMIT {
-            self.learned.pending.clear();
-        }
+        self.drop_expired_pending(now);
         let known = self.servers.iter().filter(|(_, server)| server.speed.is_known());
         let known = known.map(|(id, server)| self.known_speed(id, server));
         let page = page_to_write(&self.learned.pages, known, wall_ms)?;
--- a/crates/scheduler/tests/learned.rs
+++ b/crates/scheduler/tests/learned.rs
@@ -5,6 +5,7 @@
 
 mod common;
 
+use base64::{Engine, engine::general_purpose::STANDARD_NO_PAD as BASE64};
 use common::{
     fleet::{Fleet, a_third_slow, train},
     gang,
@@ -209,13 +210,51 @@
     assert_eq!(elect_with(&mut fleet, no_runs).restored, SERVERS - pages, "the last of each page");
 
     let mut fleet = stored_fleet();
-    // Bytes 0x7f are logarithms of 2.54, a factor of 12.7.
+    // Byte 0x7f is a logarithm of 2.54, a factor of 12.7. The first entry of each page stays.
     let absurd = |page: &mut serde_json::Value| {
-        let logs = page["logs"].as_str().expect("it is a column").len();
-        page["logs"] = format!("f39/f39/f39/f39/f39/f39/")[..logs].into();
+        let mut logs = BASE64.decode(page["logs"].as_str().expect("it is a column")).expect("it is encoded");
+        logs[1..].fill(0x7f);
+        page["logs"] = BASE64.encode(logs).into();
     };
-    let dropped = elect_with(&mut fleet, absurd);
-    assert_eq!((dropped.known, dropped.in_use), (0, false));
+    assert_eq!(elect_with(&mut fleet, absurd).known, pages);
+}
+
+/// Whatever the store holds, reading it must neither end the scheduler nor bring in factors beyond sane bounds.
+#[test]
+fn damaged_pages_do_no_harm() {
+    let fleet = stored_fleet();
+    let pages = fleet.fixture.learned.pages();
+    let now = fleet.fixture.now;
+    let mut rng = fastrand::Rng::with_seed(7);
+    for round in 0..3000 {
+        let mut damaged = pages.clone();
+        for page in &mut damaged {
+            for _ in 0..=rng.usize(..3) {
+                let at = rng.usize(..page.value.len());
+                page.value[at] = if rng.bool() { rng.u8(..) } else { rng.u8(b' '..=b'~') };
+            }
+        }
+        let mut next = Scheduler::new(Fence(20), now, Timing::default(), common::policy());
+        next.restore_learned(damaged, now, wall_ms(now));
+        (0..SERVERS).for_each(|i| next.server_listed(server_id(i), common::info(i), now));
+        for i in 0..SERVERS {
+            let factor = next.speed(&server_id(i), now).expect("it is tracked").factor;
+            assert!((1.0 / 70.0..70.0).contains(&factor), "round {round}: {factor}");
+        }
+    }
+}
+
+/// A backend server that the platform lists long after the election has been away: its speed is measured anew.
+#[test]
+fn restored_speeds_do_not_wait_for_their_servers_for_long() {
+    let fleet = stored_fleet();
+    let elected = fleet.fixture.now;
+    let mut next = Scheduler::new(Fence(20), elected, Timing::default(), common::policy());
+    next.restore_learned(fleet.fixture.learned.pages(), elected, wall_ms(elected));
+    for (i, after_s) in [0, 59, 60, 300].into_iter().enumerate() {
+        next.server_listed(server_id(i), common::info(i), elected + Duration::from_secs(after_s));
+    }
+    assert_eq!(next.speeds(elected).restored, 2);
 }
 
 /// The next incarnation under an id may be on another machine.
