--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -98,7 +98,7 @@
     pub(crate) fleet_speed: FleetSpeed,
     /// How long recent stops have taken.
     pub(crate) stop_durations: StopDurations,
-    /// What the store holds of the two.
+    /// What the store holds of the learned speeds and stop durations.
     pub(crate) learned: Learned,
     /// Whether something has happened that may let a group start.
     pub(crate) plan_requested: bool,
