--- a/crates/scheduler/tests/learned.rs
+++ b/crates/scheduler/tests/learned.rs
@@ -14,7 +14,7 @@
 };
 use jobs::Fence;
 use model::{Duration, Revision};
-use scheduler::{LearnedPage, Scheduler, SpeedSummary, Timing};
+use scheduler::{LearnedPage, Scheduler, SpeedSummary, Timing, Tuning};
 
 const SERVERS: usize = 12;
 const HOUR_MS: u64 = 3_600_000;
@@ -348,3 +348,22 @@
     advance(&mut fleet, 40_000);
     assert!(stop_ms(&fleet).is_some_and(|ms| ms > 890), "{:?}", stop_ms(&fleet));
 }
+
+/// With the setting off, a scheduler neither reads nor writes what is learned.
+#[test]
+fn nothing_is_kept_with_the_setting_off() {
+    let mut fleet = stored_fleet();
+    let (now, pages) = (fleet.fixture.now, fleet.fixture.learned.pages());
+    let tuning = Tuning { keep_learned: false, ..Tuning::default() };
+    let timing = Timing { tuning, ..Timing::default() };
+    let mut next = Scheduler::new(Fence(20), now, timing.clone(), common::policy());
+    next.restore_learned(pages, now, wall_ms(now));
+    (0..SERVERS).for_each(|i| next.server_listed(server_id(i), common::info(i), now));
+    assert_eq!(next.speeds(now).known, 0);
+
+    fleet = Fleet::new(&a_third_slow(SERVERS));
+    fleet.fixture = common::Fixture::with_timing(SERVERS, timing);
+    train(&mut fleet, 3);
+    advance(&mut fleet, 30_000);
+    assert!(summary(&fleet).in_use && fleet.fixture.learned.writes.is_empty());
+}
