Renew by witnesses on backend servers lost for a short time

A backend server cut off for 1.5 or 3 s as the store fell silent lost its run (a_short_cut_that_ends_as_an_outage_begins_costs_nothing, KNOWN-RED).

Cause: it stands in the record of unreachable backend servers, on which the next scheduler relies, and gets no lease until the record is withdrawn, which needs the store.

Change: for as long as a short lease after its loss the entry is provisional, if the store holds witnesses. A scheduler that only witnesses confirm may renew short leases there, and nothing else. The next scheduler uses such an entry only with its own proof by the witnesses, or once all earlier terms have ended, and waits for the short leases. Earlier versions ignore these entries, so each term says whether it obeys them.

The tests stay as they are. The simulated cluster (tests/common) renews and restores as the runtime does, by may_renew_now and trust_provisional_entries.

Before: that test fails.

--- a/crates/runtime/src/leader.rs
+++ b/crates/runtime/src/leader.rs
@@ -4,7 +4,7 @@
 use std::{sync::Arc, time::Instant};
 
 use jobs::Fence;
-use model::Duration;
+use model::{Duration, Moment};
 use scheduler::Scheduler;
 
 use crate::{
@@ -64,6 +64,9 @@
         if let Some(item) = unreachable_item {
             unreachable::restore(&mut scheduler, &item);
         }
+        if earlier.obey_provisional {
+            scheduler.trust_provisional_entries();
+        }
         witnesses::restore(&mut scheduler, witnesses_item.as_ref(), earlier.witnessed);
         Some((evacuations_at, submissions::restore(cx, &mut scheduler).await))
     };
@@ -80,6 +83,9 @@
     connect_restored_servers(&active);
     let own_box = (settings.box_id.clone(), settings.peers_address);
     let max_wait = settings.timing.unconfirmed_renewal;
+    // Earlier versions ignore provisional entries, so the next scheduler must find those terms until their leases end.
+    let last_lease = settings.timing.lease_expiry(Moment::ZERO).since(Moment::ZERO);
+    let kept_for = if earlier.obey_provisional { Duration::ZERO } else { last_lease };
     let tasks = [
         smol::spawn(predecessors::await_ended(
             cx.clone(),
@@ -87,6 +93,7 @@
             own_box,
             earlier.predecessors,
             max_wait,
+            kept_for,
         )),
         smol::spawn(submissions::follow_submissions(cx.clone(), Arc::clone(&active), submissions_at)),
         smol::spawn(evacuation::follow_platform(cx.clone(), Arc::clone(&active), evacuations_at)),
--- a/crates/runtime/src/link_worker.rs
+++ b/crates/runtime/src/link_worker.rs
@@ -133,8 +133,7 @@
     }
 
     /// Returns the longest lease that a call may carry now; `None` if it must renew nothing.
-    fn lease(&self, active: &Active, scheduler: &Scheduler, now: Moment) -> Option<Duration> {
-        let confirmed = self.cx.view.confirmed_until();
+    fn lease(&self, active: &Active, scheduler: &Scheduler, confirmed: Moment, now: Moment) -> Option<Duration> {
         let lease = if self.can_send_orders(active) { scheduler.lease_now(confirmed, now) } else { None };
         if active.set_grants_leases(lease.is_some()) && !active.has_ended() {
             let event = if lease.is_some() { "renewals_resumed" } else { "renewals_stopped" };
@@ -171,19 +170,21 @@
         let last_answered = last_answered && scheduler.has_reported(id);
         // A call without a response may have renewed the lease. So an unreachable backend server is only queried, and
         // its lease isn't renewed.
-        let renews = last_answered && scheduler.may_renew(id);
-        let lease = if renews { self.lease(active, &scheduler, now) } else { None };
+        // Read once: a recorded backend server may get a short lease, and never a full one.
+        let confirmed = self.cx.view.confirmed_until();
+        let renews = last_answered && scheduler.may_renew_now(id, confirmed, now);
+        let lease = if renews { self.lease(active, &scheduler, confirmed, now) } else { None };
         if let Some(lease) = lease {
             scheduler.lease_sent(id, lease, now);
         }
         let wait = match last_answered {
             false => Duration::ZERO,
-            true if !scheduler.may_renew(id) => RECORDED_WAIT,
+            true if !renews => RECORDED_WAIT,
             true if scheduler.watches_latency(id) => WATCHED_WAIT,
             true if scheduler.is_busy(id) => BUSY_WAIT,
             true => IDLE_WAIT,
         };
-        let is_confirmed = now <= self.cx.view.confirmed_until();
+        let is_confirmed = now <= confirmed;
         let is_decisive = scheduler.is_witness(id) && (!is_confirmed || scheduler.needs_each_witness());
         let wait = if is_decisive { wait.min(WITNESS_WAIT) } else { wait };
         let wait = scheduler.vote_due(id).map_or(wait, |due| wait.min(due.since(now)));
@@ -221,7 +222,8 @@
             active.update(|scheduler| scheduler.start_withdrawn(id, task, run, now));
             return None;
         }
-        let Some(max_lease) = self.lease(active, &scheduler, now) else {
+        let confirmed = self.cx.view.confirmed_until();
+        let Some(max_lease) = self.lease(active, &scheduler, confirmed, now) else {
             drop(scheduler);
             active.update(|scheduler| scheduler.start_replied(id, task, run, StartReply::Unknown, now));
             return None;
--- a/crates/runtime/src/predecessors.rs
+++ b/crates/runtime/src/predecessors.rs
@@ -49,12 +49,16 @@
     /// The same, but witnesses that have ended may no longer count.
     #[serde(default)]
     confirmed_by_remaining: bool,
+    /// Whether the scheduler renews no full lease on a backend server that the record of unreachable ones names
+    /// provisionally. Earlier versions ignore such entries.
+    #[serde(default)]
+    obeys_provisional: bool,
 }
 
 impl Term {
     fn new(box_id: BoxId, addr: SocketAddr, fence: Option<Fence>) -> Term {
         let fence = fence.map(|fence| fence.0);
-        Term { box_id, addr, fence, witnessed: false, confirmed_by_remaining: true }
+        Term { box_id, addr, fence, witnessed: false, confirmed_by_remaining: true, obeys_provisional: true }
     }
 
     fn depends_on_witnesses(&self) -> bool {
@@ -82,6 +86,8 @@
     pub(crate) predecessors: Option<Predecessors>,
     /// Whether all of them are known and follow the rule about witnesses.
     pub(crate) witnessed: bool,
+    /// Whether all of them are known and obey provisional entries in the record of unreachable backend servers.
+    pub(crate) obey_provisional: bool,
 }
 
 /// The record of terms, as a candidate has read it.
@@ -126,7 +132,8 @@
     pub(crate) fn earlier_terms(&self, newest_observed: Option<Fence>) -> EarlierTerms {
         let predecessors = self.predecessors(newest_observed);
         let witnessed = predecessors.is_some() && self.terms.terms.iter().all(Term::depends_on_witnesses);
-        EarlierTerms { predecessors, witnessed }
+        let obey_provisional = predecessors.is_some() && self.terms.terms.iter().all(|term| term.obeys_provisional);
+        EarlierTerms { predecessors, witnessed, obey_provisional }
     }
 
     fn predecessors(&self, newest_observed: Option<Fence>) -> Option<Predecessors> {
@@ -139,13 +146,15 @@
 }
 
 /// Asks all predecessors until their terms have ended, for at most `max_wait`: a scheduler elected after that waits for
-/// longer leases than any of them still grants. Then removes them from the record.
+/// longer leases than any of them still grants. Then removes them from the record, `kept_for` later: a scheduler that
+/// finds the record without them relies on all entries that limit their leases.
 pub(crate) async fn await_ended(
     cx: Context,
     active: Arc<Active>,
     own_box: (BoxId, SocketAddr),
     found: Option<Predecessors>,
     max_wait: Duration,
+    kept_for: Duration,
 ) {
     let started = cx.view.clock().now();
     let all_ended = async {
@@ -163,6 +172,7 @@
         active.update(|scheduler| scheduler.earlier_terms_ended(ended));
     };
     with_timeout(max_wait, all_ended).await;
+    pause(kept_for).await;
     remove_predecessors(&cx, &active, own_box).await;
 }
 
--- a/crates/scheduler/src/timing.rs
+++ b/crates/scheduler/src/timing.rs
@@ -77,7 +77,12 @@
     /// Returns the same bound if by `responded` the new scheduler had responses from so many witnesses that no earlier
     /// one can count two thirds of them by later calls. Until the election an earlier one may have granted full leases.
     pub fn outvoted_lease_expiry(&self, elected: Moment, responded: Moment) -> Moment {
-        self.lease_expiry(elected).max(self.expiry(self.short_lease(), responded + self.witness_window))
+        self.lease_expiry(elected).max(self.short_lease_expiry(responded + self.witness_window))
+    }
+
+    /// Returns when a lease that only witnesses confirmed and that was last renewed by a call sent at `sent` has expired.
+    pub(crate) fn short_lease_expiry(&self, sent: Moment) -> Moment {
+        self.expiry(self.short_lease(), sent)
     }
 
     /// Returns how long after its last confirmation a witness may be found to have ended for the others to suffice.
--- a/crates/scheduler/src/unreachable.rs
+++ b/crates/scheduler/src/unreachable.rs
@@ -9,6 +9,10 @@
 //! A backend server that the record may name gets no lease and no work until the record is withdrawn, since the next
 //! scheduler relies on that. A write without a response may take effect later, so each write is conditional on the
 //! revision that the previous one left.
+//!
+//! One that has not responded for a short time is recorded provisionally: while the store does not respond it may still
+//! get the short leases that only witnesses confirm. The next scheduler relies on such an entry only together with its
+//! own proof that no earlier one is confirmed by witnesses any more, or has ended its term.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -32,6 +36,15 @@
 pub struct UnreachableRecord {
     /// In milliseconds from the write, so that no two clocks are compared.
     left_ms: BTreeMap<BackendServerId, u64>,
+    /// The same for backend servers that may still get leases which only witnesses confirm.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    provisional_left_ms: BTreeMap<BackendServerId, u64>,
+}
+
+impl UnreachableRecord {
+    fn ids(&self) -> impl Iterator<Item = &BackendServerId> {
+        self.left_ms.keys().chain(self.provisional_left_ms.keys())
+    }
 }
 
 /// Write of the record to the store.
@@ -51,8 +64,14 @@
     pending: BTreeSet<BackendServerId>,
     /// Backend servers that the record in the store may name.
     recorded: BTreeSet<BackendServerId>,
+    /// Those among them that it may name otherwise than provisionally.
+    finally_recorded: BTreeSet<BackendServerId>,
     /// When leases expire, by an earlier scheduler's record.
     recorded_expiry: BTreeMap<BackendServerId, Moment>,
+    /// The same by its provisional entries, for leases that do not depend on witnesses.
+    provisional_expiry: BTreeMap<BackendServerId, Moment>,
+    /// Whether every earlier scheduler obeyed the provisional entries.
+    trusts_provisional: bool,
     /// When the record in the store was made.
     recorded_at: Option<Moment>,
     revision: Revision,
@@ -90,11 +109,33 @@
     pub fn restore_unreachable(&mut self, record: &UnreachableRecord, revision: Revision) {
         let expiry = |(id, left): (&BackendServerId, &u64)| (id.clone(), self.elected + Duration::from_millis(*left));
         self.unreachable.recorded_expiry = record.left_ms.iter().map(expiry).collect();
-        self.unreachable.recorded = record.left_ms.keys().cloned().collect();
+        self.unreachable.provisional_expiry = record.provisional_left_ms.iter().map(expiry).collect();
+        self.unreachable.recorded = record.ids().cloned().collect();
+        self.unreachable.finally_recorded = record.left_ms.keys().cloned().collect();
         self.unreachable.recorded_at = Some(self.elected);
         self.unreachable.revision = revision;
     }
 
+    /// Records that every earlier scheduler whose leases may last obeyed provisional entries. Earlier versions renew
+    /// full leases in spite of them.
+    pub fn trust_provisional_entries(&mut self) {
+        self.unreachable.trusts_provisional = true;
+    }
+
+    /// Lowers the bound where provisional entries apply: leases that depend on witnesses have expired by `expiry`.
+    pub(crate) fn limit_provisional_leases(&mut self, expiry: Moment) {
+        if !self.unreachable.trusts_provisional {
+            return;
+        }
+        for (id, recorded) in std::mem::take(&mut self.unreachable.provisional_expiry) {
+            let bound = recorded.max(expiry);
+            if let Some(server) = self.servers.get_mut(&id).filter(|server| !server.has_reported) {
+                server.lease_expiry = server.lease_expiry.min(bound);
+            }
+            self.unreachable.recorded_expiry.insert(id, bound);
+        }
+    }
+
     /// Returns when every lease that earlier schedulers can have granted on a backend server has expired.
     pub(crate) fn earlier_lease_expiry(&self, id: &BackendServerId) -> Moment {
         self.unreachable.lease_expiry_of(id, self.earlier_lease_expiry)
@@ -105,6 +146,7 @@
     pub fn earlier_terms_ended(&mut self, ended: Moment) {
         self.resolve_witnesses();
         self.limit_earlier_leases(self.timing.lease_expiry(ended));
+        self.limit_provisional_leases(self.timing.short_lease_expiry(ended));
     }
 
     /// Lowers the bound on the leases of earlier schedulers to `expiry`.
@@ -120,39 +162,51 @@
         !self.unreachable.is_recorded(id)
     }
 
+    /// Whether a backend server may be given the lease that [`Scheduler::lease_now`] returns for the same times. While
+    /// only witnesses confirm this scheduler, a provisional entry does not prevent it.
+    pub fn may_renew_now(&self, id: &BackendServerId, confirmed: Moment, now: Moment) -> bool {
+        self.may_renew(id) || now > confirmed && !self.unreachable.finally_recorded.contains(id)
+    }
+
     /// Returns the record to store now, if any. From here on the backend servers that it names count as named,
     /// whatever the outcome of the write.
     pub fn next_unreachable_write(&mut self, now: Moment) -> Option<UnreachableWrite> {
         let newly_elected = now.since(self.elected) < FIRST_RECORD_DELAY;
         let is_recent = self.unreachable.recorded_at.is_some_and(|at| now.since(at) < RECORD_INTERVAL);
-        let record = UnreachableRecord { left_ms: self.unreachable_leases(now) };
-        let due = !record.left_ms.is_empty() && !newly_elected && !is_recent;
+        let record = self.unreachable_leases(now);
+        let due = record.ids().next().is_some() && !newly_elected && !is_recent;
         if !due && !self.unreachable.needs_withdrawal() {
             return None;
         }
-        let newly_recorded: Vec<BackendServerId> =
-            record.left_ms.keys().filter(|id| !self.unreachable.is_recorded(id)).cloned().collect();
-        self.unreachable.recorded.extend(newly_recorded);
+        self.unreachable.recorded.extend(record.ids().cloned());
+        self.unreachable.finally_recorded.extend(record.left_ms.keys().cloned());
         Some(UnreachableWrite { record, replaces: self.unreachable.revision, at: now })
     }
 
-    /// Returns the backend servers that the record is to name, with the remaining lease time there in milliseconds.
-    /// Those that it may name already are kept while they are unreachable.
-    fn unreachable_leases(&self, now: Moment) -> BTreeMap<BackendServerId, u64> {
-        let left = |id: &BackendServerId| {
-            let server = self.servers.get(id)?;
-            let lost_just_now =
-                server.contact.failing_since.is_some_and(|since| now.since(since) < RECORD_UNRESPONSIVE_AFTER);
-            let to_record = !server.has_reported || !lost_just_now || self.unreachable.is_recorded(id);
-            to_record.then(|| (id.clone(), server.lease_expiry.since(now).millis()))
-        };
-        self.unreachable.pending.iter().filter_map(left).collect()
+    /// Returns the record with the backend servers that it is to name, and the remaining lease time there in
+    /// milliseconds. Those that it may name already are kept while they are unreachable.
+    fn unreachable_leases(&self, now: Moment) -> UnreachableRecord {
+        let mut record = UnreachableRecord::default();
+        for id in &self.unreachable.pending {
+            let Some(server) = self.servers.get(id) else { continue };
+            let silent = server.contact.failing_since.filter(|_| server.has_reported).map(|since| now.since(since));
+            let lost_just_now = silent.is_some_and(|silent| silent < RECORD_UNRESPONSIVE_AFTER);
+            if lost_just_now && !self.unreachable.is_recorded(id) {
+                continue;
+            }
+            // One that does not respond for longer than a short lease would lose its runs with such leases too.
+            let is_provisional = self.has_stored_witnesses() && silent.is_some_and(|s| s < self.timing.short_lease());
+            let entries = if is_provisional { &mut record.provisional_left_ms } else { &mut record.left_ms };
+            entries.insert(id.clone(), server.lease_expiry.since(now).millis());
+        }
+        record
     }
 
     /// Handles a record that was stored at `revision`: backend servers that it does not name may get leases again.
     pub fn unreachable_stored(&mut self, write: UnreachableWrite, revision: Revision) {
         let before = std::mem::take(&mut self.unreachable.recorded);
-        self.unreachable.recorded = write.record.left_ms.into_keys().collect();
+        self.unreachable.recorded = write.record.ids().cloned().collect();
+        self.unreachable.finally_recorded = write.record.left_ms.into_keys().collect();
         self.unreachable.recorded_at = Some(write.at);
         self.unreachable.revision = revision;
         for id in before {
--- a/crates/scheduler/src/witnesses.rs
+++ b/crates/scheduler/src/witnesses.rs
@@ -238,7 +238,11 @@
                 outvoted.since(self.elected).millis()
             );
             let expiry = self.timing.outvoted_lease_expiry(self.elected, outvoted);
-            self.limit_earlier_leases(expiry.max(self.witnesses.uncovered_lease_expiry));
+            let uncovered = self.witnesses.uncovered_lease_expiry;
+            self.limit_earlier_leases(expiry.max(uncovered));
+            self.limit_provisional_leases(
+                self.timing.short_lease_expiry(outvoted + self.timing.witness_window).max(uncovered),
+            );
         }
     }
 
@@ -257,6 +261,11 @@
         }
     }
 
+    /// Whether the store is known to hold witnesses, so that this scheduler may renew leases without its confirmation.
+    pub(crate) fn has_stored_witnesses(&self) -> bool {
+        self.witnesses.stored.is_some()
+    }
+
     /// Whether renewals without the store would end with the loss of one witness.
     pub fn needs_each_witness(&self) -> bool {
         self.witnesses.need_each()
--- a/crates/scheduler/tests/common/leading.rs
+++ b/crates/scheduler/tests/common/leading.rs
@@ -84,7 +84,8 @@
                 return;
             }
             let incarnation = leader.scheduler.incarnation(&id);
-            let renews = leader.responded.contains(&id) && leader.scheduler.may_renew(&id);
+            let renews =
+                leader.responded.contains(&id) && leader.scheduler.may_renew_now(&id, leader.confirmed, moment);
             let lease = lease.filter(|_| renews);
             let until = lease.and_then(|lease| lease_until(&leader.clocks, &id, incarnation, lease, now));
             if let Some(lease) = lease.filter(|_| until.is_some()) {
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -129,7 +129,9 @@
     /// Stored record of the witnesses, with its revision.
     witnesses: Option<(WitnessRecord, Revision)>,
     /// Whether every earlier scheduler renews leases by witnesses only.
-    witnesses_binding: bool,
+    pub(crate) witnesses_binding: bool,
+    /// Whether all earlier schedulers obey provisional entries in the record of unreachable backend servers.
+    pub(crate) trusts_provisional: bool,
     /// Number of the newest backend server.
     added: usize,
     running: BTreeMap<BackendServerId, Vec<Started>>,
@@ -163,6 +165,7 @@
             unreachable: None,
             witnesses: None,
             witnesses_binding: true,
+            trusts_provisional: true,
             added: servers,
             running: BTreeMap::new(),
             cut: Vec::new(),
@@ -380,6 +383,9 @@
         if let Some((record, revision)) = &self.unreachable {
             next.restore_unreachable(record, *revision);
         }
+        if self.trusts_provisional {
+            next.trust_provisional_entries();
+        }
         let (witnesses, at) = self.witnesses.clone().map_or((None, Revision(0)), |(record, at)| (Some(record), at));
         next.restore_witnesses(witnesses, at, self.witnesses_binding);
         for job in self.jobs.clone() {
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -200,6 +200,9 @@
         if let Some((record, revision)) = &self.unreachable {
             scheduler.restore_unreachable(record, *revision);
         }
+        if self.uses_witnesses {
+            scheduler.trust_provisional_entries();
+        }
         let (witnesses, at) = self.witnesses.clone().map_or((None, Revision(0)), |(record, at)| (Some(record), at));
         scheduler.restore_witnesses(witnesses, at, self.uses_witnesses);
         for job in self.jobs.values() {
