Decide by estimated instead of declared run times

Runs were judged by their declared duration: overdue runs counted as about to end when their backend server departed, and jobs whose duration is declared three times too low counted as too late while they were in time.

time_left, max_waste, remote_is_worthwhile and the objective of candidates use run_time. Estimates are kept per occurrence and change with progress and completions only. time_left has a margin, since a run that has not ended in time waits for a lease; the evacuation status shows the expected time without it. Setting tuning.run_times, metric martenscale_run_time_error.

--- a/crates/martend/src/telemetry.rs
+++ b/crates/martend/src/telemetry.rs
@@ -13,6 +13,9 @@
 const BUCKETS_SECONDS: [f64; 16] =
     [0.01, 0.03, 0.1, 0.3, 0.5, 1.0, 1.5, 3.0, 10.0, 30.0, 100.0, 300.0, 1000.0, 3600.0, 14_400.0, 86_400.0];
 
+/// Upper bounds of the buckets of errors of estimated run times, as logarithms: from 1 % to ten times.
+const BUCKETS_LOG_ERROR: [f64; 8] = [0.01, 0.03, 0.05, 0.1, 0.2, 0.4, 0.8, 2.3];
+
 static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
 
 /// Installs the global metrics recorder. Idempotent.
@@ -20,7 +23,11 @@
     METRICS.get_or_init(|| {
         let builder = PrometheusBuilder::new()
             .set_buckets_for_metric(Matcher::Suffix("_seconds".to_owned()), &BUCKETS_SECONDS)
-            .expect("the list of buckets is not empty");
+            .and_then(|builder| {
+                let errors = Matcher::Full("martenscale_run_time_error".to_owned());
+                builder.set_buckets_for_metric(errors, &BUCKETS_LOG_ERROR)
+            })
+            .expect("the lists of buckets are not empty");
         let recorder = builder.build_recorder();
         let handle = recorder.handle();
         // Fails only if the embedding process has installed a recorder.
--- a/crates/runtime/src/telemetry.rs
+++ b/crates/runtime/src/telemetry.rs
@@ -46,6 +46,10 @@
             Observation::CompletionRedelivered => {
                 metrics::counter!("martenscale_ends_known_total").increment(1);
             }
+            Observation::RunTimeError { source, thousandths } => {
+                metrics::histogram!("martenscale_run_time_error", "source" => source)
+                    .record(f64::from(thousandths) / 1000.0);
+            }
             Observation::RunLost { why } => {
                 metrics::counter!("martenscale_runs_lost_total", "why" => why).increment(1);
             }
--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -144,13 +144,13 @@
         if due > 0 && wall_ms < due + self.timing.due_margin.millis() {
             return Vec::new();
         }
-        let objective = entry.chain.scaled(queue.stretch) + queue.objective;
+        let state = self.occurrence(occurrence);
+        let objective = state.chain.scaled(queue.stretch) + queue.objective;
         let from = due.max(entry.job.accepted_ms);
         let since_due = Duration::from_millis(wall_ms.saturating_sub(due));
-        let state = self.occurrence(occurrence);
         let idle_since = state.idle_since.filter(|_| !state.is_placed);
         let idle = idle_since.map_or(Duration::ZERO, |since| self.plan_clocks.0.since(since));
-        let slack = objective.millis().saturating_sub(entry.chain.millis());
+        let slack = objective.millis().saturating_sub(state.chain.millis());
         let candidate = |step: usize, groups: Vec<usize>, suspected: bool| Candidate {
             occurrence,
             step,
--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -42,9 +42,18 @@
         names
     }
 
-    /// Returns the remaining time of a group's run: by the latest progress of its slowest task, or by the declared
-    /// duration if any task has not reported progress.
+    /// Returns the time within which a group's run ends, with a margin: a run that has not ended when its backend
+    /// server departs waits for its lease to expire.
     pub(crate) fn time_left(&self, name: GroupId, now: Moment) -> Duration {
+        match self.estimated_time_left(name, now) {
+            Some(left) => left.with_margin,
+            None => self.reported_time_left(name, now),
+        }
+    }
+
+    /// Returns the remaining time of a group's run without estimates: by the latest progress of its slowest task, or by
+    /// the declared duration if any task has not reported progress.
+    pub(crate) fn reported_time_left(&self, name: GroupId, now: Moment) -> Duration {
         let group = self.group(name);
         let left: Option<Vec<f64>> =
             group.members.iter().map(|member| member.remaining_s(group.placed_at, now)).collect();
--- a/crates/scheduler/src/evacuation.rs
+++ b/crates/scheduler/src/evacuation.rs
@@ -182,7 +182,7 @@
                 by: evacuation.by.iter().copied().collect(),
                 known_ms: now.since(evacuation.since).millis(),
                 running_tasks: servers.iter().map(|id| self.servers[id].members.len()).sum(),
-                longest_left_ms: groups.map(|name| self.time_left(name, now).millis()).max().unwrap_or(0),
+                longest_left_ms: groups.map(|name| self.expected_time_left(name, now).millis()).max().unwrap_or(0),
                 guaranteed: self.guaranteed(),
                 accelerators_elsewhere: elsewhere,
             }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -39,6 +39,7 @@
 mod ready;
 mod restore;
 mod retention;
+mod run_estimates;
 mod run_state;
 pub mod run_time;
 mod runs;
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -89,6 +89,7 @@
             Phase::Planned | Phase::Running => {}
         }
         self.measure_progress(name, id, running, now);
+        self.record_progress(name, id, running, now);
     }
 
     /// Stops orphaned runs. Their capacity counts as taken until they are no longer listed.
--- a/crates/scheduler/src/observations.rs
+++ b/crates/scheduler/src/observations.rs
@@ -62,6 +62,13 @@
     },
     /// A completion was listed although its serial number had been acknowledged.
     CompletionRedelivered,
+    /// A run is done whose run time had been predicted.
+    RunTimeError {
+        /// What the prediction rested on: `declared`, `siblings` or `progress`.
+        source: &'static str,
+        /// |log(actual/predicted)|, in thousandths.
+        thousandths: u32,
+    },
     /// A run has ended without a completion.
     RunLost {
         /// How that is known: `server_gone`, `lease_over` or `not_listed`.
--- a/crates/scheduler/src/outcomes.rs
+++ b/crates/scheduler/src/outcomes.rs
@@ -69,6 +69,7 @@
         }
         if completion.kind == CompletionKind::Done {
             self.measure_completion(name, completion.task.index, id, now);
+            self.record_run_time(name, completion.task.index, now);
         }
         self.remove_member(name, completion.task.index, completion.checkpoint.clone(), now);
         match completion.kind {
@@ -110,6 +111,7 @@
                 name.occurrence.number,
                 name.step
             );
+            self.record_step_ratio(name);
         }
         self.record_job_end(name.occurrence.job, now);
     }
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -254,7 +254,8 @@
         let Some(rack) = step.data_rack.as_ref().filter(|_| self.timing.tuning.data_rack) else { return true };
         let since = candidate.groups.iter().filter_map(|&group| self.group(candidate.group(group)).ready_since).min();
         let waited = since.map_or(Duration::ZERO, |since| now.since(since));
-        !fleet.has_rack(rack) || waited > step.estimate.scaled(self.timing.far_factor - 1.0)
+        let run_time = self.run_time_in_use(candidate.group(0));
+        !fleet.has_rack(rack) || waited > run_time.scaled(self.timing.far_factor - 1.0)
     }
 
     /// Returns whether a group avoids a backend server: the group failed there, or a backend server at that address
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -252,18 +252,20 @@
         Some(Victim { group: name, waste, freed: step.counted_resources() })
     }
 
-    /// Returns whether a run will end sooner than a stop would take, by its reported progress. The progress of a
-    /// long-running task says nothing about its end.
+    /// Returns whether a run will end sooner than a stop would take, by its estimated run time, or its reported
+    /// progress. The progress of a long-running task says nothing about its end.
     fn ends_before_a_stop(&self, name: GroupId, now: Moment) -> bool {
-        let all_reported = self.group(name).members.iter().all(|member| member.percent > 0);
-        all_reported && self.time_left(name, now).secs_f64() < self.stop_durations.mean_s()
+        let all_reported = || self.group(name).members.iter().all(|member| member.percent > 0);
+        let has_evidence = if self.estimates(name) { self.has_evidence(name) } else { all_reported() };
+        has_evidence && self.time_left(name, now).secs_f64() < self.stop_durations.mean_s()
     }
 
     /// Returns the most core-seconds that may be lost so that groups of a candidate without a guarantee can start.
     fn max_waste(&self, candidate: &Candidate, groups: &[usize]) -> f64 {
         let step = &self.jobs[&candidate.occurrence.job].job.steps[candidate.step];
         let tasks = if step.gang { step.count as usize } else { groups.len() };
-        weight_in_cores(&step.need) * tasks as f64 * step.estimate.secs_f64() * self.timing.tuning.most_waste
+        let run_time_s = self.run_time_in_use(candidate.group(0)).secs_f64();
+        weight_in_cores(&step.need) * tasks as f64 * run_time_s * self.timing.tuning.most_waste
     }
 
     /// Returns whether the system may take one more task of the step out of service. A task that does not serve yet,
--- a/crates/scheduler/src/run_state.rs
+++ b/crates/scheduler/src/run_state.rs
@@ -6,6 +6,7 @@
 use model::{BackendServerId, Incarnation, Moment, Revision};
 
 use crate::{
+    run_time::{RunProgress, Siblings},
     speed::{Measured, StepTimes},
     throttle::Throttle,
 };
@@ -54,6 +55,10 @@
     pub(crate) percent: u32,
     /// When `percent` was reported.
     pub(crate) percent_at: Moment,
+    /// Progress as reported so far.
+    pub(crate) progress: RunProgress,
+    /// Whether an earlier scheduler started it, at an unknown time.
+    pub(crate) started_before: bool,
     /// See [`crate::RunningTask::latency_ms`].
     pub(crate) latency_ms: Option<f64>,
     pub(crate) throttle: Throttle,
@@ -74,6 +79,8 @@
             checkpoint: None,
             percent: 0,
             percent_at: Moment::ZERO,
+            progress: RunProgress::default(),
+            started_before: false,
             latency_ms: None,
             throttle: Throttle::full(),
             measured: Measured::NotYet,
@@ -87,6 +94,7 @@
             confirmed_at: Some(elected),
             throttle: Throttle::unknown(),
             measured: Measured::StartedBefore,
+            started_before: true,
             ..Member::planned(placement)
         }
     }
@@ -186,6 +194,10 @@
     pub(crate) is_placed: bool,
     /// Run times so far, by step.
     pub(crate) times: Vec<StepTimes>,
+    /// What the tasks of each step tell about its run time.
+    pub(crate) siblings: Vec<Siblings>,
+    /// Estimated run time of the longest chain of its steps.
+    pub(crate) chain: Duration,
     /// Groups by step, in the order of `progress.groups`.
     pub(crate) groups: Vec<Vec<Group>>,
 }
@@ -204,6 +216,8 @@
             idle_since: None,
             is_placed: false,
             times: vec![StepTimes::default(); job.steps.len()],
+            siblings: vec![Siblings::default(); job.steps.len()],
+            chain: longest_chain(job, |step| job.steps[step].estimate),
             groups,
         }
     }
@@ -218,8 +232,6 @@
 #[derive(Debug)]
 pub(crate) struct JobEntry {
     pub(crate) job: Arc<Job>,
-    /// Declared run time of the longest chain of its steps.
-    pub(crate) chain: Duration,
     /// Priority of its queue; the highest number while no configuration names the queue.
     pub(crate) priority: u32,
     pub(crate) cancelled: bool,
@@ -231,14 +243,7 @@
 impl JobEntry {
     pub(crate) fn new(job: Job, priority: u32) -> JobEntry {
         let occurrences = (0..job.occurrences()).map(|_| Occurrence::new(&job)).collect();
-        JobEntry {
-            chain: longest_chain(&job),
-            job: Arc::new(job),
-            priority,
-            cancelled: false,
-            occurrences,
-            ended_at: None,
-        }
+        JobEntry { job: Arc::new(job), priority, cancelled: false, occurrences, ended_at: None }
     }
 
     pub(crate) fn occurrence_ids(&self) -> impl Iterator<Item = OccurrenceId> + use<> {
@@ -259,12 +264,12 @@
     }
 }
 
-/// Returns the declared run time of the longest chain of a job's steps.
-fn longest_chain(job: &Job) -> Duration {
+/// Returns the run time of the longest chain of a job's steps, by the run times of the steps.
+pub(crate) fn longest_chain(job: &Job, run_time: impl Fn(usize) -> Duration) -> Duration {
     let mut until: Vec<Duration> = Vec::with_capacity(job.steps.len());
-    for step in &job.steps {
-        let from = step.after.iter().map(|&i| until[i]).max().unwrap_or(Duration::ZERO);
-        until.push(from + step.estimate);
+    for (i, step) in job.steps.iter().enumerate() {
+        let from = step.after.iter().map(|&earlier| until[earlier]).max().unwrap_or(Duration::ZERO);
+        until.push(from + run_time(i));
     }
     until.into_iter().max().unwrap_or(Duration::ZERO)
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -19,6 +19,7 @@
     policy::Policy,
     ready::ReadySteps,
     run_state::{IsolatedRetry, JobEntry, StopReason},
+    run_time::QueueRatio,
     server::Server,
     speed::FleetSpeed,
     stalled::Stalled,
@@ -95,6 +96,8 @@
     pub(crate) witnesses: Witnesses,
     /// Mean speed of the backend servers.
     pub(crate) fleet_speed: FleetSpeed,
+    /// Learned ratio of actual to declared duration, by queue.
+    pub(crate) queue_ratios: BTreeMap<QueueId, QueueRatio>,
     /// How long recent stops have taken.
     pub(crate) stop_durations: StopDurations,
     /// Whether something has happened that may let a group start.
@@ -147,6 +150,7 @@
             lapsed: LapsedLeases::default(),
             stalled: Stalled::default(),
             fleet_speed: FleetSpeed::default(),
+            queue_ratios: BTreeMap::new(),
             stop_durations: StopDurations::initial(),
             plan_requested: false,
             last_check: elected,
@@ -199,7 +203,8 @@
         if self.jobs.contains_key(&id) || self.archived.contains_key(&id) {
             return;
         }
-        let entry = JobEntry::new(job, priority);
+        let mut entry = JobEntry::new(job, priority);
+        entry.update_chains(&self.queue_ratios);
         self.changed.extend(entry.occurrence_ids());
         self.jobs.insert(id, entry);
         self.open_jobs.insert(id);
--- a/crates/scheduler/src/tuning.rs
+++ b/crates/scheduler/src/tuning.rs
@@ -28,6 +28,8 @@
     pub set_aside: bool,
     /// Whether urgent work prefers backend servers that were measured to be fast.
     pub speed: bool,
+    /// Whether run times are estimated from progress, siblings and the queue; otherwise they are as declared.
+    pub run_times: bool,
     /// Whether jobs of one priority are ordered by deadline; otherwise by submission.
     pub deadline_order: bool,
 }
@@ -45,6 +47,7 @@
             doubt: true,
             set_aside: true,
             speed: true,
+            run_times: true,
             deadline_order: true,
         }
     }
