--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use jobs::{Resources, TaskId};
+use jobs::{Duration, Resources, TaskId};
 use model::{BackendServerId, Moment};
 
 use crate::{
@@ -11,7 +11,7 @@
     fleet_capacity::FleetCapacity,
     guarantee::Guarantees,
     placement::is_near,
-    run_state::{Group, GroupId, Member, StopReason},
+    run_state::{Group, GroupId, Member, Occurrence, StopReason},
     server_capacity::ServerCapacity,
 };
 
@@ -230,7 +230,8 @@
         let entry = self.jobs.get(&job).filter(|_| job != candidate.occurrence.job)?;
         let step = entry.job.steps.get(task.step as usize)?;
         let name = GroupId::of(task, step);
-        let group = &entry.occurrences.get(task.occurrence.number as usize)?.groups[name.step][name.group];
+        let occurrence = entry.occurrences.get(task.occurrence.number as usize)?;
+        let group = &occurrence.groups[name.step][name.group];
         if group.stopping.is_some() {
             return None;
         }
@@ -244,7 +245,7 @@
             return None;
         }
         let ran = now.since(group.placed_at).secs_f64();
-        if self.timing.tuning.spare_ending && !step.long_running && self.ends_before_a_stop(name, now) {
+        if self.timing.tuning.spare_ending && !step.long_running && self.ends_before_a_stop(name, occurrence, now) {
             return None;
         }
         let lost = if step.checkpoints { ran.min(MAX_UNSAVED_S) } else { ran };
@@ -252,12 +253,21 @@
         Some(Victim { group: name, waste, freed: step.counted_resources() })
     }
 
-    /// Returns whether a run will end sooner than a stop would take, by its estimated run time, or its reported
-    /// progress. The progress of a long-running task says nothing about its end.
-    fn ends_before_a_stop(&self, name: GroupId, now: Moment) -> bool {
-        let all_reported = || self.group(name).members.iter().all(|member| member.percent > 0);
-        let has_evidence = if self.estimates(name) { self.has_evidence(name) } else { all_reported() };
-        has_evidence && self.time_left(name, now).secs_f64() < self.stop_durations.mean_s()
+    /// Returns whether a run will end sooner than a stop would take, by its reported progress or its siblings. The
+    /// progress of a long-running task says nothing about its end.
+    fn ends_before_a_stop(&self, name: GroupId, occurrence: &Occurrence, now: Moment) -> bool {
+        let members = &occurrence.groups[name.step][name.group].members;
+        // A plan asks this of every run that it may stop, so that the progress at hand is examined first.
+        let by_progress = members.iter().try_fold(Duration::ZERO, |longest, member| {
+            let left = member.progress.time_left(now)?;
+            Some(longest.max(left.with_margin))
+        });
+        let has_evidence = || {
+            let has_siblings = !occurrence.siblings[name.step].is_empty();
+            has_siblings || members.iter().all(|member| member.percent > 0) && !self.estimates(name)
+        };
+        let left = by_progress.or_else(|| has_evidence().then(|| self.time_left(name, now)));
+        left.is_some_and(|left| left.secs_f64() < self.stop_durations.mean_s())
     }
 
     /// Returns the most core-seconds that may be lost so that groups of a candidate without a guarantee can start.
--- a/crates/scheduler/src/run_estimates.rs
+++ b/crates/scheduler/src/run_estimates.rs
@@ -91,13 +91,6 @@
         scaled_by_log(self.step(name).estimate, log_ratio)
     }
 
-    /// Returns whether progress or siblings tell how long a group's run takes.
-    pub(crate) fn has_evidence(&self, name: GroupId) -> bool {
-        let has_siblings = || !self.occurrence(name.occurrence).siblings[name.step].is_empty();
-        let has_progress = |member: &Member| member.progress.estimate().is_some();
-        self.estimates(name) && (has_siblings() || self.group(name).members.iter().all(has_progress))
-    }
-
     /// Returns the expected remaining time of a group's run, without a margin.
     pub(crate) fn expected_time_left(&self, name: GroupId, now: Moment) -> Duration {
         let estimated = self.estimated_time_left(name, now);
@@ -111,15 +104,22 @@
             return None;
         }
         let group = self.group(name);
-        let by_declaration = self.declared_run_time(name);
         let left = |member: &Member| {
-            let by_siblings = self.sibling_run_time(name, &member.server);
-            let placed_s = now.since(group.placed_at).secs_f64();
-            Run { progress: &member.progress, placed_s, by_siblings, by_declaration }.time_left(now)
+            member.progress.time_left(now).unwrap_or_else(|| self.time_left_by_siblings(name, member, now))
         };
         Some(group.members.iter().map(left).max_by_key(|left| left.with_margin).unwrap_or_default())
     }
 
+    fn time_left_by_siblings(&self, name: GroupId, member: &Member, now: Moment) -> TimeLeft {
+        let run = Run {
+            progress: &member.progress,
+            placed_s: now.since(self.group(name).placed_at).secs_f64(),
+            by_siblings: self.sibling_run_time(name, &member.server),
+            by_declaration: self.declared_run_time(name),
+        };
+        run.time_left(now)
+    }
+
     /// Returns whether run times of a group's step are estimated: those of tasks that last or run on what others leave
     /// idle say nothing.
     pub(crate) fn estimates(&self, name: GroupId) -> bool {
--- a/crates/scheduler/src/run_time/mod.rs
+++ b/crates/scheduler/src/run_time/mod.rs
@@ -7,7 +7,7 @@
 mod queue_ratio;
 mod siblings;
 
-use model::Duration;
+use model::{Duration, Moment};
 
 pub use progress::RunProgress;
 pub use queue_ratio::QueueRatio;
@@ -74,7 +74,7 @@
     }
 }
 
-/// Values that the remaining time of a run is estimated from.
+/// Values that the remaining time of a run is estimated from while its own progress tells nothing.
 #[derive(Debug, Clone, Copy)]
 pub struct Run<'a> {
     /// Reported progress.
@@ -88,17 +88,12 @@
 }
 
 impl Run<'_> {
-    /// Returns the time that the run still takes: by its own progress, else by its siblings, else as declared. A
-    /// source that the run has outlasted is skipped.
-    pub fn time_left(&self, now: model::Moment) -> TimeLeft {
-        let since_measured = |total| self.progress.since_measured(&total, now);
-        if let Some((rest, elapsed_s)) = self.progress.estimate().and_then(since_measured)
-            && !rest.is_refuted_after(elapsed_s)
-        {
-            return rest.left_after(elapsed_s);
-        }
-        let unknown_start = |total: &RunTime| since_measured(*total).filter(|_| !self.progress.has_known_start());
-        let rest = |total: RunTime| unknown_start(&total).unwrap_or((total, self.placed_s));
+    /// Returns the time that the run still takes: by its siblings, or as declared if it has outlasted them.
+    pub fn time_left(&self, now: Moment) -> TimeLeft {
+        let rest = |total: RunTime| {
+            let measured = self.progress.since_measured(&total, now);
+            measured.filter(|_| !self.progress.has_known_start()).unwrap_or((total, self.placed_s))
+        };
         let (by_siblings, elapsed_s) = rest(self.by_siblings);
         if !by_siblings.is_refuted_after(elapsed_s) {
             return by_siblings.left_after(elapsed_s);
--- a/crates/scheduler/src/run_time/progress.rs
+++ b/crates/scheduler/src/run_time/progress.rs
@@ -2,7 +2,7 @@
 
 use model::{Duration, Moment};
 
-use super::RunTime;
+use super::{RunTime, TimeLeft};
 
 /// Progress in percent that a run must make before it is used.
 const MIN_PROGRESS_PERCENT: u32 = 5;
@@ -104,6 +104,13 @@
         Some(RunTime { mean: Duration::from_millis((worked_s * 100_000.0 / done) as u64), spread })
     }
 
+    /// Returns the time that the run still takes; `None` while too little progress was made, or if the run has outlasted
+    /// what its progress predicted.
+    pub fn time_left(&self, now: Moment) -> Option<TimeLeft> {
+        let (rest, elapsed_s) = self.since_measured(&self.estimate()?, now)?;
+        (!rest.is_refuted_after(elapsed_s)).then(|| rest.left_after(elapsed_s))
+    }
+
     /// Returns what is left of a run with the total time `total` where its measurement starts, and the seconds since
     /// then; `None` if nothing was reported.
     pub(super) fn since_measured(&self, total: &RunTime, now: Moment) -> Option<(RunTime, f64)> {
--- a/crates/scheduler/tests/run_time.rs
+++ b/crates/scheduler/tests/run_time.rs
@@ -126,7 +126,7 @@
 fn left(progress: &RunProgress, now: Moment) -> Duration {
     let placed_s = now.since(at(0)).secs_f64();
     let run = Run { progress, placed_s, by_siblings: declared(0.2), by_declaration: declared(0.7) };
-    run.time_left(now).with_margin
+    progress.time_left(now).unwrap_or_else(|| run.time_left(now)).with_margin
 }
 
 /// A run that reports 100 % at once, but goes on, must not count as about to end.
