Keep false progress from misleading siblings

A sample changed only with the percentage, so that a run which stayed at a false 60 % made its step look short until it ended, and its job too late. A run that slows down by a tenth updates its sample, and 100 % gives none: the completion does.

--- a/crates/scheduler/src/run_estimates.rs
+++ b/crates/scheduler/src/run_estimates.rs
@@ -28,11 +28,13 @@
         if !member.progress.report(running.percent, started, now) {
             return;
         }
-        match member.progress.estimate() {
-            // What a resumed run reports may be the progress of its rest only.
-            Some(total) if !resumes => self.record_sibling(name, running.task.index, id, total.mean),
-            Some(_) => {}
-            None => self.predict_by_siblings(name, running.task.index, id),
+        let (has_estimate, total) = (member.progress.estimate().is_some(), member.progress.estimate_for_siblings());
+        if !has_estimate {
+            self.predict_by_siblings(name, running.task.index, id);
+        }
+        // What a resumed run reports may be the progress of its rest only.
+        if let Some(total) = total.filter(|_| !resumes) {
+            self.record_sibling(name, running.task.index, id, total.mean);
         }
     }
 
--- a/crates/scheduler/src/run_time/progress.rs
+++ b/crates/scheduler/src/run_time/progress.rs
@@ -14,6 +14,9 @@
 const RATE_SPREAD: f64 = 0.02;
 /// Seconds by which a report may be late: listings are some tenths of a second old.
 const REPORT_DELAY_S: f64 = 0.05;
+/// Growth of the estimate from which on it is news although the percentage is the same: a run that stops making progress
+/// would else mislead its siblings until it ends.
+const SLOWED_FACTOR: f64 = 1.1;
 /// Progress of work that is done.
 const DONE_PERCENT: u32 = 100;
 
@@ -35,6 +38,8 @@
     started: Option<Moment>,
     /// When the latest percentage was first reported.
     unchanged_since: Moment,
+    /// Total time when a report was last news.
+    told: Option<Duration>,
     /// Total time predicted by the siblings when progress was first reported.
     predicted_by_siblings: Option<Duration>,
     /// Total time predicted by the first usable progress.
@@ -43,7 +48,8 @@
 
 impl RunProgress {
     /// Records reported progress. `started` is when the run began its work, if that is known and it began from
-    /// nothing. Returns whether the percentage has changed.
+    /// nothing. Returns whether that is news: the
+    /// percentage has changed, or the run has slowed down.
     pub fn report(&mut self, percent: u32, started: Option<Moment>, now: Moment) -> bool {
         let percent = percent.min(DONE_PERCENT);
         let report = Report { at: now, percent };
@@ -62,10 +68,14 @@
         if has_changed {
             self.unchanged_since = now;
         }
-        if self.predicted_by_progress.is_none() {
-            self.predicted_by_progress = self.estimate().map(|total| total.mean);
+        let total = self.estimate().map(|total| total.mean);
+        self.predicted_by_progress = self.predicted_by_progress.or(total);
+        let has_slowed = total > self.told.map(|told| told.scaled(SLOWED_FACTOR));
+        let is_news = has_changed || has_slowed;
+        if is_news {
+            self.told = total;
         }
-        has_changed
+        is_news
     }
 
     /// Records what the siblings predict for the run, once.
@@ -84,6 +94,12 @@
         if self.latest.is_some() { self.started } else { confirmed }
     }
 
+    /// Returns the total time of the whole work for the run's siblings; `None` while too little progress was made, and
+    /// from 100 % on: whether the work is done then, its completion tells.
+    pub fn estimate_for_siblings(&self) -> Option<RunTime> {
+        self.estimate().filter(|_| self.latest.is_some_and(|latest| latest.percent < DONE_PERCENT))
+    }
+
     /// Returns the total time of the whole work; `None` while too little progress was made.
     pub fn estimate(&self) -> Option<RunTime> {
         let (from, latest) = (self.from?, self.latest?);
--- a/crates/scheduler/tests/run_time.rs
+++ b/crates/scheduler/tests/run_time.rs
@@ -154,6 +154,11 @@
         progress.report(48, Some(at(0)), at(ms));
     }
     assert!(left(&progress, at(8000)) > before + Duration::from_millis(5000));
+    // It is news for the siblings, and a false 100 % tells them nothing.
+    assert!(progress.report(48, Some(at(0)), at(9000)) && !progress.report(48, Some(at(0)), at(9100)));
+    assert!(progress.estimate_for_siblings().is_some_and(|total| total.mean > Duration::from_secs(18)));
+    progress.report(100, Some(at(0)), at(9200));
+    assert_eq!(progress.estimate_for_siblings(), None);
 }
 
 /// A task that begins anew within its run reports less than before: what it has left is measured from there on.
