--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -20,6 +20,7 @@
     policy::Policy,
     ready::ReadySteps,
     run_state::{IsolatedRetry, JobEntry, StopReason},
+    run_time::QueueRatio,
     server::Server,
     speed::FleetSpeed,
     stalled::Stalled,
@@ -96,6 +97,8 @@
     pub(crate) witnesses: Witnesses,
     /// Mean speed of the backend servers.
     pub(crate) fleet_speed: FleetSpeed,
+    /// Learned ratio of actual to declared duration, by queue.
+    pub(crate) queue_ratios: BTreeMap<QueueId, QueueRatio>,
     /// How long recent stops have taken.
     pub(crate) stop_durations: StopDurations,
     /// What the store holds of the learned speeds and stop durations.
@@ -150,6 +153,7 @@
             lapsed: LapsedLeases::default(),
             stalled: Stalled::default(),
             fleet_speed: FleetSpeed::default(),
+            queue_ratios: BTreeMap::new(),
             stop_durations: StopDurations::initial(),
             learned: Learned::new(),
             plan_requested: false,
@@ -203,7 +207,8 @@
         if self.jobs.contains_key(&id) || self.archived.contains_key(&id) {
             return;
         }
-        let entry = JobEntry::new(job, priority);
+        let mut entry = JobEntry::new(job, priority);
+        entry.update_chains(&self.queue_ratios);
         self.changed.extend(entry.occurrence_ids());
         self.jobs.insert(id, entry);
         self.open_jobs.insert(id);
--- a/crates/scheduler/src/tuning.rs
+++ b/crates/scheduler/src/tuning.rs
@@ -30,6 +30,8 @@
     pub speed: bool,
     /// Whether learned speeds and the mean duration of stops are kept in the store for the next scheduler.
     pub keep_learned: bool,
+    /// Whether run times are estimated from progress, siblings and the queue; otherwise they are as declared.
+    pub run_times: bool,
     /// Whether jobs of one priority are ordered by deadline; otherwise by submission.
     pub deadline_order: bool,
 }
@@ -48,6 +50,7 @@
             set_aside: true,
             speed: true,
             keep_learned: true,
+            run_times: true,
             deadline_order: true,
         }
     }
