Order work by fair shares where a service is short

By deadline alone, the backlog of one customer's surge goes before the jobs of all others of its priority, and all become late.

Where more is ready than fits, the scarcest resource is divided by weighted max-min fairness. Work within its customer's share goes first, then the rest, each by deadline. Gangs that have been overtaken for half of their slack have capacity kept for them. The configuration has a checked weight for each customer.

--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -4,7 +4,7 @@
 
 use model::{AvailabilityZoneId, BoxId, Duration};
 use outside::{Clock, CoordinationStore};
-use scheduler::{EvacuationStatus, SpeedSummary};
+use scheduler::{EvacuationStatus, ShareReport, SpeedSummary};
 use serde::Serialize;
 use smol::net::TcpListener;
 use wire::relay::relay_server::RelayServer;
@@ -72,6 +72,8 @@
     pub pending_writes: Option<usize>,
     /// Speeds of the backend servers.
     pub speeds: Option<SpeedSummary>,
+    /// Customers' shares of the services that are short of capacity.
+    pub shares: Option<Vec<ShareReport>>,
     /// Evacuated availability zones, where nothing starts.
     pub evacuations: Option<Vec<EvacuationStatus>>,
 }
@@ -168,6 +170,7 @@
             stalled: counts.map(|counts| counts.standing),
             pending_writes: counts.map(|counts| counts.unstored),
             speeds: self.active.get().map(|active| active.lock().speeds(self.view.clock().now())),
+            shares: self.active.get().map(|active| active.lock().shares()),
             evacuations: self.evacuations(),
         }
     }
@@ -206,6 +209,7 @@
         set("martenscale_standing_occurrences", Some(number(status.stalled).unwrap_or(0.0)));
         set("martenscale_unstored_occurrences", Some(number(status.pending_writes).unwrap_or(0.0)));
         set("martenscale_speed_spread", Some(status.speeds.map_or(0.0, |speeds| speeds.spread)));
+        self.set_share_gauges(&status.shares.unwrap_or_default());
         let evacuations = status.evacuations.unwrap_or_default();
         set("martenscale_evacuated_zones", Some(evacuations.len() as f64));
         set("martenscale_evacuated_running_tasks", Some(evacuations.iter().map(|e| e.running_tasks as f64).sum()));
@@ -215,6 +219,24 @@
             Some(evacuations.iter().map(missing).max().unwrap_or(0) as f64),
         );
     }
+
+    /// Sets the gauges of all customers' shares: 0 where no service that a customer uses is short of capacity, or where
+    /// this box does not schedule.
+    fn set_share_gauges(&self, shares: &[ShareReport]) {
+        let Some(configuration) = self.view.configuration() else { return };
+        let customers = configuration.policy.customers.keys().map(Some).chain([None]);
+        for customer in customers {
+            // Of several services or priorities, the one counts where the customer takes most beyond its share.
+            let excess = |report: &&ShareReport| report.share_used - report.fair_share;
+            let reports = shares.iter().filter(|report| report.customer.as_ref() == customer);
+            let (fair, used) = reports
+                .max_by(|a, b| excess(a).total_cmp(&excess(b)))
+                .map_or((0.0, 0.0), |report| (report.fair_share, report.share_used));
+            let label = [("customer", customer.map_or("none".to_owned(), ToString::to_string))];
+            metrics::gauge!("martenscale_fair_share", &label).set(fair);
+            metrics::gauge!("martenscale_share_used", &label).set(used);
+        }
+    }
 }
 
 /// Requests the configuration from other boxes while the store is unreachable.
--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -20,7 +20,7 @@
 const MAX_LATENESS_IN_OBJECTIVES: f64 = 3.0;
 
 /// Groups of one step that could start.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Candidate {
     pub(crate) occurrence: OccurrenceId,
     pub(crate) step: usize,
@@ -34,6 +34,8 @@
     pub(crate) suspected: bool,
     /// Whether its occurrence is stalled: nothing of it has run for [`STALL_LIMIT`], although something could.
     pub(crate) is_stalled: bool,
+    /// Whether its customer holds or has ahead of it all of its fair share of a service that is short of capacity.
+    pub(crate) is_beyond_share: bool,
     /// Whether it is so late that it goes behind the others of its priority.
     too_late: bool,
     /// Deadline of the job, in wall-clock milliseconds; the start of its time if deadlines do not order candidates.
@@ -58,6 +60,7 @@
             long_running: false,
             suspected: false,
             is_stalled: false,
+            is_beyond_share: false,
             too_late: false,
             deadline_ms: u64::MAX,
             half_slack_ms: u64::MAX,
@@ -67,6 +70,20 @@
     pub(crate) fn group(&self, group: usize) -> GroupId {
         GroupId { occurrence: self.occurrence, step: self.step, group }
     }
+
+    /// Splits off the groups that lie beyond the share of the customer: all but the first `within`.
+    pub(crate) fn split_at_share(mut self, within: usize) -> impl Iterator<Item = Candidate> {
+        let groups = self.groups.split_off(within);
+        let beyond = (!groups.is_empty()).then(|| Candidate { groups, is_beyond_share: true, ..self.clone() });
+        let within = (!self.groups.is_empty()).then_some(self);
+        within.into_iter().chain(beyond)
+    }
+
+    /// Whether it has waited for half of its slack, the longest time for which smaller jobs may overtake it, and is
+    /// not too late to matter.
+    pub(crate) fn is_overtaken_for_long(&self, wall_ms: u64) -> bool {
+        wall_ms >= self.half_slack_ms && !self.too_late
+    }
 }
 
 /// What a step's tasks require of a backend server.
@@ -123,7 +140,7 @@
 
 impl Scheduler {
     /// Returns what could start now, in the order in which it is to be placed.
-    pub(crate) fn candidates(&self, wall_ms: u64, guarantees: &mut Guarantees) -> Vec<Candidate> {
+    pub(crate) fn candidates(&mut self, wall_ms: u64, guarantees: &mut Guarantees) -> Vec<Candidate> {
         let mut found: Vec<Candidate> =
             self.ready.iter().flat_map(|(&id, steps)| self.candidates_of(id, steps, wall_ms)).collect();
         found.sort_by_key(|c| (c.priority, c.too_late, c.deadline_ms, c.occurrence, c.step));
@@ -133,7 +150,7 @@
             candidate.guaranteed = self.take_guarantee(candidate, guarantees);
         }
         found.sort_by_key(|c| (c.priority, !c.guaranteed));
-        found
+        self.order_by_shares(found)
     }
 
     /// Returns what could start now of one occurrence; nothing before it is due or while its queue is not configured.
@@ -159,6 +176,7 @@
             is_stalled: idle.min(since_due) >= STALL_LIMIT,
             priority: queue.priority,
             guaranteed: false,
+            is_beyond_share: false,
             long_running: entry.job.steps[step].long_running,
             too_late: wall_ms > from + objective.scaled(MAX_LATENESS_IN_OBJECTIVES).millis(),
             half_slack_ms: from + slack / 2,
--- a/crates/scheduler/src/check.rs
+++ b/crates/scheduler/src/check.rs
@@ -10,6 +10,7 @@
     pub fn check_kept(&mut self, now: Moment) -> Result<(), String> {
         self.check_capacity(now)?;
         self.check_isolated_retries()?;
+        self.check_usage()?;
         self.check_acknowledged()
     }
 
--- a/crates/scheduler/src/fleet_capacity.rs
+++ b/crates/scheduler/src/fleet_capacity.rs
@@ -86,6 +86,11 @@
         self.totals.get(service).copied().unwrap_or_default()
     }
 
+    /// Returns how often this plan has claimed or freed capacity so far.
+    pub(crate) fn claims(&self) -> usize {
+        self.claimed.len()
+    }
+
     /// Claims capacity for one task of the step at each placement.
     pub(crate) fn claim(&mut self, step: &Step, placements: &Placements) {
         let need = &step.counted_resources();
--- a/crates/scheduler/src/headroom.rs
+++ b/crates/scheduler/src/headroom.rs
@@ -9,6 +9,7 @@
     Scheduler,
     candidate::{Candidate, Requirements},
     fleet_capacity::FleetCapacity,
+    server_capacity::Totals,
 };
 
 /// Least share of a service's accelerators that stays free, used where stops take no time: it avoids the work that
@@ -66,6 +67,13 @@
         self.timing.tuning.headroom.unwrap_or(learned.min(most))
     }
 
+    /// Returns how many of a service's free accelerators work that can wait may take now.
+    pub(crate) fn free_beside_headroom(&self, totals: &Totals) -> u64 {
+        let reserved = totals.all as f64 * self.headroom(false);
+        let below_low_use = totals.all as f64 * LOW_USE_SHARE - totals.used as f64;
+        (totals.free as f64 - reserved).max(below_low_use).clamp(0.0, totals.free as f64) as u64
+    }
+
     /// Returns whether `count` tasks may start in addition to `taken` that are about to start, given the headroom for
     /// urgent jobs. A stalled job may use as much of the headroom as one of its groups takes, so that headroom cannot
     /// starve it.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -19,6 +19,7 @@
 mod crashes;
 mod draining;
 mod evacuation;
+pub mod fair_share;
 mod fleet_capacity;
 mod guarantee;
 mod headroom;
@@ -44,6 +45,7 @@
 mod scheduler;
 mod server;
 mod server_capacity;
+mod sharing;
 mod speed;
 mod stalled;
 mod starts;
@@ -60,6 +62,7 @@
     completions::{Completion, CompletionKind, Listing, RunningTask},
     contact::CallFailure,
     evacuation::{EvacuatedBy, EvacuationError, EvacuationStatus},
+    fair_share::Weight,
     maintenance_batch::{Machine, MachineId, MaintenanceProgress, MaintenanceReply, MaintenanceRequest},
     observations::Observation,
     orders::{Order, StartReply},
@@ -67,6 +70,7 @@
     policy::{CustomerPolicy, PermitPolicy, Policy, QueuePolicy, ServiceId},
     scheduler::{Counts, Scheduler},
     server::{ServerAddress, ServerInfo},
+    sharing::ShareReport,
     speed::{SpeedReport, SpeedSummary},
     timing::Timing,
     tuning::Tuning,
--- a/crates/scheduler/src/permits.rs
+++ b/crates/scheduler/src/permits.rs
@@ -162,7 +162,9 @@
     /// Requests permits for further backend servers for a candidate that was not placed completely.
     pub(crate) fn request_permits(&mut self, candidate: &Candidate, fleet: &FleetCapacity, now: Moment) {
         let Some(request) = self.permit_request_for(candidate, fleet, now) else { return };
-        if !request.servers.is_empty() {
+        // The groups beyond the share of the customer ask for the same permits as those within it.
+        let is_repeated = candidate.is_beyond_share && self.permits.requests.iter().any(|r| r.step == request.step);
+        if !request.servers.is_empty() && !is_repeated {
             self.permits.requests.push(request);
         }
     }
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     Scheduler, candidate::Candidate, fleet_capacity::FleetCapacity, guarantee::Guarantees, placement::Placements,
-    server_capacity::ServerCapacity,
+    server_capacity::ServerCapacity, sharing::KeptCapacity,
 };
 
 impl Scheduler {
@@ -15,23 +15,34 @@
         self.plan_clocks = (now, wall_ms);
         self.refresh_ready(now);
         let mut guarantees = Guarantees::new(self);
-        let candidates = self.candidates(wall_ms, &mut guarantees);
+        if !self.ready.is_empty() {
+            self.refresh_capacity(now);
+        }
+        let mut candidates = self.candidates(wall_ms, &mut guarantees);
         self.permits.clear_requests();
         if candidates.is_empty() {
             return;
         }
-        self.refresh_capacity(now);
         // Planning also changes jobs and backend servers, so the capacities are taken out and put back at the end.
         let mut fleet = std::mem::take(&mut self.fleet);
-        for candidate in &candidates {
+        let mut kept = KeptCapacity::default();
+        for candidate in &mut candidates {
             if candidate.suspected && self.awaits_isolated_retry(candidate.group(candidate.groups[0]), now) {
                 continue;
             }
+            self.leave_kept_capacity(candidate, &kept, &fleet);
+            if candidate.groups.is_empty() {
+                continue;
+            }
+            let claims = fleet.claims();
             if self.step_of(candidate).gang {
                 self.plan_gang(candidate, &mut fleet, &guarantees, now);
             } else {
                 self.plan_tasks(candidate, &mut fleet, &guarantees, now);
             }
+            if fleet.claims() == claims {
+                self.keep_capacity_for(candidate, &mut kept);
+            }
             self.request_permits(candidate, &fleet, now);
         }
         self.fleet = fleet;
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -7,6 +7,8 @@
 use model::{CustomerId, Duration};
 use serde::{Deserialize, Serialize};
 
+use crate::fair_share::Weight;
+
 /// Id of a service: a pool of backend servers that run it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize, Display)]
 #[serde(transparent)]
@@ -51,6 +53,8 @@
 pub struct CustomerPolicy {
     /// Accelerators that its jobs of priority 0 can use at any time.
     pub guaranteed_accelerators: u64,
+    /// Weight of its fair share where a service is short of capacity.
+    pub weight: Weight,
 }
 
 /// Configuration in force.
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -35,6 +35,7 @@
             entry.ended_at.get_or_insert(self.elected);
         }
         for name in self.restore_members(id, &job) {
+            self.add_usage(name, self.progress_of(name).placed.len());
             self.begin_isolated_retry(name);
         }
     }
--- a/crates/scheduler/src/runs.rs
+++ b/crates/scheduler/src/runs.rs
@@ -92,6 +92,7 @@
             server.used.add(&need);
             server.members.insert(name.task(*index), run);
         }
+        self.add_usage(name, servers.len());
         self.log_placement(name, servers, now);
         self.update_progress(name, |progress| {
             progress.run = run;
@@ -155,6 +156,7 @@
             server.members.remove(&name.task(index));
         }
         self.refresh_isolated_retry(&member.server);
+        self.remove_usage(name);
         let checkpoint = checkpoint.or(member.checkpoint).filter(|_| checkpoints);
         self.update_progress(name, |progress| {
             progress.placed.retain(|placed| placed.index != index);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -20,6 +20,7 @@
     ready::ReadySteps,
     run_state::{IsolatedRetry, JobEntry, StopReason},
     server::Server,
+    sharing::Sharing,
     speed::FleetSpeed,
     stalled::Stalled,
     timing::Timing,
@@ -95,6 +96,8 @@
     pub(crate) witnesses: Witnesses,
     /// Mean speed of the backend servers.
     pub(crate) fleet_speed: FleetSpeed,
+    /// Fair shares of the services that are short of capacity.
+    pub(crate) sharing: Sharing,
     /// How long recent stops have taken.
     pub(crate) stop_durations: StopDurations,
     /// Whether something has happened that may let a group start.
@@ -147,6 +150,7 @@
             lapsed: LapsedLeases::default(),
             stalled: Stalled::default(),
             fleet_speed: FleetSpeed::default(),
+            sharing: Sharing::default(),
             stop_durations: StopDurations::initial(),
             plan_requested: false,
             last_check: elected,
--- a/crates/scheduler/src/server_capacity.rs
+++ b/crates/scheduler/src/server_capacity.rs
@@ -60,6 +60,8 @@
 pub(crate) struct Totals {
     /// Free accelerators, on backend servers that take work.
     pub(crate) free: u64,
+    /// Free resources of all kinds, on backend servers that take work.
+    pub(crate) free_resources: Resources,
     /// Used accelerators, on backend servers that respond.
     pub(crate) used: u64,
     /// Accelerators of all backend servers of the service.
@@ -68,13 +70,15 @@
 
 impl Totals {
     pub(crate) fn add(&mut self, server: &ServerCapacity) {
-        self.free += server.free_accelerators();
+        self.free += server.open_resources().accelerators;
+        self.free_resources.add(&server.open_resources());
         self.used += server.used_accelerators();
         self.all += server.capacity.accelerators;
     }
 
     pub(crate) fn remove(&mut self, server: &ServerCapacity) {
-        self.free -= server.free_accelerators();
+        self.free -= server.open_resources().accelerators;
+        self.free_resources.remove(&server.open_resources());
         self.used -= server.used_accelerators();
         self.all -= server.capacity.accelerators;
     }
@@ -92,8 +96,10 @@
         if self.reachable { self.used.accelerators } else { 0 }
     }
 
-    fn free_accelerators(&self) -> u64 {
-        if self.accepts_work && !self.quarantined && !self.has_isolated_retry { self.free.accelerators } else { 0 }
+    /// Returns what is free for new work of any job.
+    fn open_resources(&self) -> Resources {
+        let is_open = self.accepts_work && !self.quarantined && !self.has_isolated_retry;
+        if is_open { self.free } else { Resources::default() }
     }
 }
 
--- a/crates/scheduler/src/tuning.rs
+++ b/crates/scheduler/src/tuning.rs
@@ -30,6 +30,8 @@
     pub speed: bool,
     /// Whether jobs of one priority are ordered by deadline; otherwise by submission.
     pub deadline_order: bool,
+    /// Whether customers below their fair share go first where a service is short of capacity.
+    pub fair_shares: bool,
 }
 
 impl Default for Tuning {
@@ -46,6 +48,7 @@
             set_aside: true,
             speed: true,
             deadline_order: true,
+            fair_shares: true,
         }
     }
 }
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -108,7 +108,7 @@
         queues: [("urgent", 0), ("batch", 1), ("archive", 2)].map(|(name, p)| (name.into(), queue(p))).into(),
         customers: BTreeMap::from([(
             "court".parse().expect("it is a valid id"),
-            CustomerPolicy { guaranteed_accelerators: 16 },
+            CustomerPolicy { guaranteed_accelerators: 16, ..CustomerPolicy::default() },
         )]),
     }
 }
--- a/xtask/src/plans.rs
+++ b/xtask/src/plans.rs
@@ -3,10 +3,10 @@
 use std::{fmt::Write, sync::Arc, time::Instant};
 
 use jobs::{Fence, Job, JobId, Resources, Step};
-use model::{AvailabilityZoneId, BackendServerId, Duration, Moment, Revision};
+use model::{AvailabilityZoneId, BackendServerId, CustomerId, Duration, Moment, Revision};
 use scheduler::{
-    EvacuatedBy, Listing, Order, Policy, QueuePolicy, RunningTask, Scheduler, ServerAddress, ServerInfo, ServiceId,
-    StartReply, Timing, Tuning,
+    CustomerPolicy, EvacuatedBy, Listing, Order, Policy, QueuePolicy, RunningTask, Scheduler, ServerAddress,
+    ServerInfo, ServiceId, StartReply, Timing, Tuning,
 };
 
 const SERVICE: &str = "service";
@@ -19,6 +19,8 @@
 const USED_PERCENT: u64 = 70;
 /// Largest number of tasks of a waiting job.
 const WAITING_JOB_TASKS: u32 = 100;
+/// Number of customers, as on the platform's largest site. Jobs are submitted by one after the other.
+const CUSTOMERS: u64 = 110;
 /// Tasks of the urgent job that a plan places.
 const PLACED_TASKS: u32 = 64;
 /// Repetitions of a measurement, whose median is printed.
@@ -131,10 +133,11 @@
     fn submit_step(&mut self, queue: &str, step: Step) -> JobId {
         // Ids are spread over their whole range, as those of callers are.
         let id = JobId(self.next_job.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let customer = Some(customer(self.next_job % CUSTOMERS));
         self.next_job += 1;
         let (queue, text) = (queue.into(), Arc::from("text"));
         let accepted_ms = self.now.millis();
-        self.scheduler.add_job(Job { id, queue, customer: None, text, steps: vec![step], schedule: None, accepted_ms });
+        self.scheduler.add_job(Job { id, queue, customer, text, steps: vec![step], schedule: None, accepted_ms });
         id
     }
 
@@ -223,6 +226,10 @@
     format!("az-{}", i % 5).parse().expect("a valid id")
 }
 
+fn customer(i: u64) -> CustomerId {
+    format!("c-{i:03}").parse().expect("a valid id")
+}
+
 fn step(count: u32, accelerators: u64) -> Step {
     let need = Resources { cpu_milli: 1000 * accelerators, memory_mb: 100, accelerators };
     Step { count, need, estimate: Duration::from_secs(5), ..Step::default() }
@@ -258,5 +265,6 @@
     };
     let queues =
         [("urgent", 0), ("batch", 1), ("archive", 2)].map(|(name, priority)| (name.into(), queue(priority))).into();
-    Policy { version: 1, queues, ..Policy::default() }
+    let customers = (0..CUSTOMERS).map(|i| (customer(i), CustomerPolicy::default())).collect();
+    Policy { version: 1, queues, customers }
 }
