Compute shares only while something scarce is free

With nothing free, no order of work that can wait starts anything, and a plan need not split its candidates. The report counts what is held now.

--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -84,15 +84,18 @@
         (priority, !guaranteed, is_beyond_share, too_late, deadline_ms, occurrence, step)
     }
 
-    /// Splits off the groups that lie beyond the share of the customer: all but the first `within`.
-    /// Returns them as another candidate, unless the whole candidate is beyond or none of it.
+    /// Splits off the groups that lie beyond the share of the customer, which are all but the first `within`, as another
+    /// candidate. Returns none if all groups are on one side.
     pub(crate) fn split_at_share(&mut self, within: usize) -> Option<Candidate> {
         if within == 0 {
             self.is_beyond_share = true;
             return None;
         }
+        if within >= self.groups.len() {
+            return None;
+        }
         let groups = self.groups.split_off(within);
-        (!groups.is_empty()).then(|| Candidate { groups, is_beyond_share: true, ..self.clone() })
+        Some(Candidate { groups, is_beyond_share: true, ..self.clone() })
     }
 
     /// Whether it has waited for half of its slack, the longest time for which smaller jobs may overtake it, and is
--- a/crates/scheduler/src/headroom.rs
+++ b/crates/scheduler/src/headroom.rs
@@ -67,9 +67,9 @@
         self.timing.tuning.headroom.unwrap_or(learned.min(most))
     }
 
-    /// Returns how many of a service's free accelerators work that can wait may take now.
+    /// Returns how many of a service's free accelerators work that can wait may take now, at most.
     pub(crate) fn free_beside_headroom(&self, totals: &Totals) -> u64 {
-        let reserved = totals.all as f64 * self.headroom(false);
+        let reserved = totals.all as f64 * self.headroom(true);
         let below_low_use = totals.all as f64 * LOW_USE_SHARE - totals.used as f64;
         (totals.free as f64 - reserved).max(below_low_use).clamp(0.0, totals.free as f64) as u64
     }
--- a/crates/scheduler/src/sharing.rs
+++ b/crates/scheduler/src/sharing.rs
@@ -61,7 +61,7 @@
     first: Option<Claimant>,
     /// Whether shares matter in this plan: candidates of several customers compete, or a gang waits for long.
     matters: bool,
-    /// Shares, if the service is short of capacity in the latest plan.
+    /// Latest shares, if the service is short of capacity in the latest plan.
     shares: Option<Shares>,
     above: AboveShare,
     logged: Option<(AboveShare, Moment)>,
@@ -95,7 +95,7 @@
     pub customer: Option<CustomerId>,
     /// Fair share of what can be used at this priority, from 0 to 1.
     pub fair_share: f64,
-    /// Share that the customer's tasks take, from 0 to 1.
+    /// Share that the customer's tasks take now, from 0 to 1.
     pub share_used: f64,
 }
 
@@ -133,7 +133,7 @@
         Some(&mut self.levels[account.level?].held[account.claimant.0])
     }
 
-    /// Counts the candidates of a plan. Returns whether shares may matter anywhere.
+    /// Counts the candidates of a plan.
     fn count(&mut self, candidates: &[Candidate], wall_ms: u64) {
         for level in &mut self.levels {
             level.begin_plan();
@@ -191,7 +191,6 @@
         self.wanted_by_all = Resources::default();
         self.first = None;
         self.matters = false;
-        self.shares = None;
     }
 
     fn count(&mut self, candidate: &Candidate, wall_ms: u64) {
@@ -229,8 +228,10 @@
     /// Returns the shares of all customers with work in the services that are short of capacity.
     pub fn shares(&self) -> Vec<ShareReport> {
         let mut reports = Vec::new();
-        for level in &self.sharing.levels {
+        for (index, level) in self.sharing.levels.iter().enumerate() {
             let Some(shares) = &level.shares else { continue };
+            // What is held may have changed since the shares were computed.
+            let held = |i: usize| self.sharing.up_to(index).map(|level| shares.kind().of(&level.held[i])).sum::<u64>();
             let capacity = (shares.capacity() as f64).max(1.0);
             let with_demand = shares.iter().filter(|(_, share)| share.demand > 0);
             reports.extend(with_demand.map(|(claimant, share)| ShareReport {
@@ -239,7 +240,7 @@
                 short_of: shares.kind().to_string(),
                 customer: self.sharing.customers[claimant.0].id.clone(),
                 fair_share: share.fair / capacity,
-                share_used: share.held as f64 / capacity,
+                share_used: held(claimant.0) as f64 / capacity,
             }));
         }
         reports
@@ -301,7 +302,9 @@
         self.sharing.count(candidates, self.plan_clocks.1);
         let mut is_reordered = false;
         for level in 0..self.sharing.levels.len() {
-            if self.sharing.levels[level].matters && self.is_short(level) {
+            if !self.sharing.levels[level].matters || !self.is_short(level) {
+                self.sharing.levels[level].shares = None;
+            } else if !self.is_exhausted(level) {
                 is_reordered |= self.order_level(level, candidates);
             }
         }
@@ -317,6 +320,13 @@
         !self.free_at(level).contains(&wanted)
     }
 
+    /// Whether nothing can start at a level, in any order, since none of the scarce resource is free: its shares need not
+    /// be computed again until a run ends. Urgent work may free capacity in the order of its candidates.
+    fn is_exhausted(&self, level: usize) -> bool {
+        let Level { priority, shares, .. } = &self.sharing.levels[level];
+        *priority > 0 && shares.as_ref().is_some_and(|shares| shares.kind().of(&self.free_at(level)) == 0)
+    }
+
     /// Divides the capacity of a level, and splits its candidates into work within and beyond the shares. Returns
     /// whether any of it lies beyond.
     fn order_level(&mut self, index: usize, candidates: &mut Vec<Candidate>) -> bool {
