--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -14,13 +14,14 @@
     ready::{ReadyStep, ReadySteps},
     run_state::GroupId,
     server_capacity::ServerCapacity,
+    sharing::Account,
 };
 
 /// A job that is later than this many times its objective is too late to matter and goes behind the others.
 const MAX_LATENESS_IN_OBJECTIVES: f64 = 3.0;
 
 /// Groups of one step that could start.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Candidate {
     pub(crate) occurrence: OccurrenceId,
     pub(crate) step: usize,
@@ -34,6 +35,12 @@
     pub(crate) suspected: bool,
     /// Whether its occurrence is stalled: nothing of it has run for [`STALL_LIMIT`], although something could.
     pub(crate) is_stalled: bool,
+    /// Where it is counted for fair shares.
+    pub(crate) account: Account,
+    /// Resources of one group.
+    pub(crate) group_resources: Resources,
+    /// Whether its customer holds or has ahead of it all of its fair share of a service that is short of capacity.
+    pub(crate) is_beyond_share: bool,
     /// Whether it is so late that it goes behind the others of its priority.
     too_late: bool,
     /// Deadline of the job, in wall-clock milliseconds; the start of its time if deadlines do not order candidates.
@@ -58,6 +65,9 @@
             long_running: false,
             suspected: false,
             is_stalled: false,
+            account: Account::default(),
+            group_resources: Resources::default(),
+            is_beyond_share: false,
             too_late: false,
             deadline_ms: u64::MAX,
             half_slack_ms: u64::MAX,
@@ -67,6 +77,32 @@
     pub(crate) fn group(&self, group: usize) -> GroupId {
         GroupId { occurrence: self.occurrence, step: self.step, group }
     }
+
+    /// Returns the key of the order in which candidates are placed.
+    pub(crate) fn order(&self) -> impl Ord + use<> {
+        let Candidate { priority, guaranteed, is_beyond_share, too_late, deadline_ms, occurrence, step, .. } = *self;
+        (priority, !guaranteed, is_beyond_share, too_late, deadline_ms, occurrence, step)
+    }
+
+    /// Splits off the groups that lie beyond the share of the customer, which are all but the first `within`, as another
+    /// candidate. Returns none if all groups are on one side.
+    pub(crate) fn split_at_share(&mut self, within: usize) -> Option<Candidate> {
+        if within == 0 {
+            self.is_beyond_share = true;
+            return None;
+        }
+        if within >= self.groups.len() {
+            return None;
+        }
+        let groups = self.groups.split_off(within);
+        Some(Candidate { groups, is_beyond_share: true, ..self.clone() })
+    }
+
+    /// Whether it has waited for half of its slack, the longest time for which smaller jobs may overtake it, and is
+    /// not too late to matter.
+    pub(crate) fn is_overtaken_for_long(&self, wall_ms: u64) -> bool {
+        wall_ms >= self.half_slack_ms && !self.too_late
+    }
 }
 
 /// What a step's tasks require of a backend server.
@@ -121,9 +157,14 @@
     }
 }
 
+/// Returns the resources of one group of a step.
+fn group_resources(step: &Step) -> Resources {
+    step.counted_resources().times(if step.gang { u64::from(step.count) } else { 1 })
+}
+
 impl Scheduler {
     /// Returns what could start now, in the order in which it is to be placed.
-    pub(crate) fn candidates(&self, wall_ms: u64, guarantees: &mut Guarantees) -> Vec<Candidate> {
+    pub(crate) fn candidates(&mut self, wall_ms: u64, guarantees: &mut Guarantees) -> Vec<Candidate> {
         let mut found: Vec<Candidate> =
             self.ready.iter().flat_map(|(&id, steps)| self.candidates_of(id, steps, wall_ms)).collect();
         found.sort_by_key(|c| (c.priority, c.too_late, c.deadline_ms, c.occurrence, c.step));
@@ -133,6 +174,7 @@
             candidate.guaranteed = self.take_guarantee(candidate, guarantees);
         }
         found.sort_by_key(|c| (c.priority, !c.guaranteed));
+        self.order_by_shares(&mut found);
         found
     }
 
@@ -159,6 +201,9 @@
             is_stalled: idle.min(since_due) >= STALL_LIMIT,
             priority: queue.priority,
             guaranteed: false,
+            account: entry.account,
+            group_resources: group_resources(&entry.job.steps[step]),
+            is_beyond_share: false,
             long_running: entry.job.steps[step].long_running,
             too_late: wall_ms > from + objective.scaled(MAX_LATENESS_IN_OBJECTIVES).millis(),
             half_slack_ms: from + slack / 2,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -19,6 +19,7 @@
 mod crashes;
 mod draining;
 mod evacuation;
+pub mod fair_share;
 mod fleet_capacity;
 mod guarantee;
 mod headroom;
@@ -47,6 +48,7 @@
 mod scheduler;
 mod server;
 mod server_capacity;
+mod sharing;
 mod speed;
 mod stalled;
 mod starts;
@@ -63,6 +65,7 @@
     completions::{Completion, CompletionKind, Listing, RunningTask},
     contact::CallFailure,
     evacuation::{EvacuatedBy, EvacuationError, EvacuationStatus},
+    fair_share::Weight,
     learned::{LearnedPage, LearnedWrite},
     maintenance_batch::{Machine, MachineId, MaintenanceProgress, MaintenanceReply, MaintenanceRequest},
     observations::Observation,
@@ -71,6 +74,7 @@
     policy::{CustomerPolicy, PermitPolicy, Policy, QueuePolicy, ServiceId},
     scheduler::{Counts, Scheduler},
     server::{ServerAddress, ServerInfo},
+    sharing::ShareReport,
     speed::{SpeedReport, SpeedSummary},
     timing::Timing,
     tuning::Tuning,
--- a/crates/scheduler/src/run_state.rs
+++ b/crates/scheduler/src/run_state.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     run_time::{RunProgress, Siblings},
+    sharing::Account,
     speed::{Measured, StepTimes},
     throttle::Throttle,
 };
@@ -231,6 +232,8 @@
 /// Job with its occurrences.
 #[derive(Debug)]
 pub(crate) struct JobEntry {
+    /// Where its work is counted for fair shares.
+    pub(crate) account: Account,
     pub(crate) job: Arc<Job>,
     /// Priority of its queue; the highest number while no configuration names the queue.
     pub(crate) priority: u32,
@@ -243,7 +246,14 @@
 impl JobEntry {
     pub(crate) fn new(job: Job, priority: u32) -> JobEntry {
         let occurrences = (0..job.occurrences()).map(|_| Occurrence::new(&job)).collect();
-        JobEntry { job: Arc::new(job), priority, cancelled: false, occurrences, ended_at: None }
+        JobEntry {
+            account: Account::default(),
+            job: Arc::new(job),
+            priority,
+            cancelled: false,
+            occurrences,
+            ended_at: None,
+        }
     }
 
     pub(crate) fn occurrence_ids(&self) -> impl Iterator<Item = OccurrenceId> + use<> {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -22,6 +22,7 @@
     run_state::{IsolatedRetry, JobEntry, StopReason},
     run_time::QueueRatio,
     server::Server,
+    sharing::Sharing,
     speed::FleetSpeed,
     stalled::Stalled,
     timing::Timing,
@@ -99,6 +100,8 @@
     pub(crate) fleet_speed: FleetSpeed,
     /// Learned ratio of actual to declared duration, by queue.
     pub(crate) queue_ratios: BTreeMap<QueueId, QueueRatio>,
+    /// Fair shares of the services that are short of capacity.
+    pub(crate) sharing: Sharing,
     /// How long recent stops have taken.
     pub(crate) stop_durations: StopDurations,
     /// What the store holds of the learned speeds and stop durations.
@@ -134,6 +137,7 @@
             elected,
             earlier_lease_expiry: timing.earlier_lease_expiry(elected),
             timing,
+            sharing: Sharing::new(&policy),
             policy,
             jobs: BTreeMap::new(),
             open_jobs: BTreeSet::new(),
@@ -192,6 +196,7 @@
         for entry in self.jobs.values_mut() {
             entry.priority = self.policy.priority(&entry.job.queue);
         }
+        self.reset_sharing();
         self.plan_requested = true;
     }
 
@@ -209,6 +214,7 @@
         }
         let mut entry = JobEntry::new(job, priority);
         entry.update_chains(&self.queue_ratios);
+        entry.account = self.sharing.account(&entry.job, &self.policy);
         self.changed.extend(entry.occurrence_ids());
         self.jobs.insert(id, entry);
         self.open_jobs.insert(id);
--- a/crates/scheduler/src/tuning.rs
+++ b/crates/scheduler/src/tuning.rs
@@ -34,6 +34,8 @@
     pub run_times: bool,
     /// Whether jobs of one priority are ordered by deadline; otherwise by submission.
     pub deadline_order: bool,
+    /// Whether customers below their fair share go first where a service is short of capacity.
+    pub fair_shares: bool,
 }
 
 impl Default for Tuning {
@@ -52,6 +54,7 @@
             keep_learned: true,
             run_times: true,
             deadline_order: true,
+            fair_shares: true,
         }
     }
 }
