End backend servers that the list of machines proves gone

Runs on a backend server that has crashed or left waited for its leases, since a failed call looks the same when it is only cut off. The platform's list of machines tells the two apart: one that is cut off stays listed on its machine.

The evidence is a pure module. It counts complete lists that were requested after the backend server stopped responding, remembers the machine by incarnation, and takes a list that lacks most responding backend servers for one of other machines. An entry with an id that cannot be decoded makes a list incomplete.

--- a/crates/martend/tests/suspended.rs
+++ b/crates/martend/tests/suspended.rs
@@ -24,7 +24,7 @@
     OptionalServices, RunningBox,
     platform::{BackendServers, Heartbeat, HeartbeatReply, Machines, Start, StopReply, Target, ThrottleOrder},
 };
-use scheduler::{Machine, MachineId, MaintenanceReply, StartReply};
+use scheduler::{MachineId, MachineList, MaintenanceReply, StartReply};
 use smol::{channel, net::TcpListener};
 use users_platform::{decode::PlatformDecoder, machines::HttpMachines, servers::HttpBackendServers, store::HttpStore};
 use users_platform_standin::{Padding, Setup, Work, free_addrs};
@@ -104,7 +104,7 @@
 }
 
 impl Machines for GatedMachines {
-    fn list(&self) -> BoxFuture<'_, Result<Vec<Machine>, NetError>> {
+    fn list(&self) -> BoxFuture<'_, Result<MachineList, NetError>> {
         Box::pin(async move {
             self.list_calls.fetch_add(1, Ordering::SeqCst);
             let _ = self.gate.recv().await;
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -21,6 +21,7 @@
 mod leader;
 mod link_worker;
 mod links;
+mod machine_list;
 mod maintenance;
 mod outcome;
 mod paged_reads;
--- a/crates/runtime/src/maintenance.rs
+++ b/crates/runtime/src/maintenance.rs
@@ -103,7 +103,7 @@
     };
     let now = cx.view.clock().now();
     let due = active.update(|scheduler| {
-        scheduler.machines_listed(listed, now);
+        scheduler.machines_listed(listed.machines, now);
         scheduler.machines_due_for_maintenance(now)
     });
     for (batch, machine) in due {
--- a/crates/runtime/src/platform.rs
+++ b/crates/runtime/src/platform.rs
@@ -9,7 +9,9 @@
 use model::{AvailabilityZoneId, BackendServerId, BoxId, Duration, Incarnation};
 use net::{BoxFuture, NetError};
 use outside::Item;
-use scheduler::{Listing, Machine, MachineId, MaintenanceReply, MaintenanceRequest, Permit, ServerInfo, StartReply};
+use scheduler::{
+    Listing, MachineId, MachineList, MaintenanceReply, MaintenanceRequest, Permit, ServerInfo, StartReply,
+};
 
 use crate::Configuration;
 
@@ -142,7 +144,7 @@
 /// Machines of the platform and their maintenance.
 pub trait Machines: Send + Sync + 'static {
     /// Lists all machines.
-    fn list(&self) -> BoxFuture<'_, Result<Vec<Machine>, NetError>>;
+    fn list(&self) -> BoxFuture<'_, Result<MachineList, NetError>>;
     /// Hands a machine over for maintenance, as part of a batch. All processes on it are terminated at once.
     /// Idempotent.
     fn begin_maintenance(
--- a/crates/runtime/src/telemetry.rs
+++ b/crates/runtime/src/telemetry.rs
@@ -37,6 +37,9 @@
                 let announced = announced.to_string();
                 metrics::counter!("martenscale_servers_gone_total", "announced" => announced).increment(1);
             }
+            Observation::EndedByMachineList => {
+                metrics::counter!("martenscale_ended_by_machine_list_total").increment(1);
+            }
             Observation::CrashedUnderTask { early } => {
                 metrics::counter!("martenscale_crashes_under_tasks_total", "early" => early.to_string()).increment(1);
             }
--- a/crates/scheduler/src/contact.rs
+++ b/crates/scheduler/src/contact.rs
@@ -86,6 +86,7 @@
         self.servers.remove(id);
         self.isolated_retries.remove(id);
         self.unreachable.remove_pending(id);
+        self.departures.evidence.forget(id);
     }
 
     /// Pauses starts on a backend server that has refused one.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -17,6 +17,7 @@
 mod completions;
 mod contact;
 mod crashes;
+pub mod departures;
 mod draining;
 mod evacuation;
 mod fleet_capacity;
@@ -59,6 +60,7 @@
     batch::{ProgressWrite, WriteBatch},
     completions::{Completion, CompletionKind, Listing, RunningTask},
     contact::CallFailure,
+    departures::MachineList,
     evacuation::{EvacuatedBy, EvacuationError, EvacuationStatus},
     maintenance_batch::{Machine, MachineId, MaintenanceProgress, MaintenanceReply, MaintenanceRequest},
     observations::Observation,
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -44,6 +44,7 @@
         }
         self.unreachable.remove_pending(id);
         server.failed_calls = 0;
+        server.contact.first_response.get_or_insert(now);
         server.contact.last_response = Some(now);
         server.answered_call_sent = server.answered_call_sent.max(Some(sent));
         server.contact.failing_since = None;
--- a/crates/scheduler/src/observations.rs
+++ b/crates/scheduler/src/observations.rs
@@ -50,6 +50,8 @@
         /// Whether it had announced its departure; otherwise it has crashed or was taken away.
         announced: bool,
     },
+    /// The platform's list of machines proved that a backend server has ended.
+    EndedByMachineList,
     /// A backend server has crashed while a task ran there.
     CrashedUnderTask {
         /// Whether the run is not known to have outlived its start.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -8,6 +8,7 @@
 use crate::{
     archive::Archived,
     crashes::LapsedLeases,
+    departures::Departures,
     evacuation::Evacuations,
     fleet_capacity::FleetCapacity,
     headroom::StopDurations,
@@ -110,6 +111,8 @@
     pub(crate) orders: Vec<Order>,
     /// Maintenance batches requested by operators.
     pub(crate) maintenance: Maintenance,
+    /// What the platform's lists of machines have shown of backend servers.
+    pub(crate) departures: Departures,
     /// Evacuated availability zones, where nothing starts.
     pub(crate) evacuations: Evacuations,
     /// Answers of the placement permit service, and requests to send to it.
@@ -156,6 +159,7 @@
             unsent_starts: BTreeSet::new(),
             orders: Vec::new(),
             maintenance: Maintenance::default(),
+            departures: Departures::default(),
             evacuations: Evacuations::default(),
             permits: PermitBook::default(),
             observations: Vec::new(),
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -82,6 +82,8 @@
 /// Signs by which a backend server that has shut down is told apart from one that is unreachable.
 #[derive(Debug, Default)]
 pub(crate) struct Contact {
+    /// When this incarnation first responded to this scheduler.
+    pub(crate) first_response: Option<Moment>,
     /// When it last responded to this scheduler.
     pub(crate) last_response: Option<Moment>,
     /// When the first call since its last response failed; `None` while it responds.
@@ -255,6 +257,7 @@
             failing_since: Some(failing_since),
             refused: true,
             unlisted_at: Some(unlisted_at),
+            ..
         } = self.contact
         else {
             return false;
--- a/crates/scheduler/src/tuning.rs
+++ b/crates/scheduler/src/tuning.rs
@@ -30,6 +30,8 @@
     pub speed: bool,
     /// Whether jobs of one priority are ordered by deadline; otherwise by submission.
     pub deadline_order: bool,
+    /// Whether the platform's list of machines may prove that a backend server has ended.
+    pub machine_list: bool,
 }
 
 impl Default for Tuning {
@@ -46,6 +48,7 @@
             set_aside: true,
             speed: true,
             deadline_order: true,
+            machine_list: true,
         }
     }
 }
--- a/crates/scheduler/src/unreachable.rs
+++ b/crates/scheduler/src/unreachable.rs
@@ -69,6 +69,11 @@
         self.pending.insert(id.clone());
     }
 
+    /// Returns the backend servers that are unreachable and may run something.
+    pub(crate) fn pending(&self) -> impl Iterator<Item = &BackendServerId> {
+        self.pending.iter()
+    }
+
     /// Removes a backend server that has responded or is no longer tracked.
     pub(crate) fn remove_pending(&mut self, id: &BackendServerId) {
         self.pending.remove(id);
--- a/crates/scheduler/tests/common/events.rs
+++ b/crates/scheduler/tests/common/events.rs
@@ -5,8 +5,8 @@
 use jobs::{OccurrenceId, RunNumber, TaskId};
 use model::{AvailabilityZoneId, BackendServerId, Incarnation, Moment, Revision};
 use scheduler::{
-    CallFailure, CompletionKind, EvacuatedBy, Listing, StartReply, UnreachableWrite, WitnessRecord, WitnessWrite,
-    WriteBatch,
+    CallFailure, CompletionKind, EvacuatedBy, Listing, Machine, MachineId, MachineList, StartReply, UnreachableWrite,
+    WitnessRecord, WitnessWrite, WriteBatch,
 };
 
 use super::{
@@ -107,6 +107,27 @@
     WitnessWriteLost {
         leader: usize,
     },
+    /// The platform's list shows a change of a machine; `present` tells whether the machine is listed.
+    MachineChanged {
+        machine: Machine,
+        present: bool,
+        number: u64,
+    },
+    /// The next page of the list of machines is read.
+    MachinePage {
+        leader: usize,
+        list: MachineList,
+        after: Option<MachineId>,
+        requested: Moment,
+    },
+    MachineListed {
+        leader: usize,
+        list: MachineList,
+        requested: Moment,
+    },
+    MachineListFailed {
+        leader: usize,
+    },
     /// A scheduler is informed that the platform no longer lists a backend server.
     Unlisted {
         leader: usize,
@@ -220,6 +241,12 @@
                 let now = self.moment();
                 self.leaders[leader].scheduler.server_unlisted(&server, now);
             }
+            Event::MachineChanged { machine, present, number } => self.on_machine_changed(machine, present, number),
+            Event::MachinePage { leader, list, after, requested } => {
+                self.on_machine_page(leader, list, after, requested)
+            }
+            Event::MachineListed { leader, list, requested } => self.on_machines_listed(leader, &list, requested),
+            Event::MachineListFailed { leader } => self.on_machine_list_failed(leader),
             Event::EvacuationsReported { leader } => self.on_evacuations_reported(leader),
             Event::Crash { server } => self.on_crash(&server),
             Event::Replaced { server } => self.on_replaced(&server),
--- a/crates/scheduler/tests/common/leading.rs
+++ b/crates/scheduler/tests/common/leading.rs
@@ -26,6 +26,7 @@
         self.write_next_unreachable(i);
         self.write_next_witnesses(i);
         self.renew(i);
+        self.request_machine_list(i);
         for order in self.leaders[i].scheduler.take_orders() {
             self.send(i, order);
         }
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -7,6 +7,7 @@
 mod crashes;
 pub(crate) mod events;
 mod leading;
+mod machines;
 mod oracle;
 mod platform;
 mod restarts;
--- a/crates/scheduler/tests/common/restarts.rs
+++ b/crates/scheduler/tests/common/restarts.rs
@@ -48,6 +48,7 @@
         // Its first heartbeat may come before or after its first response to a scheduler.
         server.last_heartbeat = self.now.saturating_sub(self.rng.u64(..FIRST_HEARTBEAT_DELAY_MS));
         server.listed = false;
+        self.list_machine(&id);
         self.servers.insert(id, server);
     }
 
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -14,7 +14,10 @@
     WriteBatch,
 };
 
-use super::{events::Event, info, policy, server::FakeServer, server_id, stalled::StallCheck, witnesses::CutOff};
+use super::{
+    events::Event, info, machines::Machines, policy, server::FakeServer, server_id, stalled::StallCheck,
+    witnesses::CutOff,
+};
 
 pub(crate) const STEP_MS: u64 = 10;
 pub(crate) const LEASE_MS: u64 = 6000;
@@ -29,6 +32,8 @@
     pub(crate) writes_in_flight: usize,
     /// Whether a write of the unreachable record is in flight.
     pub(crate) writing_unreachable: bool,
+    /// Whether a request for the list of machines is in flight.
+    pub(crate) requesting_machines: bool,
     /// Availability zones that it has recorded as evacuated.
     pub(crate) evacuated: BTreeSet<AvailabilityZoneId>,
     /// Time in milliseconds from which it stops renewing, because its election cannot be confirmed.
@@ -98,6 +103,7 @@
     pub(crate) rng: fastrand::Rng,
     pub(crate) start_count: usize,
     pub(crate) stall_check: StallCheck,
+    pub(crate) machines: Machines,
 }
 
 impl World {
@@ -129,6 +135,7 @@
             rng: fastrand::Rng::with_seed(seed),
             start_count: 0,
             stall_check: StallCheck::default(),
+            machines: Machines::new(seed),
         };
         for _ in 0..servers {
             world.add_server();
@@ -160,6 +167,7 @@
         }
         server.last_heartbeat = self.now;
         server.overcommits = i.is_multiple_of(2);
+        self.list_machine(&server.id);
         self.servers.insert(server.id.clone(), server);
     }
 
@@ -224,6 +232,7 @@
             alive: true,
             writes_in_flight: 0,
             writing_unreachable: false,
+            requesting_machines: false,
             evacuated,
             renews_until: u64::MAX,
             confirmed: now,
@@ -233,6 +242,7 @@
             calls_in_flight: BTreeMap::new(),
             responded: BTreeSet::new(),
         });
+        self.call_ended_places(self.leaders.len() - 1);
     }
 
     /// Evacuates an availability zone or ends its evacuation. Schedulers learn of it after a delay; the next write that
@@ -271,6 +281,8 @@
 
     /// Ends a backend server together with its runs, and breaks their gangs.
     pub(crate) fn end_incarnation(&mut self, id: &BackendServerId) {
+        // The machine of one that leaves is taken away.
+        self.list_machine_down(id, self.servers[id].leaves_at.is_none());
         let tasks: Vec<TaskId> = self.servers[id].running.keys().copied().collect();
         // Counts all crashes before ending any run: the first member of a gang to end takes the others with it.
         if self.servers[id].leaves_at.is_none() {
