--- a/crates/scheduler/tests/common/machines.rs
+++ b/crates/scheduler/tests/common/machines.rs
@@ -19,7 +19,7 @@
 const PAGE_DELAY_MS: u64 = 2 * STEP_MS;
 /// Time after an election until a first call has failed.
 const FIRST_CALL_MS: u64 = 100;
-/// Share of the requests that fail, and that are answered late, of 256.
+/// Share of the requests that fail or end after a page, and that are answered late, of 256.
 const FAILED: u8 = 20;
 const LATE: u8 = 30;
 
@@ -129,7 +129,9 @@
         list.machines.extend(rest.iter().take(PAGE_SIZE).cloned());
         list.pages += 1;
         let last = list.machines.last().map(|machine| machine.id.clone());
-        if rest.len() > PAGE_SIZE {
+        if rest.len() > PAGE_SIZE && self.machines.faulty && self.machines.rng.u8(..) < FAILED {
+            list.complete = false;
+        } else if rest.len() > PAGE_SIZE {
             return self.after(PAGE_DELAY_MS, Event::MachinePage { leader, list, after: last, requested });
         }
         let delay = self.machines.delay_ms();
