Decide together which runs leave departing backend servers

Each backend server that announced its departure was decided on by itself, without a margin: a run that ended a little too late was lost as a whole, and of several groups that were stopped, the one that stopped first took the free capacity.

All announcements since the latest plan are now one pure decision. Runs that last and starts not ordered yet are moved.

In the simulated cluster, half of the departures report their notice.

--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -8,6 +8,7 @@
 use crate::{
     Scheduler,
     crashes::is_last_attempt,
+    departures::Urgency,
     guarantee::Guarantees,
     headroom::STALL_LIMIT,
     policy::ServiceId,
@@ -32,6 +33,8 @@
     pub(crate) long_running: bool,
     /// Whether a backend server crashed during its start. It is placed separately until a run has survived its start.
     pub(crate) suspected: bool,
+    /// Whether its run is still being stopped since its backend server departs: capacity is only reserved for it.
+    pub(crate) is_moving: bool,
     /// Whether its occurrence is stalled: nothing of it has run for [`STALL_LIMIT`], although something could.
     pub(crate) is_stalled: bool,
     /// Whether it is so late that it goes behind the others of its priority.
@@ -57,6 +60,7 @@
             guaranteed: false,
             long_running: false,
             suspected: false,
+            is_moving: false,
             is_stalled: false,
             too_late: false,
             deadline_ms: u64::MAX,
@@ -64,6 +68,11 @@
         }
     }
 
+    /// Returns its order among other candidates, apart from guarantees.
+    pub(crate) fn urgency(&self) -> Urgency {
+        Urgency { priority: self.priority, too_late: self.too_late, deadline_ms: self.deadline_ms }
+    }
+
     pub(crate) fn group(&self, group: usize) -> GroupId {
         GroupId { occurrence: self.occurrence, step: self.step, group }
     }
@@ -122,14 +131,27 @@
 }
 
 impl Scheduler {
-    /// Returns what could start now, in the order in which it is to be placed.
-    pub(crate) fn candidates(&self, wall_ms: u64, guarantees: &mut Guarantees) -> Vec<Candidate> {
+    /// Returns the candidate that a group will be once its run has been stopped.
+    pub(crate) fn candidate_after_stop(&self, name: GroupId, wall_ms: u64) -> Option<Candidate> {
+        let step = ReadyStep { step: name.step, groups: vec![name.group], ..ReadyStep::default() };
+        let candidate = self.candidates_of(name.occurrence, &vec![step], wall_ms).pop()?;
+        Some(Candidate { is_moving: true, ..candidate })
+    }
+
+    /// Returns what could start now and `moving`, in the order in which it is to be placed.
+    pub(crate) fn candidates(
+        &self,
+        wall_ms: u64,
+        moving: Vec<Candidate>,
+        guarantees: &mut Guarantees,
+    ) -> Vec<Candidate> {
         let mut found: Vec<Candidate> =
             self.ready.iter().flat_map(|(&id, steps)| self.candidates_of(id, steps, wall_ms)).collect();
+        found.extend(moving);
         found.sort_by_key(|c| (c.priority, c.too_late, c.deadline_ms, c.occurrence, c.step));
         // Guarantees are handed out in this order; candidates that they cover then go before the rest of their
         // priority.
-        for candidate in found.iter_mut().filter(|candidate| candidate.priority == 0) {
+        for candidate in found.iter_mut().filter(|candidate| candidate.priority == 0 && !candidate.is_moving) {
             candidate.guaranteed = self.take_guarantee(candidate, guarantees);
         }
         found.sort_by_key(|c| (c.priority, !c.guaranteed));
@@ -156,6 +178,7 @@
             step,
             groups,
             suspected,
+            is_moving: false,
             is_stalled: idle.min(since_due) >= STALL_LIMIT,
             priority: queue.priority,
             guaranteed: false,
--- a/crates/scheduler/src/contact.rs
+++ b/crates/scheduler/src/contact.rs
@@ -34,7 +34,7 @@
         self.stop_unordered_if_shrunk(&id, now);
         if draining && !was_draining {
             log::info!("server={id} event=draining fence={}", self.fence);
-            self.stop_before_departure(&id, now);
+            self.departures.announced.push((id, now));
         }
     }
 
--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Scheduler,
-    run_state::{GroupId, Member, StopReason},
+    run_state::{GroupId, Member},
     server::Server,
 };
 
@@ -23,17 +23,6 @@
 }
 
 impl Scheduler {
-    /// Stops runs that cannot end before their backend server departs.
-    pub(crate) fn stop_before_departure(&mut self, id: &BackendServerId, now: Moment) {
-        let Some(server) = self.servers.get(id) else { return };
-        let Some(remaining) = server.info.as_ref().and_then(|info| info.remaining) else { return };
-        for name in self.groups_on(id) {
-            if self.time_left(name, now) > remaining {
-                self.stop_group(name, StopReason::ServerLeaving, now);
-            }
-        }
-    }
-
     /// Returns the groups with a task on a backend server, each once.
     pub(crate) fn groups_on(&self, id: &BackendServerId) -> Vec<GroupId> {
         let Some(server) = self.servers.get(id) else { return Vec::new() };
--- a/crates/scheduler/src/plan.rs
+++ b/crates/scheduler/src/plan.rs
@@ -13,17 +13,23 @@
     /// in milliseconds.
     pub fn plan(&mut self, now: Moment, wall_ms: u64) {
         self.plan_clocks = (now, wall_ms);
+        self.move_off_departing(now, wall_ms);
         self.refresh_ready(now);
+        let moving = self.moving_candidates(now, wall_ms);
         let mut guarantees = Guarantees::new(self);
-        let candidates = self.candidates(wall_ms, &mut guarantees);
+        let candidates = self.candidates(wall_ms, moving, &mut guarantees);
         self.permits.clear_requests();
-        if candidates.is_empty() {
+        if candidates.iter().all(|candidate| candidate.is_moving) {
             return;
         }
         self.refresh_capacity(now);
         // Planning also changes jobs and backend servers, so the capacities are taken out and put back at the end.
         let mut fleet = std::mem::take(&mut self.fleet);
         for candidate in &candidates {
+            if candidate.is_moving {
+                self.reserve_for_move(candidate, &mut fleet, now);
+                continue;
+            }
             if candidate.suspected && self.awaits_isolated_retry(candidate.group(candidate.groups[0]), now) {
                 continue;
             }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -111,7 +111,7 @@
     pub(crate) orders: Vec<Order>,
     /// Maintenance batches requested by operators.
     pub(crate) maintenance: Maintenance,
-    /// What the platform's lists of machines have shown of backend servers.
+    /// Evidence of backend servers that have ended, and announced departures.
     pub(crate) departures: Departures,
     /// Evacuated availability zones, where nothing starts.
     pub(crate) evacuations: Evacuations,
--- a/crates/scheduler/tests/common/machines.rs
+++ b/crates/scheduler/tests/common/machines.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Returns whether the next departure is announced with the time that the backend server stays.
+    pub(crate) fn reports_notice(&mut self) -> bool {
+        self.available && self.rng.bool()
+    }
+
     /// Returns the delay of a request or of a reply.
     fn delay_ms(&mut self) -> u64 {
         if self.faulty && self.rng.u8(..) < LATE { self.rng.u64(..MAX_DELAY_MS) } else { STEP_MS }
--- a/crates/scheduler/tests/common/platform.rs
+++ b/crates/scheduler/tests/common/platform.rs
@@ -1,6 +1,6 @@
 //! The platform's list of backend servers: their heartbeats and departures.
 
-use model::BackendServerId;
+use model::{BackendServerId, Duration};
 use scheduler::{CallFailure, ServerInfo};
 
 use super::{events::Event, world::World};
@@ -22,12 +22,13 @@
             return;
         }
         let at = self.now + DRAIN_MS + self.rng.u64(..1000);
+        let remaining = self.machines.reports_notice().then(|| Duration::from_millis(DRAIN_MS));
         let server = self.server_mut(&id);
         if server.leaves_at.is_some() {
             return;
         }
         server.leaves_at = Some(at);
-        server.info = ServerInfo { draining: true, ..server.info.clone() };
+        server.info = ServerInfo { draining: true, remaining, ..server.info.clone() };
         self.report_listed(&id);
     }
 
