--- a/crates/scheduler/src/departures/moves.rs
+++ b/crates/scheduler/src/departures/moves.rs
@@ -28,6 +28,9 @@
         }
         let runs: Vec<DepartingRun<GroupId>> =
             announced.iter().flat_map(|(id, at)| self.departing_runs(id, *at, now, wall_ms)).collect();
+        if runs.is_empty() {
+            return;
+        }
         let moving = groups_to_move(&runs);
         log::info!(
             "event=departures fence={} servers={} runs={} moved={}",
