Never end a backend server that joins and has not responded

One that joins during the term, and whose first call fails before the list of machines shows it, counted as lost before the election. It held no runs, so nothing could run twice, but it was no longer tracked until its next entry. Before its first response, a backend server now ends by the list only if runs are placed on it, which must have been stored before the election.

--- a/crates/scheduler/src/departures/apply.rs
+++ b/crates/scheduler/src/departures/apply.rs
@@ -69,5 +69,6 @@
         first_response: server.contact.first_response,
         answered_call_sent: server.answered_call_sent,
         failing_since: server.contact.failing_since,
+        has_runs: !server.members.is_empty(),
     }
 }
--- a/crates/scheduler/src/departures/evidence.rs
+++ b/crates/scheduler/src/departures/evidence.rs
@@ -45,6 +45,8 @@
     pub answered_call_sent: Option<Moment>,
     /// When the first call since its last response failed; `None` while it responds.
     pub failing_since: Option<Moment>,
+    /// Whether anything is placed on it. Before its first response, that was placed before the election.
+    pub has_runs: bool,
 }
 
 /// How a list proves that an incarnation has ended.
@@ -207,6 +209,10 @@
             sighting.missing_since.get_or_insert(now);
             sighting.machine.clone()
         });
+        if server.first_response.is_none() && !server.has_runs {
+            // It may have joined just now and not be listed yet.
+            return None;
+        }
         let failing_since = server.failing_since.filter(|since| requested >= *since + MIN_SILENCE)?;
         let proof = match &machine {
             Some(machine) if index.machines.contains(machine) => Proof::MachineWithoutIt,
--- a/crates/scheduler/tests/machine_evidence.rs
+++ b/crates/scheduler/tests/machine_evidence.rs
@@ -35,6 +35,7 @@
         first_response: Some(at(1100)),
         answered_call_sent: Some(at(answered)),
         failing_since: None,
+        has_runs: true,
     }
 }
 
@@ -111,6 +112,16 @@
     assert_eq!(lists.apply(&without, 2400, &servers), ended(None, Proof::NeverListed));
 }
 
+#[test]
+fn one_that_joins_and_does_not_respond_yet_has_not_ended() {
+    let mut lists = Lists(Evidence::default());
+    let joining = Observed { has_runs: false, failing_since: Some(at(5000)), ..unheard("a") };
+    for requested in [5150, 5450, 5750] {
+        let servers = [joining.clone(), responding("b", 4900)];
+        assert!(lists.apply(&list(&[("m-b", Some("b"))]), requested, &servers).is_empty());
+    }
+}
+
 #[test]
 fn a_backend_server_that_is_listed_is_cut_off() {
     let mut lists = Lists::seen();
