--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -22,6 +22,7 @@
 mod learned;
 mod link_worker;
 mod links;
+mod machine_list;
 mod maintenance;
 mod outcome;
 mod paged_reads;
--- a/crates/scheduler/src/contact.rs
+++ b/crates/scheduler/src/contact.rs
@@ -35,7 +35,7 @@
         self.stop_unordered_if_shrunk(&id, now);
         if draining && !was_draining {
             log::info!("server={id} event=draining fence={}", self.fence);
-            self.stop_before_departure(&id, now);
+            self.departures.announced.push((id, now));
         }
     }
 
@@ -87,6 +87,7 @@
         self.servers.remove(id);
         self.isolated_retries.remove(id);
         self.unreachable.remove_pending(id);
+        self.departures.evidence.forget(id);
     }
 
     /// Pauses starts on a backend server that has refused one.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -17,6 +17,7 @@
 mod completions;
 mod contact;
 mod crashes;
+pub mod departures;
 mod draining;
 mod evacuation;
 pub mod fair_share;
@@ -64,6 +65,7 @@
     batch::{ProgressWrite, WriteBatch},
     completions::{Completion, CompletionKind, Listing, RunningTask},
     contact::CallFailure,
+    departures::MachineList,
     evacuation::{EvacuatedBy, EvacuationError, EvacuationStatus},
     fair_share::Weight,
     learned::{LearnedPage, LearnedWrite},
--- a/crates/scheduler/src/tuning.rs
+++ b/crates/scheduler/src/tuning.rs
@@ -36,6 +36,8 @@
     pub deadline_order: bool,
     /// Whether customers below their fair share go first where a service is short of capacity.
     pub fair_shares: bool,
+    /// Whether the platform's list of machines may prove that a backend server has ended.
+    pub machine_list: bool,
 }
 
 impl Default for Tuning {
@@ -55,6 +57,7 @@
             run_times: true,
             deadline_order: true,
             fair_shares: true,
+            machine_list: true,
         }
     }
 }
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod fleet;
 mod leading;
 pub(crate) mod learned;
+mod machines;
 mod oracle;
 mod platform;
 mod restarts;
