--- a/crates/scheduler/src/departures/evidence.rs
+++ b/crates/scheduler/src/departures/evidence.rs
@@ -34,7 +34,7 @@
 /// What a scheduler has observed of a backend server by itself, as of when a list is received.
 #[derive(Debug, Clone)]
 pub struct Observed {
-    /// Its id.
+    /// Backend server that was observed.
     pub id: BackendServerId,
     /// Incarnation that last responded; `None` before the first response, and on a platform where each incarnation has
     /// an id of its own.
