Tell why a run goes on after its stop was decided

The hypotheses on the run of a cancelled job that lapsed cannot be told apart by logs or metrics: event=stop says neither why nor since when, nothing tells of a stop that has no effect, and a notice of a cancellation that does not reach the scheduler is logged at debug level alone. No decision changes. Measured: the tests of scheduler and runtime pass.

--- a/crates/runtime/src/link_worker.rs
+++ b/crates/runtime/src/link_worker.rs
@@ -256,10 +256,17 @@
     }
 
     async fn stop(&self, active: &Active, task: TaskId, run: RunNumber) {
-        let target = self.target(&active.lock());
+        let (target, pending) = {
+            let scheduler = active.lock();
+            (self.target(&scheduler), scheduler.pending_stop(&self.target.id, task, run))
+        };
+        let sent = self.now();
         let reply = self.cx.servers.stop(target.clone(), active.fence, task, run).await;
+        let why = pending.map_or_else(|| "none".to_owned(), |stop| stop.reason.to_string());
+        let waited_ms = pending.map_or(0, |stop| sent.since(stop.since).millis());
         log::info!(
-            "job={} event=stop task={task} run={run} server={} fence={} outcome={reply:?}",
+            "job={} event=stop task={task} run={run} server={} fence={} why={why} waited_ms={waited_ms} \
+             outcome={reply:?}",
             task.occurrence.job,
             self.target.id,
             active.fence
--- a/crates/runtime/src/outcome.rs
+++ b/crates/runtime/src/outcome.rs
@@ -51,3 +51,21 @@
     /// The cancellation of a job.
     Cancelled(JobId),
 }
+
+impl StoredRequest {
+    /// Returns the job that the request concerns.
+    pub(crate) fn job(&self) -> JobId {
+        match self {
+            StoredRequest::Job(job) => job.id,
+            StoredRequest::Cancelled(id) => *id,
+        }
+    }
+
+    /// Returns the kind of the request, for logs.
+    pub(crate) fn kind(&self) -> &'static str {
+        match self {
+            StoredRequest::Job(_) => "submission",
+            StoredRequest::Cancelled(_) => "cancellation",
+        }
+    }
+}
--- a/crates/runtime/src/requests/submission_notice.rs
+++ b/crates/runtime/src/requests/submission_notice.rs
@@ -22,12 +22,23 @@
 impl Requests {
     /// Notifies the scheduler, on this box or another, without waiting for the response.
     pub(super) fn notify_scheduler(&self, request: StoredRequest, revision: Revision) {
-        let leader = self.view.leader().filter(|leader| leader.addr != self.own_address);
-        let Some(leader) = leader else { return self.apply_stored(&request, revision) };
+        let leader = self.view.leader();
+        if leader.is_none() {
+            log::info!("job={} event=scheduler_not_told what={} why=none_known", request.job(), request.kind());
+        }
+        let Some(leader) = leader.filter(|leader| leader.addr != self.own_address) else {
+            return self.apply_stored(&request, revision);
+        };
         let peers = std::sync::Arc::clone(&self.peers);
         smol::spawn(async move {
             if let Err(status) = peers.notify_stored(leader.addr, &request, revision, NOTICE_TIMEOUT).await {
-                log::debug!("event=scheduler_not_told box={} why={status}", leader.box_id);
+                log::info!(
+                    "job={} event=scheduler_not_told what={} box={} why={:?}",
+                    request.job(),
+                    request.kind(),
+                    leader.box_id,
+                    status.code()
+                );
             }
         })
         .detach();
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -70,6 +70,8 @@
     /// Number of stalled occurrences, of which nothing has run for long although something could.
     #[serde(rename = "standing")]
     pub stalled: Option<usize>,
+    /// Number of runs that have not ended long after their stop was decided.
+    pub overdue_stops: Option<usize>,
     /// Number of occurrences with progress that is not yet stored.
     #[serde(rename = "unstored")]
     pub pending_writes: Option<usize>,
@@ -181,6 +183,7 @@
             linked_servers: self.active.get().map(|active| active.links.len()),
             waiting: counts.map(|counts| counts.waiting),
             stalled: counts.map(|counts| counts.standing),
+            overdue_stops: counts.map(|counts| counts.overdue_stops),
             pending_writes: counts.map(|counts| counts.unstored),
             speeds: self.active.get().map(|active| active.lock().speeds(self.view.clock().now())),
             shares: self.active.get().map(|active| active.lock().shares()),
@@ -220,6 +223,7 @@
         set("martenscale_held_servers", Some(number(status.linked_servers).unwrap_or(0.0)));
         set("martenscale_waiting_occurrences", Some(number(status.waiting).unwrap_or(0.0)));
         set("martenscale_standing_occurrences", Some(number(status.stalled).unwrap_or(0.0)));
+        set("martenscale_overdue_stops", Some(number(status.overdue_stops).unwrap_or(0.0)));
         set("martenscale_unstored_occurrences", Some(number(status.pending_writes).unwrap_or(0.0)));
         set("martenscale_speed_spread", Some(status.speeds.as_ref().map_or(0.0, |speeds| speeds.spread)));
         set("martenscale_learned_restored_servers", Some(status.speeds.map_or(0.0, |speeds| speeds.restored as f64)));
--- a/crates/runtime/src/telemetry.rs
+++ b/crates/runtime/src/telemetry.rs
@@ -33,6 +33,9 @@
             Observation::Stopped { why } => {
                 metrics::counter!("martenscale_runs_stopped_total", "why" => why).increment(1);
             }
+            Observation::StopEnded { why, after } => {
+                metrics::histogram!("martenscale_stop_seconds", "why" => why).record(after.secs_f64());
+            }
             Observation::ServerEnded { announced } => {
                 let announced = announced.to_string();
                 metrics::counter!("martenscale_servers_gone_total", "announced" => announced).increment(1);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -33,6 +33,7 @@
 mod observations;
 mod orders;
 mod outcomes;
+mod overdue_stops;
 mod pending_writes;
 mod permits;
 mod placement;
@@ -74,10 +75,12 @@
     orders::{Order, StartReply},
     permits::{Permit, PermitRequest},
     policy::{CustomerPolicy, PermitPolicy, Policy, QueuePolicy, ServiceId},
+    run_state::StopReason,
     scheduler::{Counts, Scheduler},
     server::{ServerAddress, ServerInfo},
     sharing::ShareReport,
     speed::{SpeedReport, SpeedSummary},
+    stops::PendingStop,
     timing::Timing,
     tuning::Tuning,
     unreachable::{UnreachableRecord, UnreachableWrite},
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -113,12 +113,14 @@
         for (task, run) in orphaned {
             // A run of a job that is no longer tracked may take the whole capacity.
             let resources = self.group_of(task).map_or(full_capacity, |name| self.step(name).counted_resources());
-            let orphaned_run = match before.remove(&task) {
-                Some(orphaned_run) if orphaned_run.run == run && orphaned_run.stop_sent + retry > now => orphaned_run,
-                _ => {
+            let earlier = before.remove(&task).filter(|earlier| earlier.run == run);
+            let orphaned_run = match earlier {
+                Some(orphaned_run) if orphaned_run.stop_sent + retry > now => orphaned_run,
+                earlier => {
                     log::info!("job={} event=stray_stopped task={task} run={run} server={id}", task.occurrence.job);
                     self.orders.push(Order::Stop { server: id.clone(), task, run });
-                    OrphanedRun { run, resources, stop_sent: now }
+                    let since = earlier.map_or(now, |earlier| earlier.since);
+                    OrphanedRun { run, resources, since, stop_sent: now }
                 }
             };
             orphaned_runs.insert(task, orphaned_run);
--- a/crates/scheduler/src/observations.rs
+++ b/crates/scheduler/src/observations.rs
@@ -45,6 +45,13 @@
         /// Reason, as in the log.
         why: String,
     },
+    /// A run that was being stopped is known to have ended, however it ended.
+    StopEnded {
+        /// Reason of the stop, as in the log.
+        why: String,
+        /// Time since the stop was decided.
+        after: Duration,
+    },
     /// An incarnation of a backend server has ended.
     ServerEnded {
         /// Whether it had announced its departure; otherwise it has crashed or was taken away.
--- a/crates/scheduler/src/run_state.rs
+++ b/crates/scheduler/src/run_state.rs
@@ -118,7 +118,7 @@
 /// Reason why a run is being stopped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 #[display(rename_all = "snake_case")]
-pub(crate) enum StopReason {
+pub enum StopReason {
     /// Another member ended or could not start.
     GangBroken,
     /// The caller cancelled the job.
@@ -137,6 +137,8 @@
     ServerSilent,
     /// The capacity of the backend server has shrunk, and the run had not been started there.
     ServerShrunk,
+    /// The run is listed where it is not placed.
+    Orphaned,
 }
 
 /// Group of tasks that start and end together.
--- a/crates/scheduler/src/runs.rs
+++ b/crates/scheduler/src/runs.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     Scheduler,
-    run_state::{Group, GroupId, Member, Occurrence},
+    observations::Observation,
+    run_state::{Group, GroupId, Member, Occurrence, Phase},
 };
 
 impl Scheduler {
@@ -146,10 +147,15 @@
         let group = self.group_mut(name);
         let Some(position) = group.members.iter().position(|member| member.index == index) else { return };
         let member = group.members.swap_remove(position);
+        let stopped = group.stopping.filter(|_| member.phase != Phase::Planned);
+        let stop_took = stopped.map(|reason| (reason, now.since(group.stopped_at)));
         if group.members.is_empty() {
             group.stopping = None;
             group.ready_since = Some(now);
         }
+        if let Some((reason, after)) = stop_took {
+            self.observations.push(Observation::StopEnded { why: reason.to_string(), after });
+        }
         self.plan_requested = true;
         if let Some(server) = self.server_mut(&member.server) {
             server.used.remove(&need);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -16,6 +16,7 @@
     maintenance::Maintenance,
     observations::Observation,
     orders::Order,
+    overdue_stops::OverdueStops,
     pending_writes::PendingWrites,
     permits::PermitBook,
     policy::Policy,
@@ -47,6 +48,8 @@
     pub waiting: usize,
     /// Stalled occurrences: nothing of them has run for long, although something could.
     pub standing: usize,
+    /// Runs that have not ended long after their stop was decided.
+    pub overdue_stops: usize,
     /// Occurrences with changes that the store does not hold yet.
     pub unstored: usize,
     /// Occurrences evaluated again by plans since the election; a plan evaluates those that have changed.
@@ -90,6 +93,8 @@
     pub(crate) lapsed: LapsedLeases,
     /// Occurrences of which nothing runs although something could.
     pub(crate) stalled: Stalled,
+    /// Runs that have not ended long after their stop was decided.
+    pub(crate) overdue_stops: OverdueStops,
     /// Backend servers that run a suspected task which has not outlived its start, each with the least advanced
     /// isolated retry there.
     pub(crate) isolated_retries: BTreeMap<BackendServerId, IsolatedRetry>,
@@ -159,6 +164,7 @@
             witnesses: Witnesses::default(),
             lapsed: LapsedLeases::default(),
             stalled: Stalled::default(),
+            overdue_stops: OverdueStops::default(),
             fleet_speed: FleetSpeed::default(),
             queue_ratios: BTreeMap::new(),
             stop_durations: StopDurations::initial(),
@@ -273,6 +279,7 @@
             unheard_servers: self.servers.values().filter(|server| !server.has_reported).count(),
             waiting: self.ready.len(),
             standing: self.stalled.long,
+            overdue_stops: self.overdue_stops.len(),
             unstored: self.pending_writes.len(),
             refreshed: self.refreshed,
         }
@@ -307,6 +314,7 @@
         }
         self.evacuate_long_running(now);
         self.repeat_stops(now);
+        self.detect_overdue_stops(now);
         self.detect_stalled(now);
     }
 }
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -76,6 +76,8 @@
 pub(crate) struct OrphanedRun {
     pub(crate) run: RunNumber,
     pub(crate) resources: Resources,
+    /// When it was first listed.
+    pub(crate) since: Moment,
     pub(crate) stop_sent: Moment,
 }
 
--- a/crates/scheduler/src/stops.rs
+++ b/crates/scheduler/src/stops.rs
@@ -10,7 +10,30 @@
     run_state::{GroupId, Member, Phase, StopReason},
 };
 
+/// Stop of a run that is not known to have ended yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PendingStop {
+    /// Why the run is stopped.
+    pub reason: StopReason,
+    /// When the stop was decided.
+    pub since: Moment,
+    /// Whether the backend server has responded to the order.
+    pub answered: bool,
+}
+
 impl Scheduler {
+    /// Returns the pending stop of a run on a backend server; `None` if it is not to be stopped, or has ended.
+    pub fn pending_stop(&self, id: &BackendServerId, task: TaskId, run: RunNumber) -> Option<PendingStop> {
+        let server = self.servers.get(id)?;
+        if let Some(orphaned_run) = server.orphaned_runs.get(&task).filter(|orphaned_run| orphaned_run.run == run) {
+            return Some(PendingStop { reason: StopReason::Orphaned, since: orphaned_run.since, answered: false });
+        }
+        let name = self.group_of(task).filter(|name| self.progress_of(*name).run == run)?;
+        let group = self.group(name);
+        let member = group.members.iter().find(|member| member.index == task.index && member.server == *id)?;
+        Some(PendingStop { reason: group.stopping?, since: group.stopped_at, answered: member.stop_sent.is_none() })
+    }
+
     /// Stops the run of a group, if it has one that is not being stopped yet.
     pub(crate) fn stop_group(&mut self, name: GroupId, reason: StopReason, now: Moment) {
         let group = self.group_mut(name);
