--- a/crates/scheduler/tests/repeated_starts.rs
+++ b/crates/scheduler/tests/repeated_starts.rs
@@ -6,9 +6,9 @@
 
 mod common;
 
-use common::{Fixture, Started, gang, job_in, step};
+use common::{Fixture, Started, gang, info, job_in, server_id, step};
 use jobs::JobState;
-use scheduler::{CompletionKind, Order, StartReply};
+use scheduler::{CompletionKind, Order, ServerInfo, StartReply};
 
 /// Returns a start that got no reply, took effect all the same, and was sent again.
 fn repeated() -> (Fixture, Started) {
@@ -68,6 +68,37 @@
     assert_ne!(next[0].server, first.server);
 }
 
+/// Guards against a start on a backend server that has announced its departure: the order waited, or its first attempt
+/// got no reply, and it was sent 4.5 s after the announcement.
+#[test]
+fn a_start_is_not_sent_after_its_backend_server_has_announced_its_departure() {
+    let mut fixture = Fixture::new(4);
+    fixture.submit(job_in("urgent", 1, vec![step(1, 8)]));
+    let first = fixture.ordered_starts().remove(0);
+    assert!(fixture.scheduler.may_start(&first.server, first.task, first.run));
+    let (now, i) = (fixture.now, (0..4).find(|i| server_id(*i) == first.server).expect("it was placed"));
+    fixture.scheduler.server_listed(first.server.clone(), ServerInfo { draining: true, ..info(i) }, now);
+    assert!(!fixture.scheduler.may_start(&first.server, first.task, first.run));
+    fixture.scheduler.start_withdrawn(&first.server, first.task, first.run, now);
+    let next = fixture.ordered_starts();
+    assert_eq!(next.iter().map(|start| start.run.0).collect::<Vec<_>>(), [2]);
+    assert_ne!(next[0].server, first.server);
+}
+
+/// Guards against the same for a repeated start, whose first order may have taken effect.
+#[test]
+fn a_start_without_a_reply_is_given_up_once_its_backend_server_has_announced_its_departure() {
+    let mut fixture = Fixture::new(4);
+    fixture.submit(job_in("urgent", 1, vec![step(1, 8)]));
+    let first = fixture.ordered_starts().remove(0);
+    let (now, i) = (fixture.now, (0..4).find(|i| server_id(*i) == first.server).expect("it was placed"));
+    fixture.scheduler.server_listed(first.server.clone(), ServerInfo { draining: true, ..info(i) }, now);
+    fixture.reply(&first, StartReply::Unknown);
+    assert!(fixture.repeated_starts().is_empty(), "it is not sent again");
+    let stops = fixture.stops.iter().filter(|order| matches!(order, Order::Stop { .. })).count();
+    assert_eq!(stops, 1, "the first order may still take effect");
+}
+
 #[test]
 fn a_refusal_after_the_run_was_listed_stops_nothing() {
     let mut fixture = Fixture::new(4);
