Send no start to a backend server that has announced its departure

What callers see: a task starts on a backend server that is about to end, and is lost with it; the platform's rule DRAIN is broken. Cause: a start is placed, stored and queued, and its condition is checked again when it is sent, but not for an announced departure or for maintenance; a start without a response was also repeated there. Such a start is now withdrawn and its task placed elsewhere; one that may have taken effect is stopped.

--- a/crates/scheduler/src/starts.rs
+++ b/crates/scheduler/src/starts.rs
@@ -13,9 +13,10 @@
 };
 
 impl Server {
-    /// Whether pending starts may be sent to it.
+    /// Whether pending starts may be sent to it. It may have begun to leave since they were placed.
     fn takes_starts(&self) -> bool {
-        self.is_reachable() && !self.evacuated && !self.is_over_capacity()
+        let stays = !self.departing && !self.closed_for_maintenance && !self.evacuated;
+        self.is_reachable() && stays && !self.is_over_capacity()
     }
 }
 
@@ -106,6 +107,7 @@
         }
         let reason = match self.servers.get(server) {
             Some(server) if server.evacuated => StopReason::ZoneEvacuated,
+            Some(server) if server.departing || server.closed_for_maintenance => StopReason::ServerLeaving,
             Some(server) if server.is_reachable() => StopReason::ServerShrunk,
             _ => StopReason::ServerSilent,
         };
