Let no order wait for others that get no response

What callers see: a cancelled job runs on, past the 4.4 s that the platform allows, on a backend server that leaves orders without a response. Cause: orders to one backend server went one after the other, each for up to 400 ms; a stop was queued again every 400 ms while it had no response, whether or not the one before had been sent, and was sent even when its run had ended. Change: an order without a response delays the next by 60 ms, at most four are without one at a time; stops and other orders alternate; a stop is queued once and sent only while it is needed. Why it works: what waits is bounded by 60 ms an order, not by the time limit, and the queue holds one stop for each run at most.

--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -24,6 +24,7 @@
 mod links;
 mod machine_list;
 mod maintenance;
+pub mod order_queue;
 mod outcome;
 mod paged_reads;
 mod permits;
--- a/crates/runtime/src/link_worker.rs
+++ b/crates/runtime/src/link_worker.rs
@@ -1,7 +1,8 @@
 //! The two loops of a link: one sends heartbeats, which renew leases, acknowledge completions and fetch listings; the
-//! other sends orders one after the other.
+//! other sends orders, which wait in [`crate::order_queue`].
 
 use std::{
+    collections::VecDeque,
     sync::{Arc, Weak},
     time::Instant,
 };
@@ -9,15 +10,16 @@
 use jobs::{RunNumber, TaskId};
 use model::{BackendServerId, Duration, Moment};
 use net::{CallLimiter, NetError};
-use scheduler::{CallFailure, Order, Scheduler, StartReply};
+use scheduler::{CallFailure, Order, PendingStop, Scheduler, StartReply};
 use smol::channel::Receiver;
 
 use crate::{
     active::Active,
     context::Context,
+    order_queue::OrderQueue,
     platform::{Heartbeat, HeartbeatReply, Lease, Start, StopReply, Target, ThrottleOrder},
     telemetry,
-    timers::{Backoff, with_timeout},
+    timers::{Backoff, pause, with_timeout},
 };
 
 /// Longest wait of a heartbeat for a completion while something runs. It is also the age at which a lease is renewed.
@@ -32,6 +34,11 @@
 /// The same for witnesses while the store does not confirm the election, or if each of them is needed when it does not:
 /// their responses decide whether leases may be renewed.
 const WITNESS_WAIT: Duration = Duration::from_millis(250);
+/// Time for which an order without a response delays the next one, which is then sent beside it. Backend servers respond
+/// within a few milliseconds.
+const ORDER_TURN: Duration = Duration::from_millis(60);
+/// Most orders to a backend server without a response. Each of them occupies a connection.
+const MAX_UNANSWERED_ORDERS: usize = 4;
 /// Longest time that a heartbeat is delayed until completions are stored, so that it acknowledges them.
 const MAX_STORE_WAIT: Duration = Duration::from_millis(400);
 
@@ -106,23 +113,57 @@
     with_timeout(MAX_STORE_WAIT, stored_all).await;
 }
 
-/// Sends orders one at a time, in the order in which they were queued.
-pub(crate) async fn order_loop(worker: Worker, orders: Receiver<Order>) {
-    while let Ok(order) = orders.recv().await {
-        let Some(active) = worker.active.upgrade() else { return };
+/// Sends orders in the order of the queue, until it is dropped. One without a response delays the others only for
+/// [`ORDER_TURN`].
+pub(crate) async fn order_loop(worker: Worker, queue: Arc<OrderQueue>) {
+    let worker = Arc::new(worker);
+    let mut unanswered: VecDeque<smol::Task<()>> = VecDeque::new();
+    loop {
+        unanswered.retain(|call| !call.is_finished());
+        if unanswered.len() >= MAX_UNANSWERED_ORDERS {
+            // The oldest one reaches its time limit first.
+            let oldest = unanswered.pop_front().expect("it is not empty");
+            oldest.await;
+        }
+        let order = queue.next().await;
+        let mut call = Box::pin(Arc::clone(&worker).execute(order, Arc::clone(&queue)));
+        if !finishes_within(ORDER_TURN, call.as_mut()).await {
+            unanswered.push_back(smol::spawn(call));
+        }
+    }
+}
+
+/// Runs a call for at most `limit`. Returns whether it has finished; if not, it can be continued.
+async fn finishes_within(limit: Duration, call: impl Future<Output = ()>) -> bool {
+    let finished = async {
+        call.await;
+        true
+    };
+    let expired = async {
+        pause(limit).await;
+        false
+    };
+    futures_lite::FutureExt::or(finished, expired).await
+}
+
+impl Worker {
+    /// Sends an order if it is still needed, and applies the response.
+    async fn execute(self: Arc<Worker>, order: Order, queue: Arc<OrderQueue>) {
+        let Some(active) = self.active.upgrade() else { return };
         match order {
             Order::Start { task, run, text, checkpoint, permit, .. } => {
-                let Some((target, lease)) = worker.prepare_start(&active, task, run) else { continue };
+                let Some((target, lease)) = self.prepare_start(&active, task, run) else { return };
                 let start = Start { fence: active.fence, task, run, text, checkpoint, lease, permit };
-                worker.start(&active, target, start).await;
+                self.start(&active, target, start).await;
+            }
+            Order::Stop { task, run, .. } => {
+                self.stop(&active, task, run).await;
+                queue.stop_finished(task, run);
             }
-            Order::Stop { task, run, .. } => worker.stop(&active, task, run).await,
-            Order::Throttle { task, run, percent, .. } => worker.throttle(&active, task, run, percent).await,
+            Order::Throttle { task, run, percent, .. } => self.throttle(&active, task, run, percent).await,
         }
     }
-}
 
-impl Worker {
     fn now(&self) -> Moment {
         self.cx.view.clock().now()
     }
@@ -255,21 +296,25 @@
         active.update(|scheduler| scheduler.start_replied(&self.target.id, task, run, reply, now));
     }
 
+    /// Returns the target of a stop and what is known of it; `None` if it is no longer needed.
+    fn prepare_stop(&self, active: &Active, task: TaskId, run: RunNumber) -> Option<(Target, PendingStop)> {
+        let scheduler = active.lock();
+        let pending = scheduler.pending_stop(&self.target.id, task, run).filter(|stop| !stop.answered)?;
+        Some((self.target(&scheduler), pending))
+    }
+
+    /// Stops a run, unless it has ended since the order was queued.
     async fn stop(&self, active: &Active, task: TaskId, run: RunNumber) {
-        let (target, pending) = {
-            let scheduler = active.lock();
-            (self.target(&scheduler), scheduler.pending_stop(&self.target.id, task, run))
-        };
+        let Some((target, pending)) = self.prepare_stop(active, task, run) else { return };
         let sent = self.now();
         let reply = self.cx.servers.stop(target.clone(), active.fence, task, run).await;
-        let why = pending.map_or_else(|| "none".to_owned(), |stop| stop.reason.to_string());
-        let waited_ms = pending.map_or(0, |stop| sent.since(stop.since).millis());
         log::info!(
-            "job={} event=stop task={task} run={run} server={} fence={} why={why} waited_ms={waited_ms} \
-             outcome={reply:?}",
+            "job={} event=stop task={task} run={run} server={} fence={} why={} waited_ms={} outcome={reply:?}",
             task.occurrence.job,
             self.target.id,
-            active.fence
+            active.fence,
+            pending.reason,
+            sent.since(pending.since).millis()
         );
         telemetry::count_server_reply("stop", &reply);
         let now = self.now();
--- a/crates/runtime/src/links.rs
+++ b/crates/runtime/src/links.rs
@@ -16,13 +16,10 @@
     addresses::Addresses,
     context::Context,
     link_worker::{Worker, heartbeat_loop, order_loop},
+    order_queue::OrderQueue,
     platform::Target,
 };
 
-/// Most orders queued for one backend server; further ones are rejected. The channel itself is unbounded, since a
-/// bounded one allocates all of its capacity at once, for each backend server.
-const MAX_QUEUED_ORDERS: usize = 1024;
-
 /// Concurrent first calls to backend servers. A new scheduler has to call all of them, and a box that calls all at once
 /// does nothing else meanwhile: the renewal of its election would come too late, and the next elected box would fail in
 /// the same way.
@@ -30,10 +27,10 @@
 /// Longest time for which an unresponsive backend server blocks the first calls of others.
 const FIRST_CALL_TURN: std::time::Duration = std::time::Duration::from_millis(60);
 
-/// An open link: the channels to its loops, and the loops themselves.
+/// An open link: what its loops take from, and the loops themselves.
 struct Link {
     target: Target,
-    orders: Sender<Order>,
+    orders: Arc<OrderQueue>,
     /// Receives a token when more completions may be acknowledged.
     stored: Sender<()>,
     /// Dropping the tasks closes the link.
@@ -96,7 +93,7 @@
             table.addresses.move_away(&target.id, moved.target.addr);
         }
         table.addresses.open(&target.id, target.addr);
-        let (orders, order_rx) = smol::channel::unbounded();
+        let orders = Arc::new(OrderQueue::default());
         let (stored, stored_rx) = smol::channel::bounded(1);
         let worker = Worker {
             cx: self.cx.clone(),
@@ -104,7 +101,10 @@
             active: Arc::downgrade(active),
             first_calls: Arc::clone(&self.first_calls),
         };
-        let tasks = [smol::spawn(heartbeat_loop(worker.clone(), stored_rx)), smol::spawn(order_loop(worker, order_rx))];
+        let tasks = [
+            smol::spawn(heartbeat_loop(worker.clone(), stored_rx)),
+            smol::spawn(order_loop(worker, Arc::clone(&orders))),
+        ];
         table.by_id.insert(target.id.clone(), Link { target: target.clone(), orders, stored, _tasks: tasks });
     }
 
@@ -129,14 +129,15 @@
 
     /// Queues an order. Returns it as an error if there is no link or its queue is full.
     pub(crate) fn send(&self, order: Order) -> Result<(), Order> {
-        let (server, task) = order.subject();
         let table = self.lock();
-        let link = table.by_id.get(server).filter(|link| link.orders.len() < MAX_QUEUED_ORDERS);
-        let Some(link) = link else {
-            log::warn!("job={} event=order_dropped task={task} server={server}", task.occurrence.job);
-            return Err(order);
+        let rejected = match table.by_id.get(order.subject().0) {
+            Some(link) => link.orders.push(order),
+            None => Err(order),
         };
-        link.orders.try_send(order).map_err(smol::channel::TrySendError::into_inner)
+        rejected.inspect_err(|order| {
+            let (server, task) = order.subject();
+            log::warn!("job={} event=order_dropped task={task} server={server}", task.occurrence.job);
+        })
     }
 
     /// Returns the time by the clock of the box.
