Bound the orders without a response over all backend servers

Cause: up to four orders without a response for each backend server would take 24,000 connections at 6,000 backend servers that all fall silent, beyond the descriptors of any box. Change: besides the order sent last, at most three for a backend server and 128 in all wait for a response; beyond that, orders to a backend server go one at a time as before.

--- a/crates/runtime/src/link_worker.rs
+++ b/crates/runtime/src/link_worker.rs
@@ -2,7 +2,6 @@
 //! other sends orders, which wait in [`crate::order_queue`].
 
 use std::{
-    collections::VecDeque,
     sync::{Arc, Weak},
     time::Instant,
 };
@@ -11,7 +10,7 @@
 use model::{BackendServerId, Duration, Moment};
 use net::{CallLimiter, NetError};
 use scheduler::{CallFailure, Order, PendingStop, Scheduler, StartReply};
-use smol::channel::Receiver;
+use smol::{channel::Receiver, lock::Semaphore};
 
 use crate::{
     active::Active,
@@ -37,8 +36,8 @@
 /// Time for which an order without a response delays the next one, which is then sent beside it. Backend servers respond
 /// within a few milliseconds.
 const ORDER_TURN: Duration = Duration::from_millis(60);
-/// Most orders to a backend server without a response. Each of them occupies a connection.
-const MAX_UNANSWERED_ORDERS: usize = 4;
+/// Most orders to a backend server that wait for a response beside the one sent last.
+const MAX_UNANSWERED_ORDERS: usize = 3;
 /// Longest time that a heartbeat is delayed until completions are stored, so that it acknowledges them.
 const MAX_STORE_WAIT: Duration = Duration::from_millis(400);
 
@@ -51,6 +50,8 @@
     pub(crate) active: Weak<Active>,
     /// Limits concurrent first calls.
     pub(crate) first_calls: Arc<CallLimiter>,
+    /// Limits the orders to all backend servers that wait for a response beside a later one.
+    pub(crate) unanswered: Arc<Semaphore>,
 }
 
 /// Sends heartbeats and applies their listings, until the backend server or the scheduler has ended.
@@ -117,18 +118,21 @@
 /// [`ORDER_TURN`].
 pub(crate) async fn order_loop(worker: Worker, queue: Arc<OrderQueue>) {
     let worker = Arc::new(worker);
-    let mut unanswered: VecDeque<smol::Task<()>> = VecDeque::new();
+    let mut unanswered: Vec<smol::Task<()>> = Vec::new();
     loop {
-        unanswered.retain(|call| !call.is_finished());
-        if unanswered.len() >= MAX_UNANSWERED_ORDERS {
-            // The oldest one reaches its time limit first.
-            let oldest = unanswered.pop_front().expect("it is not empty");
-            oldest.await;
-        }
         let order = queue.next().await;
         let mut call = Box::pin(Arc::clone(&worker).execute(order, Arc::clone(&queue)));
-        if !finishes_within(ORDER_TURN, call.as_mut()).await {
-            unanswered.push_back(smol::spawn(call));
+        if finishes_within(ORDER_TURN, call.as_mut()).await {
+            continue;
+        }
+        unanswered.retain(|call| !call.is_finished());
+        let slot = if unanswered.len() < MAX_UNANSWERED_ORDERS { worker.unanswered.try_acquire_arc() } else { None };
+        match slot {
+            Some(slot) => unanswered.push(smol::spawn(async move {
+                call.await;
+                drop(slot);
+            })),
+            None => call.await,
         }
     }
 }
--- a/crates/runtime/src/links.rs
+++ b/crates/runtime/src/links.rs
@@ -9,7 +9,7 @@
 use model::{BackendServerId, Moment};
 use net::CallLimiter;
 use scheduler::Order;
-use smol::channel::Sender;
+use smol::{channel::Sender, lock::Semaphore};
 
 use crate::{
     active::Active,
@@ -24,6 +24,9 @@
 /// does nothing else meanwhile: the renewal of its election would come too late, and the next elected box would fail in
 /// the same way.
 const MAX_FIRST_CALLS: usize = 48;
+/// Most orders, to all backend servers, that wait for a response beside a later one. Each occupies a connection, and so
+/// a descriptor.
+const MAX_UNANSWERED_ORDERS: usize = 128;
 /// Longest time for which an unresponsive backend server blocks the first calls of others.
 const FIRST_CALL_TURN: std::time::Duration = std::time::Duration::from_millis(60);
 
@@ -44,6 +47,7 @@
     max_links: usize,
     table: Mutex<Table>,
     first_calls: Arc<CallLimiter>,
+    unanswered: Arc<Semaphore>,
 }
 
 #[derive(Default)]
@@ -59,6 +63,7 @@
             max_links,
             table: Mutex::default(),
             first_calls: Arc::new(CallLimiter::new(MAX_FIRST_CALLS, FIRST_CALL_TURN)),
+            unanswered: Arc::new(Semaphore::new(MAX_UNANSWERED_ORDERS)),
         }
     }
 
@@ -100,6 +105,7 @@
             target: target.clone(),
             active: Arc::downgrade(active),
             first_calls: Arc::clone(&self.first_calls),
+            unanswered: Arc::clone(&self.unanswered),
         };
         let tasks = [
             smol::spawn(heartbeat_loop(worker.clone(), stored_rx)),
