Look for overdue stops once a second, among runs that are being stopped

Cause: the search looked up each run of the fleet twice a second, member by member, for a log line and a gauge. Change: once a second, and only groups that are being stopped are looked at further. No decision changes.

--- a/crates/scheduler/src/overdue_stops.rs
+++ b/crates/scheduler/src/overdue_stops.rs
@@ -14,7 +14,7 @@
 /// response is repeated within 0.8 s.
 const OVERDUE_AFTER: Duration = Duration::from_millis(2000);
 /// Shortest time between two checks.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+const CHECK_INTERVAL: Duration = Duration::from_millis(1000);
 
 /// Overdue stops as of the latest check.
 #[derive(Debug, Default)]
@@ -40,7 +40,8 @@
         for (id, server) in &self.servers {
             let orphaned = server.orphaned_runs.iter().map(|(task, orphaned_run)| (*task, orphaned_run.run));
             let placed = server.members.iter().map(|(task, run)| (*task, *run));
-            for (task, run) in placed.chain(orphaned) {
+            let stopping = placed.filter(|(task, _)| self.is_stopping(*task));
+            for (task, run) in stopping.chain(orphaned) {
                 let overdue = |stop: &PendingStop| now.since(stop.since) >= OVERDUE_AFTER;
                 let Some(stop) = self.pending_stop(id, task, run).filter(overdue) else { continue };
                 let key = (id.clone(), task, run);
@@ -52,6 +53,11 @@
         }
         self.overdue_stops = OverdueStops { checked_at: Some(now), runs };
     }
+
+    /// Whether the group of a task is being stopped.
+    fn is_stopping(&self, task: TaskId) -> bool {
+        self.group_of(task).is_some_and(|name| self.group(name).stopping.is_some())
+    }
 }
 
 fn log_overdue(
