Show that nightly jobs take every elected box over its memory

An independent review, case 1: 60 nightly jobs of 39 subtasks for a year are accepted; the box that schedules builds the state of all occurrences at once, goes over its 260 MB and is killed, and so is each next one. Nothing that was accepted starts any more. The case of the draining runner is case 2 now, and the stand-in lists its machines.

--- a/review/standin.py
+++ b/review/standin.py
@@ -1,4 +1,4 @@
-"""Stand-ins of the users' platform for the cases of this review: its store, runners, machine service and consumers.
+"""Stand-ins of the users' platform for the cases of this review: its store, runners and consumers.
 
 Written from the users' pages (PROTOCOL.md, DEPLOY.md) and on the standard library alone. All listen on loopback
 addresses and use the real clock. The program under test is started as the deploy file says: `target/release/martend`,
@@ -28,6 +28,7 @@
 HOST = "jobs.example"
 HEARTBEAT_S = 1.5  # heartbeatMs of the sheets
 SILENT_PINGS = 3  # after so many pings of silence the entry of a runner disappears
+CAPACITY = {"cpu": 32000, "memMb": 131072, "gpu": 8}  # of a runner
 SHORT_RESTART_S = 0.5  # a process that ends is started again after a short delay
 
 
@@ -282,11 +283,11 @@
 
     CLOCK_START_MS = 100_000
 
-    def __init__(self, world, number, machine, ip, labels, runner_id=None, port=0):
-        self.world, self.number, self.machine = world, number, machine
-        self.id = runner_id or f"{number:016x}"
+    def __init__(self, world, number, ip):
+        self.world = world
+        self.id, self.machine = f"i-{number:02}", f"m-{number:02}"
         self.zone = ["a", "b", "c"][number % 3]
-        self.labels = labels
+        self.labels = ["a", f"r1-{number // 8}"]  # its kind, its rack
         self.started = time.monotonic()
         self.born = int(time.time() * 1000)
         self.state, self.remaining_ms, self.seq = "ready", None, 0
@@ -296,11 +297,10 @@
         self.ended_runs = {}  # task -> highest run that was stopped or ended
         self.work_s = {}  # task -> seconds of work
         self.serial = 0
-        self.dead = False
         self.pinged = None  # when the store last took an entry; None while it has none
         self.reaches_store = True
         self.changed = threading.Condition()
-        self.server = Server((ip, port), self.answer)
+        self.server = Server((ip, 0), self.answer)
         self.addr = self.server.server_address
         threading.Thread(target=self.work, daemon=True).start()
         threading.Thread(target=self.ping, daemon=True).start()
@@ -309,7 +309,7 @@
         entry = {
             "service": "desk", "addr": "%s:%d" % self.addr, "zone": self.zone, "version": "v1", "slots": 8,
             "state": self.state, "coldLeftMs": 0, "seq": self.seq, "born": self.born,
-            "capacity": {"cpu": 32000, "memMb": 131072, "gpu": 8}, "labels": self.labels,
+            "capacity": CAPACITY, "labels": self.labels,
         }
         if self.remaining_ms is not None:
             entry["remainingMs"] = self.remaining_ms
@@ -318,7 +318,7 @@
     def ping(self):
         """Writes the entry; when pings stay out, the store drops it after three of them."""
         tried = 0.0
-        while not self.dead:
+        while True:
             now = time.monotonic()
             if now - tried >= HEARTBEAT_S:
                 tried = now
@@ -353,7 +353,7 @@
         self.changed.notify_all()
 
     def work(self):
-        while not self.dead:
+        while True:
             with self.changed:
                 now = time.monotonic()
                 for task in [task for task, (_, done_at, _) in self.running.items() if done_at <= now]:
@@ -363,16 +363,6 @@
                         self.end(task, "lapsed")
             time.sleep(0.005)
 
-    def die(self, why):
-        """Ends this lifetime and all that runs there."""
-        with self.changed:
-            for task, (run, _, _) in self.running.items():
-                self.world.record(f"runner {self.id}: subtask {task} run {run} dies ({why})")
-                self.world.run_ended(self, task, run, "dies")
-            self.running.clear()
-            self.dead = True
-        self.server.cut()
-
     def renew(self, until):
         longest = self.clock_ms() + self.world.hold_max_ms
         self.lease_until = max(self.lease_until, min(int(until), longest))
@@ -432,6 +422,26 @@
         }
 
 
+class MachineService:
+    """The platform's list of machines, as it is at the moment of each call. No machine is moved or has its upkeep."""
+
+    def __init__(self, runners):
+        self.runners = runners
+        self.server = Server(("127.0.0.1", 0), self.answer)
+        self.addr = self.server.server_address
+
+    def answer(self, method, path, query, headers, body):
+        if (method, path) != ("GET", "/v1/machines"):
+            return 400, {}
+        return 200, {"machines": [self.row(runner) for runner in self.runners], "nextToken": ""}
+
+    def row(self, runner):
+        return {
+            "machine": runner.machine, "pool": "desk", "state": "up", "zone": runner.zone, "labels": runner.labels,
+            "capacity": CAPACITY, "id": runner.id,
+        }
+
+
 class Box:
     """One process of the program under test, with its settings in the form of `deploy/martend.json`."""
 
@@ -499,7 +509,6 @@
         self.record = Record(folder)
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.hold_max_ms, self.memory_mb = hold_max_ms, memory_mb
-        self.machines_addr = ""
         self.lock = threading.Lock()
         self.work = {}  # task -> list of (runner, run) that run now
         self.starts = []  # (time, task, run, runner)
@@ -509,9 +518,9 @@
         pid = os.getpid()
         self.ip = f"127.{1 + pid % 200}.{pid // 200 % 250}."
         self.runners = []
+        self.machines = MachineService(self.runners)
         self.boxes = [Box(self, i, self.free_addrs(i)) for i in range(boxes)]
-        for i in range(runners):
-            self.add_runner(i)
+        self.runners.extend(Runner(self, i, self.ip + str(100 + i)) for i in range(runners))
 
     def free_addrs(self, number):
         """Four free ports on a loopback address of the box alone."""
@@ -524,19 +533,13 @@
             each.close()
         return addrs
 
-    def add_runner(self, number):
-        labels = ["a", f"r1-{number // 8}"]
-        runner = Runner(self, number + 1, f"m-{number}", self.ip + str(100 + number), labels)
-        self.runners.append(runner)
-        return runner
-
     def settings(self, box):
         text = "%s:%d"
         return {
             "box": box.name, "availability_zone": ["a", "b", "c"][box.number % 3],
             "callers_address": text % box.addrs[0], "readiness_address": text % box.addrs[1],
             "peers_address": text % box.addrs[2], "metrics_address": text % box.addrs[3],
-            "store_address": text % self.store.addr, "adviser_address": "", "machines_address": self.machines_addr,
+            "store_address": text % self.store.addr, "adviser_address": "", "machines_address": text % self.machines.addr,
             "seeds": [text % other.addrs[2] for other in self.boxes[:3]],
             "cpu_share": 0.25, "link_mbps": 1000.0, "memory_mb": self.memory_mb, "descriptors": 4100,
             "shortest_ttl_ms": 1000, "lease_ms": self.hold_max_ms, "far_factor": 3, "grace_ms": 6000,
