--- a/review/standin.py
+++ b/review/standin.py
@@ -369,7 +369,7 @@
 
     def answer(self, method, path, query, headers, body):
         if headers.get("Expect-Instance", self.id) != self.id:
-            return 421, {}
+            return 421, {"timestampMs": self.clock_ms()}
         value = json.loads(body) if body else {}
         with self.changed:
             stamp = {"timestampMs": self.clock_ms(), "born": self.born}
@@ -416,7 +416,8 @@
             self.changed.wait(until - time.monotonic())
         now = time.monotonic()
         percent = lambda task, at: max(0, min(99, int(100 - 100 * (at - now) / self.work_s[task])))
-        running = [[task, run, saved, percent(task, at)] for task, (run, at, saved) in self.running.items()]
+        # The fifth entry is the `cpu` in use; no subtask here serves or fills.
+        running = [[task, run, saved, percent(task, at), 1000] for task, (run, at, saved) in self.running.items()]
         return 200, {
             "timestampMs": self.clock_ms(), "born": self.born, "running": running, "ended": self.ended[:500],
         }
