End the cases cleanly when their time is over

A case that runs out of time, or fails by itself, ends its processes and exits with 2, which says nothing of the rule.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,6 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
-cd "$(dirname "$0")" && exec timeout -k 5 115 python3 -B case.py
+cd "$(dirname "$0")" || exit 2
+timeout -k 5 115 python3 -B case.py
+code=$?
+exit $((code > 2 ? 2 : code))
--- a/review/standin.py
+++ b/review/standin.py
@@ -650,16 +650,22 @@
 def run(folder, case, **setup):
     """Runs a case and returns its exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     world = None
+
+    def end(*_):
+        raise CannotRun("the time is over")
+
+    signal.signal(signal.SIGTERM, end)
+    signal.signal(signal.SIGINT, end)
     try:
         world = World(folder, **setup)
         broken = case(world)
         world.record(f"verdict: the rule was broken: {broken}" if broken else "verdict: the rule held")
         print(f"broken: {broken}" if broken else "held")
         return 1 if broken else 0
-    except CannotRun as error:
+    except Exception as error:  # also a fault of the case itself: it says nothing of the rule
         if world:
-            world.record(f"verdict: the case could not run: {error}")
-        print(f"could not run: {error}")
+            world.record(f"verdict: the case could not run: {error!r}")
+        print(f"could not run: {error!r}")
         return 2
     finally:
         if world:
