--- a/review/standin.py
+++ b/review/standin.py
@@ -29,6 +29,8 @@
 HEARTBEAT_S = 1.5  # heartbeatMs of the sheets
 SILENT_PINGS = 3  # after so many pings of silence the entry of a runner disappears
 CAPACITY = {"cpu": 32000, "memMb": 131072, "gpu": 8}  # of a runner
+LASTING_S = 1e6  # work of a subtask that lasts
+FAILS_AFTER_S = 0.3  # a subtask that always fails does so this long after its start
 SHORT_RESTART_S = 0.5  # a process that ends is started again after a short delay
 
 
@@ -39,10 +41,10 @@
 class Record:
     """What was sent, answered and run, with the seconds since the start of the case."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.started = time.monotonic()
         self.lock = threading.Lock()
-        self.file = open(os.path.join(folder, "record.txt"), "w")
+        self.file = open(path, "w")
 
     def __call__(self, text):
         with self.lock:
@@ -278,6 +280,8 @@
 class Runner:
     """One lifetime of a runner. A subtask works for the milliseconds that its spec begins with.
 
+    One whose spec is `lasts` works without an end, and one whose spec is `fails` fails soon after each start.
+
     A runner writes its entry about every 1.5 s; the store drops the entry after three pings of silence.
     """
 
@@ -363,6 +367,12 @@
                         self.end(task, "lapsed")
             time.sleep(0.005)
 
+    def fail(self, task, run):
+        """Ends a run as failed, if it is still at work."""
+        with self.changed:
+            if task in self.running and self.running[task][0] == run:
+                self.end(task, "failed")
+
     def renew(self, until):
         longest = self.clock_ms() + self.world.hold_max_ms
         self.lease_until = max(self.lease_until, min(int(until), longest))
@@ -401,7 +411,10 @@
             return 200, stamp
         if task in self.running or run <= self.ended_runs.get(task, 0):
             return 409, stamp | {"reason": "old"}
-        self.work_s[task] = int(value["spec"].split()[0]) / 1000
+        word = value["spec"].split()[0]
+        self.work_s[task] = int(word) / 1000 if word.isdigit() else LASTING_S
+        if word == "fails":
+            threading.Timer(FAILS_AFTER_S, self.fail, (task, run)).start()
         self.running[task] = [run, time.monotonic() + self.work_s[task], ""]
         self.world.record(f"runner {self.id}: subtask {task} run {run} starts under fence {value['fence']}")
         self.world.run_started(self, task, run)
@@ -415,7 +428,7 @@
         while not self.ended and time.monotonic() < until:
             self.changed.wait(until - time.monotonic())
         now = time.monotonic()
-        percent = lambda task, at: max(0, min(99, int(100 - 100 * (at - now) / self.work_s[task])))
+        percent = lambda task, at: 100 if self.work_s[task] == LASTING_S else max(0, min(99, int(100 - 100 * (at - now) / self.work_s[task])))
         # The fifth entry is the `cpu` in use; no subtask here serves or fills.
         running = [[task, run, saved, percent(task, at), 1000] for task, (run, at, saved) in self.running.items()]
         return 200, {
@@ -504,10 +517,10 @@
 class World:
     """A small deployment: a platform, runners and boxes."""
 
-    def __init__(self, folder, boxes=3, runners=4, hold_max_ms=10_000, memory_mb=260):
+    def __init__(self, record, boxes=3, runners=4, hold_max_ms=10_000, memory_mb=260):
         if not os.path.exists(PROGRAM):
             raise CannotRun("target/release/martend is missing: build it as deploy/system.toml says")
-        self.record = Record(folder)
+        self.record = Record(record)
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.hold_max_ms, self.memory_mb = hold_max_ms, memory_mb
         self.lock = threading.Lock()
@@ -647,8 +660,8 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run(folder, case, **setup):
-    """Runs a case and returns its exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+def run(record, case, **setup):
+    """Runs a case, writes what was sent, answered and run to `record`, and returns its exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     world = None
 
     def end(*_):
@@ -657,7 +670,7 @@
     signal.signal(signal.SIGTERM, end)
     signal.signal(signal.SIGINT, end)
     try:
-        world = World(folder, **setup)
+        world = World(record, **setup)
         broken = case(world)
         world.record(f"verdict: the rule was broken: {broken}" if broken else "verdict: the rule held")
         print(f"broken: {broken}" if broken else "held")
