Tell that a job waits for the policy of its queue

Cause: event=stands is logged only where the requirements of the job's first ready step are known. A job whose queue is in no configuration that the scheduler knows has none, so it was counted as stalled (martenscale_standing_occurrences) without a line that says why.

Change: such a job is logged with waits_for=queue_policy queue=.

--- a/crates/scheduler/src/stalled.rs
+++ b/crates/scheduler/src/stalled.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::BTreeMap, fmt};
 
-use jobs::OccurrenceId;
+use jobs::{OccurrenceId, QueueId};
 use model::{BackendServerId, Duration, Moment};
 
 use crate::{
@@ -42,6 +42,8 @@
     Start { server: BackendServerId },
     /// A placement.
     Placement(PlacementOptions),
+    /// The policy of its queue, which no known configuration names.
+    QueuePolicy { queue: QueueId },
 }
 
 /// Numbers of backend servers that a task might be placed on.
@@ -63,6 +65,7 @@
             WaitsFor::Stop { server } => write!(f, "stop server={server}"),
             WaitsFor::Store => f.write_str("store"),
             WaitsFor::Start { server } => write!(f, "start server={server}"),
+            WaitsFor::QueuePolicy { queue } => write!(f, "queue_policy queue={queue}"),
             WaitsFor::Placement(PlacementOptions { with_room, allowed, avoided, held_back_by }) => {
                 let held_back_by = held_back_by.unwrap_or("nothing");
                 write!(f, "place with_room={with_room} allowed={allowed} avoided={avoided} held_back_by={held_back_by}")
@@ -146,7 +149,10 @@
     fn placement_wait(&self, occurrence: OccurrenceId, ready: &ReadyStep, now: Moment) -> Option<WaitsFor> {
         let group = *ready.groups.first().or(ready.suspected.first())?;
         let name = GroupId { occurrence, step: ready.step, group };
-        let requirements = self.requirements(&Candidate::for_diagnosis(name), now)?;
+        let Some(requirements) = self.requirements(&Candidate::for_diagnosis(name), now) else {
+            let queue = self.jobs[&occurrence.job].job.queue.clone();
+            return Some(WaitsFor::QueuePolicy { queue });
+        };
         let awaits_retry = ready.groups.is_empty() && self.awaits_isolated_retry(name, now);
         let no_headroom = !requirements.urgent && !self.leaves_headroom(&requirements, 0, 1, &self.fleet);
         let held_back_by = if awaits_retry { Some("trial") } else { no_headroom.then_some("headroom") };
