Move the policy of a queue into the crate of the jobs

Cause: what a job needs of its queue is to be stored with the job. The crate of jobs must not depend on the scheduler, where the type stands.

Change: QueuePolicy, PermitPolicy and ServiceId move to jobs, unchanged. No behaviour changes.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -7,6 +7,7 @@
 mod id;
 mod job;
 mod progress;
+mod queue;
 mod state;
 
 pub use crate::{
@@ -14,5 +15,6 @@
     id::{Fence, JobId, OccurrenceId, ParseNameError, QueueId, RunNumber, StepId, TaskId},
     job::{Duration, Job, JobError, RawJob, RawStep, Resources, Schedule, Step},
     progress::{Checkpoint, Crash, GroupProgress, Placement, Progress, Start},
+    queue::{PermitPolicy, QueuePolicy, ServiceId},
     state::JobState,
 };
--- a/crates/runtime/src/configuration.rs
+++ b/crates/runtime/src/configuration.rs
@@ -6,9 +6,9 @@
 };
 
 use derive_more::{Display, Error};
-use jobs::QueueId;
+use jobs::{QueueId, ServiceId};
 use model::{CustomerId, Duration};
-use scheduler::{Policy, ServiceId};
+use scheduler::Policy;
 
 /// Address of a queue.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use jobs::{OccurrenceId, Resources, Step, StepId};
+use jobs::{OccurrenceId, Resources, ServiceId, Step, StepId};
 use model::{BackendServerId, Duration, Moment};
 
 use crate::{
@@ -11,7 +11,6 @@
     departures::Urgency,
     guarantee::Guarantees,
     headroom::STALL_LIMIT,
-    policy::ServiceId,
     ready::{ReadyStep, ReadySteps},
     run_state::GroupId,
     server_capacity::ServerCapacity,
--- a/crates/scheduler/src/fleet_capacity.rs
+++ b/crates/scheduler/src/fleet_capacity.rs
@@ -5,13 +5,12 @@
     sync::Arc,
 };
 
-use jobs::{Resources, Step};
+use jobs::{Resources, ServiceId, Step};
 use model::{BackendServerId, Moment};
 
 use crate::{
     Scheduler,
     placement::Placements,
-    policy::ServiceId,
     server::Server,
     server_capacity::{ServerCapacity, Totals},
     speed::SpeedClass,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -74,7 +74,7 @@
     observations::Observation,
     orders::{Order, StartReply},
     permits::{Permit, PermitRequest},
-    policy::{CustomerPolicy, PermitPolicy, Policy, QueuePolicy, ServiceId},
+    policy::{CustomerPolicy, Policy},
     run_state::StopReason,
     scheduler::{Counts, Scheduler},
     server::{ServerAddress, ServerInfo},
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -9,10 +9,10 @@
 };
 
 use derive_more::Display;
-use jobs::{OccurrenceId, Resources, RunNumber, TaskId};
+use jobs::{OccurrenceId, Resources, RunNumber, ServiceId, TaskId};
 use model::{AvailabilityZoneId, Duration, Incarnation, Moment};
 
-use crate::{health::Health, policy::ServiceId, speed::Speed};
+use crate::{health::Health, speed::Speed};
 
 /// Longest time between a draining backend server becoming unresponsive and the platform removing it from its list;
 /// it usually takes 25 ms. A partitioned one is removed three heartbeats after its last (1.5 s each by the platform's
--- a/crates/scheduler/src/server_capacity.rs
+++ b/crates/scheduler/src/server_capacity.rs
@@ -2,12 +2,11 @@
 
 use std::sync::Arc;
 
-use jobs::Resources;
+use jobs::{Resources, ServiceId};
 use model::{BackendServerId, Moment};
 
 use crate::{
     Scheduler,
-    policy::ServiceId,
     run_state::IsolatedRetry,
     server::{Server, ServerAddress, ServerInfo},
     speed::SpeedClass,
--- a/crates/scheduler/src/sharing.rs
+++ b/crates/scheduler/src/sharing.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use jobs::{Job, Resources};
+use jobs::{Job, Resources, ServiceId};
 use model::{CustomerId, Duration, Moment};
 use serde::Serialize;
 
@@ -14,7 +14,7 @@
     candidate::Candidate,
     fair_share::{AboveShare, Capacity, Claim, Claimant, Demand, Position, Queue, Reservations, Shares, Weight},
     fleet_capacity::FleetCapacity,
-    policy::{Policy, ServiceId},
+    policy::Policy,
     run_state::{GroupId, JobEntry},
 };
 
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -22,11 +22,14 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use jobs::{Fence, Job, JobId, JobState, OccurrenceId, Progress, Resources, RunNumber, Step, TaskId};
+use jobs::{
+    Fence, Job, JobId, JobState, OccurrenceId, PermitPolicy, Progress, QueuePolicy, Resources, RunNumber, ServiceId,
+    Step, TaskId,
+};
 use model::{AvailabilityZoneId, BackendServerId, CustomerId, Duration, Incarnation, Moment, Revision};
 use scheduler::{
-    CallFailure, Completion, CompletionKind, CustomerPolicy, Listing, Order, PermitPolicy, Policy, QueuePolicy,
-    RunningTask, Scheduler, ServerAddress, ServerInfo, ServiceId, StartReply, Timing, UnreachableRecord, WitnessRecord,
+    CallFailure, Completion, CompletionKind, CustomerPolicy, Listing, Order, Policy, RunningTask, Scheduler,
+    ServerAddress, ServerInfo, StartReply, Timing, UnreachableRecord, WitnessRecord,
 };
 
 use learned::{LearnedStore, wall_ms};
--- a/crates/scheduler/tests/permits.rs
+++ b/crates/scheduler/tests/permits.rs
@@ -5,9 +5,9 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use common::{Fixture, Started, gang, job, server_id, step};
-use jobs::{JobId, OccurrenceId, StepId};
+use jobs::{JobId, OccurrenceId, PermitPolicy, StepId};
 use model::{BackendServerId, Duration};
-use scheduler::{CompletionKind, Permit, PermitPolicy, PermitRequest, StartReply};
+use scheduler::{CompletionKind, Permit, PermitRequest, StartReply};
 
 const PERMITS: PermitPolicy = PermitPolicy {
     base: Duration::from_millis(100),
--- a/xtask/src/plans.rs
+++ b/xtask/src/plans.rs
@@ -2,11 +2,11 @@
 
 use std::{fmt::Write, sync::Arc, time::Instant};
 
-use jobs::{Fence, Job, JobId, Resources, Step};
+use jobs::{Fence, Job, JobId, QueuePolicy, Resources, ServiceId, Step};
 use model::{AvailabilityZoneId, BackendServerId, CustomerId, Duration, Moment, Revision};
 use scheduler::{
-    CustomerPolicy, EvacuatedBy, Listing, Order, Policy, QueuePolicy, RunningTask, Scheduler, ServerAddress,
-    ServerInfo, ServiceId, StartReply, Timing, Tuning,
+    CustomerPolicy, EvacuatedBy, Listing, Order, Policy, RunningTask, Scheduler, ServerAddress, ServerInfo, StartReply,
+    Timing, Tuning,
 };
 
 const SERVICE: &str = "service";
