Store the policy of its queue with each job

Cause: a scheduler kept the policy of a removed queue (service, priority, attempts, objective, permits) in memory alone. The next scheduler began with the newest configuration, which does not name the queue, and plans leave out jobs whose queue they do not know. Likewise a job whose queue was added and removed again before the scheduler had seen it was never started, and a failing job of an unknown queue had no limit of attempts.

Ruled out: that the end of the first step was missed (event=step_done is logged), and that the backend servers were not accepted (another queue uses the same service there).

Change: the box that accepts a job stores the policy of the queue with it, with the version of the configuration that allowed the request. A scheduler takes the policy of a queue from the newest of what the configuration and the accepted jobs say. It holds because the policy is written in the transaction that accepts the job, so no accepted job is without one, whatever is lost afterwards and whichever versions a scheduler has missed. Records of earlier builds have no policy and are served as before; earlier builds ignore the field.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -8,7 +8,7 @@
 use model::CustomerId;
 use serde::{Deserialize, Serialize};
 
-use crate::{JobId, QueueId};
+use crate::{JobId, QueueId, QueuePolicy};
 
 pub use model::Duration;
 
@@ -166,13 +166,15 @@
 }
 
 /// Checked job. It doesn't change after it is stored.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(try_from = "RawJob", into = "RawJob")]
 pub struct Job {
     /// Identifier, chosen by the caller.
     pub id: JobId,
     /// Queue that the job was submitted to.
     pub queue: QueueId,
+    /// Policy of the queue when the job was submitted; `None` in records of earlier builds.
+    pub policy: Option<QueuePolicy>,
     /// Customer that owns the job; `None` on a queue that is open to all.
     pub customer: Option<CustomerId>,
     /// Text that is passed unchanged to each task, at most `MAX_TEXT_BYTES`.
@@ -215,6 +217,8 @@
     pub id: JobId,
     pub queue: QueueId,
     #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<QueuePolicy>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub customer: Option<CustomerId>,
     pub text: Arc<str>,
     pub steps: Vec<RawStep>,
@@ -239,6 +243,7 @@
         Ok(Job {
             id: raw.id,
             queue: raw.queue,
+            policy: raw.policy,
             customer: raw.customer,
             text: raw.text,
             steps: raw.steps,
@@ -253,6 +258,7 @@
         RawJob {
             id: job.id,
             queue: job.queue,
+            policy: job.policy,
             customer: job.customer,
             text: job.text,
             steps: job.steps,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -15,6 +15,6 @@
     id::{Fence, JobId, OccurrenceId, ParseNameError, QueueId, RunNumber, StepId, TaskId},
     job::{Duration, Job, JobError, RawJob, RawStep, Resources, Schedule, Step},
     progress::{Checkpoint, Crash, GroupProgress, Placement, Progress, Start},
-    queue::{PermitPolicy, QueuePolicy, ServiceId},
+    queue::{ConfigurationVersion, PermitPolicy, QueuePolicy, ServiceId},
     state::JobState,
 };
--- a/crates/martend/tests/common/mod.rs
+++ b/crates/martend/tests/common/mod.rs
@@ -147,9 +147,14 @@
 
     /// Submits a job to one box after another until it is accepted.
     pub(crate) async fn submit(&self, id: JobId, work: Work) {
+        self.submit_as(&self.caller, id, work).await;
+    }
+
+    /// Submits a job as a caller of some queue to one box after another until it is accepted.
+    pub(crate) async fn submit_as(&self, caller: &Caller, id: JobId, work: Work) {
         let started = Instant::now();
         for i in (0..self.boxes.len()).cycle() {
-            let answer = self.caller.submit(self.boxes[i].addrs[0], id, work).await;
+            let answer = caller.submit(self.boxes[i].addrs[0], id, work).await;
             if answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
                 return;
             }
--- a/crates/runtime/src/configuration.rs
+++ b/crates/runtime/src/configuration.rs
@@ -6,7 +6,7 @@
 };
 
 use derive_more::{Display, Error};
-use jobs::{QueueId, ServiceId};
+use jobs::{QueueId, QueuePolicy, ServiceId};
 use model::{CustomerId, Duration};
 use scheduler::Policy;
 
@@ -56,10 +56,12 @@
 }
 
 /// Access that a request has been granted.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Access {
     /// Queue that the request addresses.
     pub queue: QueueId,
+    /// Policy of the queue.
+    pub policy: Option<QueuePolicy>,
     /// Customer whose key the request has; `None` on an open queue without a valid key.
     pub customer: Option<CustomerId>,
     /// Path after the prefix of the queue.
@@ -91,6 +93,7 @@
         if customer.is_none() && !route.open {
             return Err(Denied::UnknownKey);
         }
-        Ok(Access { queue: route.queue.clone(), customer, rest: path[route.prefix.len()..].to_owned() })
+        let policy = self.policy.queues.get(&route.queue).cloned();
+        Ok(Access { queue: route.queue.clone(), policy, customer, rest: path[route.prefix.len()..].to_owned() })
     }
 }
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use jobs::{QueueId, QueuePolicy};
+use jobs::{ConfigurationVersion, QueueId, QueuePolicy};
 use model::CustomerId;
 
 use crate::fair_share::Weight;
@@ -19,9 +19,9 @@
 /// Configuration in force.
 #[derive(Debug, Clone, Default)]
 pub struct Policy {
-    /// Version of the configuration, for logs.
-    pub version: u64,
-    /// Policies of the configured queues.
+    /// Version of the configuration.
+    pub version: ConfigurationVersion,
+    /// Policies of the configured queues. A scheduler also has those of removed queues, for the jobs accepted there.
     pub queues: BTreeMap<QueueId, QueuePolicy>,
     /// Policies of the configured customers.
     pub customers: BTreeMap<CustomerId, CustomerPolicy>,
@@ -32,4 +32,29 @@
     pub(crate) fn priority(&self, queue: &QueueId) -> u32 {
         self.queues.get(queue).map_or(u32::MAX, |queue| queue.priority)
     }
+
+    /// Replaces the configuration by a newer one. Queues that it does not name keep their last policy.
+    pub(crate) fn replace(&mut self, newer: Policy) {
+        let earlier = std::mem::replace(self, newer);
+        for (queue, policy) in earlier.queues {
+            self.learn(&queue, &policy);
+        }
+    }
+
+    /// Adds the policy that a queue had in some version of the configuration, unless a newer one is known. Returns
+    /// whether the queue has other settings than before.
+    pub(crate) fn learn(&mut self, queue: &QueueId, policy: &QueuePolicy) -> bool {
+        match self.queues.get_mut(queue) {
+            None => {
+                self.queues.insert(queue.clone(), policy.clone());
+                true
+            }
+            Some(known) if known.version < policy.version => {
+                let has_changed = !known.has_same_settings(policy);
+                *known = policy.clone();
+                has_changed
+            }
+            Some(_) => false,
+        }
+    }
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -198,11 +198,13 @@
 
     /// Applies a changed configuration. Queues that it no longer names keep their last policy, for the jobs already
     /// accepted there.
-    pub fn set_policy(&mut self, mut policy: Policy) {
-        for (queue, old) in std::mem::take(&mut self.policy.queues) {
-            policy.queues.entry(queue).or_insert(old);
-        }
-        self.policy = policy;
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy.replace(policy);
+        self.apply_queue_policies();
+    }
+
+    /// Applies changed policies of queues to the jobs accepted there.
+    fn apply_queue_policies(&mut self) {
         for entry in self.jobs.values_mut() {
             entry.priority = self.policy.priority(&entry.job.queue);
         }
@@ -218,10 +220,11 @@
     /// Adds a job that the store holds. Idempotent.
     pub fn add_job(&mut self, job: Job) {
         let id = job.id;
-        let priority = self.policy.priority(&job.queue);
         if self.jobs.contains_key(&id) || self.archived.contains_key(&id) {
             return;
         }
+        self.learn_queue_policy(&job);
+        let priority = self.policy.priority(&job.queue);
         let mut entry = JobEntry::new(job, priority);
         entry.update_chains(&self.queue_ratios);
         entry.account = self.sharing.account(&entry.job, &self.policy);
@@ -231,6 +234,23 @@
         self.plan_requested = true;
     }
 
+    /// Learns the policy that a job's queue had when the job was submitted. This scheduler may not have seen that
+    /// configuration: it may have been elected later, or the configuration may have changed twice in a row.
+    fn learn_queue_policy(&mut self, job: &Job) {
+        let Some(policy) = &job.policy else { return };
+        if self.policy.learn(&job.queue, policy) {
+            log::info!(
+                "job={} event=queue_learned queue={} version={} config={} fence={}",
+                job.id,
+                job.queue,
+                policy.version,
+                self.policy.version,
+                self.fence
+            );
+            self.apply_queue_policies();
+        }
+    }
+
     /// Cancels a job whose cancellation the store holds. Idempotent. A job that is not tracked yet is recorded as
     /// cancelled before its submission.
     pub fn cancel(&mut self, id: JobId, now: Moment) {
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -23,8 +23,8 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use jobs::{
-    Fence, Job, JobId, JobState, OccurrenceId, PermitPolicy, Progress, QueuePolicy, Resources, RunNumber, ServiceId,
-    Step, TaskId,
+    ConfigurationVersion, Fence, Job, JobId, JobState, OccurrenceId, PermitPolicy, Progress, QueuePolicy, Resources,
+    RunNumber, ServiceId, Step, TaskId,
 };
 use model::{AvailabilityZoneId, BackendServerId, CustomerId, Duration, Incarnation, Moment, Revision};
 use scheduler::{
@@ -71,6 +71,7 @@
     Job {
         id: JobId(id),
         queue: queue.into(),
+        policy: None,
         customer: Some("court".parse::<CustomerId>().expect("it is a valid id")),
         text: Arc::from("text"),
         steps,
@@ -105,6 +106,7 @@
 
 pub(crate) fn policy() -> Policy {
     let queue = |priority| QueuePolicy {
+        version: ConfigurationVersion(1),
         priority,
         attempts: 4,
         stretch: 3.0,
@@ -113,7 +115,7 @@
         permits: None,
     };
     Policy {
-        version: 1,
+        version: ConfigurationVersion(1),
         queues: [("urgent", 0), ("batch", 1), ("archive", 2)].map(|(name, p)| (name.into(), queue(p))).into(),
         customers: BTreeMap::from([(
             "court".parse().expect("it is a valid id"),
@@ -206,6 +208,12 @@
         for queue in self.policy.queues.values_mut() {
             queue.attempts = attempts;
         }
+        self.configure(self.policy.clone());
+    }
+
+    /// Changes the configuration.
+    pub(crate) fn configure(&mut self, configuration: Policy) {
+        self.policy = configuration;
         self.scheduler.set_policy(self.policy.clone());
     }
 
@@ -214,7 +222,7 @@
         for queue in self.policy.queues.values_mut() {
             queue.permits = Some(permits);
         }
-        self.scheduler.set_policy(self.policy.clone());
+        self.configure(self.policy.clone());
     }
 
     pub(crate) fn submit(&mut self, job: Job) {
--- a/xtask/src/plans.rs
+++ b/xtask/src/plans.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt::Write, sync::Arc, time::Instant};
 
-use jobs::{Fence, Job, JobId, QueuePolicy, Resources, ServiceId, Step};
+use jobs::{ConfigurationVersion, Fence, Job, JobId, QueuePolicy, Resources, ServiceId, Step};
 use model::{AvailabilityZoneId, BackendServerId, CustomerId, Duration, Moment, Revision};
 use scheduler::{
     CustomerPolicy, EvacuatedBy, Listing, Order, Policy, RunningTask, Scheduler, ServerAddress, ServerInfo, StartReply,
@@ -137,7 +137,16 @@
         self.next_job += 1;
         let (queue, text) = (queue.into(), Arc::from("text"));
         let accepted_ms = self.now.millis();
-        self.scheduler.add_job(Job { id, queue, customer, text, steps: vec![step], schedule: None, accepted_ms });
+        self.scheduler.add_job(Job {
+            id,
+            queue,
+            policy: None,
+            customer,
+            text,
+            steps: vec![step],
+            schedule: None,
+            accepted_ms,
+        });
         id
     }
 
@@ -256,6 +265,7 @@
 
 fn policy() -> Policy {
     let queue = |priority| QueuePolicy {
+        version: ConfigurationVersion(1),
         priority,
         attempts: 4,
         stretch: 3.0,
@@ -266,5 +276,5 @@
     let queues =
         [("urgent", 0), ("batch", 1), ("archive", 2)].map(|(name, priority)| (name.into(), queue(priority))).into();
     let customers = (0..CUSTOMERS).map(|i| (customer(i), CustomerPolicy::default())).collect();
-    Policy { version: 1, queues, customers }
+    Policy { version: ConfigurationVersion(1), queues, customers }
 }
