Accept backend servers of a removed service that jobs need

What callers saw: a job accepted on a queue that was removed together with its service was left, although its backend servers were there and idle: after an election, and without one where a backend server had started anew.

Cause: the list of backend servers leaves out entries that name no configured service, to keep out entries of other writers. It asked the newest configuration alone, as the scheduler did with the policies of queues.

Change: an entry is also accepted if its service is that of a queue whose policy the scheduler knows, which the accepted jobs bring along. An entry that was left out before is accepted with its next heartbeat.

--- a/crates/martend/tests/removed_queues.rs
+++ b/crates/martend/tests/removed_queues.rs
@@ -17,6 +17,8 @@
 /// Each task takes a whole backend server, and there is one: the second task starts when the first is done.
 const WORK: Work = Work { tasks: 2, accelerators: 8, work_ms: 1500, gang: false };
 const NIGHT: Queue = Queue { name: "night", service: "desk" };
+/// A queue on a service that has no backend servers.
+const ELSEWHERE: Queue = Queue { name: "elsewhere", service: "elsewhere" };
 /// Time after the last fault within which a job must proceed: the platform counts as calm after 4 s, and then no job
 /// may be stalled for 3 s (platform rules).
 const PROCEEDS_WITHIN: Duration = Duration::from_secs(7);
@@ -125,3 +127,35 @@
         check_finished(&world, last_fault + first, &world.caller).await;
     });
 }
+
+/// Guards against a job that is left when its queue is removed together with the service: the next scheduler took the
+/// backend servers for entries of other writers, since no configuration named their service.
+#[test]
+fn a_job_of_a_removed_queue_and_service_is_finished_by_the_next_scheduler() {
+    smol::block_on(async {
+        let mut world = start().await;
+        submit(&world, NIGHT).await;
+        until_started(&world, 1).await;
+        configure(&world, 3, &[ELSEWHERE]).await;
+        let last_fault = Instant::now();
+        kill_scheduler(&mut world).await;
+        check_finished(&world, last_fault, &world.caller.of_queue(ELSEWHERE)).await;
+    });
+}
+
+/// Guards against a job that is left when a backend server of a removed service starts anew.
+#[test]
+fn a_job_of_a_removed_queue_and_service_is_finished_on_a_new_backend_server() {
+    smol::block_on(async {
+        let mut world = start().await;
+        submit(&world, NIGHT).await;
+        until_started(&world, 1).await;
+        configure(&world, 3, &[ELSEWHERE]).await;
+        let last_fault = Instant::now();
+        world.platform.crash_server(0).await.expect("its address is free");
+        until("the job has succeeded", || async { world.platform.oracle.done_tasks(JOB) == WORK.tasks as usize }).await;
+        let limit = PROCEEDS_WITHIN + Duration::from_millis(2 * WORK.work_ms);
+        assert!(last_fault.elapsed() < limit, "it took {:?}", last_fault.elapsed());
+        assert_eq!(world.platform.oracle.violations(), Vec::<String>::new());
+    });
+}
--- a/crates/runtime/src/directory.rs
+++ b/crates/runtime/src/directory.rs
@@ -77,7 +77,7 @@
 
 /// Applies an entry. Returns whether it names a backend server that was not listed before.
 fn apply_entry(cx: &Context, active: &Arc<Active>, listed: &mut Listed, item: &Item) -> bool {
-    match decode_entry(cx, listed, item) {
+    match decode_entry(cx, active, listed, item) {
         Ok(server) => {
             let id = server.target.id.clone();
             if listed.get(&id) == Some(&server) && (active.links.is_open(&id) || !may_open(active, &id)) {
@@ -101,17 +101,18 @@
     }
 }
 
-/// Decodes an entry. Rejects entries of other writers, which name no configured service: they are no backend servers,
-/// and above all must not replace another one at its address.
-fn decode_entry(cx: &Context, listed: &Listed, item: &Item) -> Result<ListedServer, DecodeError> {
+/// Decodes an entry. Rejects entries of other writers, which name no service that is configured or that accepted jobs
+/// need: they are no backend servers, and above all must not replace another one at its address.
+fn decode_entry(cx: &Context, active: &Active, listed: &Listed, item: &Item) -> Result<ListedServer, DecodeError> {
     let server = cx.decoder.server(item)?;
     let service = &server.info.service;
     let is_known = listed.get(&server.target.id).is_some_and(|entry| entry.info.service == *service);
     let is_configured = || cx.view.configuration().is_some_and(|current| current.services.contains(service));
-    if is_known || is_configured() {
+    if is_known || is_configured() || active.lock().uses_service(service) {
         return Ok(server);
     }
-    Err(DecodeError { key: item.key.clone(), why: format!("no configuration names the service {service}") })
+    let why = format!("no configuration and no accepted job names the service {service}");
+    Err(DecodeError { key: item.key.clone(), why })
 }
 
 fn apply_server(cx: &Context, active: &Arc<Active>, server: ListedServer) {
--- a/crates/scheduler/src/run_state.rs
+++ b/crates/scheduler/src/run_state.rs
@@ -237,7 +237,7 @@
     /// Where its work is counted for fair shares.
     pub(crate) account: Account,
     pub(crate) job: Arc<Job>,
-    /// Priority of its queue; the highest number while no configuration names the queue.
+    /// Priority of its queue; the highest number while the policy of the queue is unknown.
     pub(crate) priority: u32,
     pub(crate) cancelled: bool,
     pub(crate) occurrences: Vec<Occurrence>,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use jobs::{Fence, Job, JobId, JobState, OccurrenceId, QueueId};
+use jobs::{Fence, Job, JobId, JobState, OccurrenceId, QueueId, ServiceId};
 use model::{BackendServerId, CustomerId, Duration, Moment};
 
 use crate::{
@@ -212,6 +212,11 @@
         self.plan_requested = true;
     }
 
+    /// Whether a queue uses a service: one that is configured, or a removed one with a known policy.
+    pub fn uses_service(&self, service: &ServiceId) -> bool {
+        self.policy.queues.values().any(|queue| queue.service == *service)
+    }
+
     /// Returns and clears whether something has happened, since the last call, that may let a group start.
     pub fn take_plan_request(&mut self) -> bool {
         std::mem::take(&mut self.plan_requested)
