Record the policies of queues for the next scheduler

What callers saw, by tests alone: a job whose queue was moved to another service after its acceptance, and was removed later, waited on the service that the queue had left after an election.

Cause: a job holds the policy of its queue as it was when it was accepted. Later versions were in the memory of the scheduler alone.

Change: the scheduler keeps a record of the policies of the configured queues, and of removed ones with jobs, under marten/queues, with its fencing token; the next one reads it beside the other records. Each policy has the version of its configuration, and the newest of configuration, record and job is taken. Removed queues without jobs leave memory and record with the second change after their removal; before, memory kept them for the whole term.

Tests: two of five new ones in scheduler/tests/removed_queues.rs and one on processes fail if the record is written and not read; the other three guard its size, the number of writes, and a write that takes effect late.

--- a/crates/martend/tests/removed_queues.rs
+++ b/crates/martend/tests/removed_queues.rs
@@ -159,3 +159,24 @@
         assert_eq!(world.platform.oracle.violations(), Vec::<String>::new());
     });
 }
+
+/// Guards against a job that waits for a service without backend servers, since the next scheduler knows its queue only
+/// as it was when the job was accepted, and not as it was moved to another service later.
+#[test]
+fn a_job_is_finished_on_the_service_that_its_queue_had_last() {
+    smol::block_on(async {
+        let mut world = start().await;
+        let moved = Queue { service: ELSEWHERE.service, ..NIGHT };
+        configure(&world, 3, &[Queue::DESK, moved]).await;
+        submit(&world, moved).await;
+        configure(&world, 4, &[Queue::DESK, NIGHT]).await;
+        until_started(&world, 1).await;
+        let has_last_version = |record: Vec<u8>| String::from_utf8_lossy(&record).contains("\"c\":4");
+        until("the policy is stored", || async { world.platform.read("marten/queues").is_some_and(has_last_version) })
+            .await;
+        configure(&world, 5, &[Queue::DESK]).await;
+        let last_fault = Instant::now();
+        kill_scheduler(&mut world).await;
+        check_finished(&world, last_fault, &world.caller).await;
+    });
+}
--- a/crates/runtime/src/keys.rs
+++ b/crates/runtime/src/keys.rs
@@ -19,6 +19,8 @@
 pub(crate) const UNREACHABLE: &str = "marten/unreached";
 /// Key of the record of witnesses: backend servers that confirm who schedules.
 pub(crate) const WITNESSES: &str = "marten/witnesses";
+/// Key of the record of the policies of queues.
+pub(crate) const QUEUE_POLICIES: &str = "marten/queues";
 /// Prefix of the pages of what schedulers have learned.
 pub(crate) const LEARNED: &str = "marten/learned/";
 /// Prefix of the list of boxes with their addresses.
--- a/crates/runtime/src/leader.rs
+++ b/crates/runtime/src/leader.rs
@@ -13,13 +13,14 @@
     context::Context,
     directory, evacuation,
     evacuation_revisions::EvacuationRevisions,
-    learned,
+    keys, learned,
     links::Links,
     machine_list, maintenance, permits,
     platform::Target,
     predecessors::{self, EarlierTerms},
+    queue_policies,
     settings::Settings,
-    submissions, telemetry,
+    stored_record, submissions, telemetry,
     timers::{pause, with_timeout},
     unreachable, witnesses, writer,
 };
@@ -61,8 +62,12 @@
         // limit how long to wait for restored runs.
         let evacuations = evacuation::restore(cx, &evacuations, &mut scheduler);
         let records = futures_lite::future::zip(unreachable::read(cx), witnesses::read(cx));
-        let (evacuations_at, (unreachable_item, witnesses_item)) =
+        let records = futures_lite::future::zip(records, stored_record::read(cx, keys::QUEUE_POLICIES));
+        let (evacuations_at, ((unreachable_item, witnesses_item), queues_item)) =
             futures_lite::future::zip(evacuations, records).await;
+        if let Some(item) = queues_item {
+            queue_policies::restore(&mut scheduler, &item);
+        }
         if let Some(item) = unreachable_item {
             unreachable::restore(&mut scheduler, &item);
         }
@@ -106,6 +111,7 @@
         smol::spawn(box_list::publish_relay_boxes(cx.clone(), Arc::clone(&active))),
         smol::spawn(unreachable::run(cx.clone(), Arc::clone(&active))),
         smol::spawn(witnesses::run(cx.clone(), Arc::clone(&active))),
+        smol::spawn(queue_policies::run(cx.clone(), Arc::clone(&active))),
         smol::spawn(learned::run(cx.clone(), Arc::clone(&active), learned_pages)),
         smol::spawn(cleaner::run(cx.clone(), Arc::clone(&active))),
         smol::spawn(permits::run(cx.clone(), Arc::clone(&active))),
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -40,6 +40,7 @@
 mod plan;
 mod policy;
 mod preempt;
+mod queue_policies;
 mod ready;
 mod restore;
 mod retention;
@@ -75,6 +76,7 @@
     orders::{Order, StartReply},
     permits::{Permit, PermitRequest},
     policy::{CustomerPolicy, Policy},
+    queue_policies::{QueuePolicyRecord, QueuePolicyWrite},
     run_state::StopReason,
     scheduler::{Counts, Scheduler},
     server::{ServerAddress, ServerInfo},
--- a/crates/scheduler/src/policy.rs
+++ b/crates/scheduler/src/policy.rs
@@ -33,11 +33,15 @@
         self.queues.get(queue).map_or(u32::MAX, |queue| queue.priority)
     }
 
-    /// Replaces the configuration by a newer one. Queues that it does not name keep their last policy.
-    pub(crate) fn replace(&mut self, newer: Policy) {
+    /// Replaces the configuration by a newer one. Queues that it does not name keep their last policy while they have
+    /// jobs, and in any case until the change after it: boxes may still accept jobs by the earlier configuration.
+    pub(crate) fn replace(&mut self, newer: Policy, has_jobs: impl Fn(&QueueId) -> bool) {
         let earlier = std::mem::replace(self, newer);
         for (queue, policy) in earlier.queues {
-            self.learn(&queue, &policy);
+            let was_configured = policy.version >= earlier.version;
+            if was_configured || has_jobs(&queue) {
+                self.learn(&queue, &policy);
+            }
         }
     }
 
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -20,6 +20,7 @@
     pending_writes::PendingWrites,
     permits::PermitBook,
     policy::Policy,
+    queue_policies::StoredQueuePolicies,
     ready::ReadySteps,
     run_state::{IsolatedRetry, JobEntry, StopReason},
     run_time::QueueRatio,
@@ -65,6 +66,8 @@
     pub(crate) earlier_lease_expiry: Moment,
     pub(crate) timing: Timing,
     pub(crate) policy: Policy,
+    /// Record in the store of the policies of queues, for the next scheduler.
+    pub(crate) stored_queue_policies: StoredQueuePolicies,
     pub(crate) jobs: BTreeMap<JobId, JobEntry>,
     pub(crate) servers: BTreeMap<BackendServerId, Server>,
     /// Jobs that run or may still run.
@@ -147,6 +150,7 @@
             timing,
             sharing: Sharing::new(&policy),
             policy,
+            stored_queue_policies: StoredQueuePolicies::default(),
             jobs: BTreeMap::new(),
             open_jobs: BTreeSet::new(),
             finished_jobs: BTreeSet::new(),
@@ -199,12 +203,13 @@
     /// Applies a changed configuration. Queues that it no longer names keep their last policy, for the jobs already
     /// accepted there.
     pub fn set_policy(&mut self, policy: Policy) {
-        self.policy.replace(policy);
+        let with_jobs: BTreeSet<&QueueId> = self.jobs.values().map(|entry| &entry.job.queue).collect();
+        self.policy.replace(policy, |queue| with_jobs.contains(queue));
         self.apply_queue_policies();
     }
 
     /// Applies changed policies of queues to the jobs accepted there.
-    fn apply_queue_policies(&mut self) {
+    pub(crate) fn apply_queue_policies(&mut self) {
         for entry in self.jobs.values_mut() {
             entry.priority = self.policy.priority(&entry.job.queue);
         }
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -28,8 +28,8 @@
 };
 use model::{AvailabilityZoneId, BackendServerId, CustomerId, Duration, Incarnation, Moment, Revision};
 use scheduler::{
-    CallFailure, Completion, CompletionKind, CustomerPolicy, Listing, Order, Policy, RunningTask, Scheduler,
-    ServerAddress, ServerInfo, StartReply, Timing, UnreachableRecord, WitnessRecord,
+    CallFailure, Completion, CompletionKind, CustomerPolicy, Listing, Order, Policy, QueuePolicyRecord, RunningTask,
+    Scheduler, ServerAddress, ServerInfo, StartReply, Timing, UnreachableRecord, WitnessRecord,
 };
 
 use learned::{LearnedStore, wall_ms};
@@ -139,6 +139,8 @@
     unreachable: Option<(UnreachableRecord, Revision)>,
     /// Stored record of the witnesses, with its revision.
     witnesses: Option<(WitnessRecord, Revision)>,
+    /// Stored record of the policies of queues, with its revision.
+    queue_policies: (QueuePolicyRecord, Revision),
     /// Stored pages of what schedulers have learned.
     pub(crate) learned: LearnedStore,
     /// Whether every earlier scheduler renews leases by witnesses only.
@@ -177,6 +179,7 @@
             stored: BTreeMap::new(),
             unreachable: None,
             witnesses: None,
+            queue_policies: (QueuePolicyRecord::default(), Revision(0)),
             learned: LearnedStore::new(Fence(10)),
             witnesses_binding: true,
             trusts_provisional: true,
@@ -247,6 +250,7 @@
         self.scheduler.tick(self.now);
         self.store_unreachable();
         self.store_witnesses();
+        self.store_queue_policies();
         self.learned.store_next(&mut self.scheduler, self.now);
     }
 
@@ -266,6 +270,20 @@
         }
     }
 
+    fn store_queue_policies(&mut self) {
+        if let Some(write) = self.scheduler.next_queue_policy_write() {
+            assert_eq!(write.replaces, self.queue_policies.1, "it replaces what the store holds");
+            self.revision += 1;
+            self.queue_policies = (write.record.clone(), Revision(self.revision));
+            self.scheduler.queue_policies_found(write.record, Revision(self.revision));
+        }
+    }
+
+    /// Returns the stored record of the policies of queues.
+    pub(crate) fn stored_queue_policies(&self) -> &QueuePolicyRecord {
+        &self.queue_policies.0
+    }
+
     pub(crate) fn store_all(&mut self) {
         while let Some(batch) = self.scheduler.next_write_batch(8) {
             self.revision += 1;
@@ -409,6 +427,7 @@
         }
         let (witnesses, at) = self.witnesses.clone().map_or((None, Revision(0)), |(record, at)| (Some(record), at));
         next.restore_witnesses(witnesses, at, self.witnesses_binding);
+        next.restore_queue_policies(self.queue_policies.0.clone(), self.queue_policies.1);
         self.learned.elect(fence);
         next.restore_learned(self.learned.pages(), self.now, wall_ms(self.now));
         for job in self.jobs.clone() {
--- a/crates/scheduler/tests/removed_queues.rs
+++ b/crates/scheduler/tests/removed_queues.rs
@@ -4,6 +4,7 @@
 
 use common::{Fixture, job_in, policy, step};
 use jobs::{ConfigurationVersion, Job, JobState, QueueId, QueuePolicy, ServiceId};
+use model::Revision;
 use scheduler::{CompletionKind, Policy};
 
 const NIGHT: &str = "night";
@@ -91,3 +92,72 @@
     fixture.configure(configuration(4, Some(night(4))));
     assert_eq!(fixture.start_all().len(), 1);
 }
+
+/// Guards against a job that the next scheduler takes back to the service on which its queue was when it was accepted,
+/// although the queue had been moved to another one before it was removed.
+#[test]
+fn a_job_stays_where_its_queue_was_moved_before_it_was_removed() {
+    let mut fixture = Fixture::new(2);
+    fixture.configure(configuration(2, Some(night_elsewhere(2))));
+    fixture.submit(night_job(night_elsewhere(2)));
+    fixture.configure(configuration(3, Some(night(3))));
+    fixture.advance(100);
+    fixture.configure(configuration(4, None));
+    fixture.elect_next();
+    assert_eq!(fixture.start_all().len(), 1);
+}
+
+/// Guards against a job that is left after an election since an earlier build stored it without a policy.
+#[test]
+fn a_job_stored_by_an_earlier_build_is_started_after_its_queue_was_removed() {
+    let mut fixture = Fixture::new(2);
+    fixture.configure(configuration(2, Some(night(2))));
+    fixture.submit(job_in(NIGHT, 1, vec![step(1, 8)]));
+    fixture.advance(100);
+    fixture.configure(configuration(3, None));
+    for version in 4..6 {
+        fixture.elect_next();
+        fixture.advance(100);
+        fixture.configure(configuration(version, None));
+    }
+    assert_eq!(fixture.start_all().len(), 1);
+}
+
+/// Guards against a record that grows with each queue that was ever configured.
+#[test]
+fn a_removed_queue_leaves_the_record_once_it_has_no_jobs() {
+    let mut fixture = Fixture::new(2);
+    let has_night = |fixture: &Fixture| fixture.stored_queue_policies().queues.contains_key(&NIGHT.into());
+    fixture.configure(configuration(2, Some(night(2))));
+    fixture.advance(100);
+    fixture.configure(configuration(3, None));
+    fixture.advance(100);
+    assert!(has_night(&fixture), "boxes with configuration 2 may still accept jobs");
+    fixture.configure(configuration(4, None));
+    fixture.advance(100);
+    assert!(!has_night(&fixture));
+}
+
+/// Guards against a write for each check, and for each election.
+#[test]
+fn the_record_is_written_only_when_it_has_changed() {
+    let mut fixture = Fixture::new(2);
+    fixture.advance(100);
+    assert!(fixture.scheduler.next_queue_policy_write().is_none());
+    fixture.elect_next();
+    assert!(fixture.scheduler.next_queue_policy_write().is_none());
+    fixture.configure(configuration(2, None));
+    assert!(fixture.scheduler.next_queue_policy_write().is_some());
+}
+
+/// Guards against a record that is never written again, once a write that seemed lost has taken effect.
+#[test]
+fn the_record_is_replaced_after_a_write_that_took_effect_late() {
+    let mut fixture = Fixture::new(2);
+    let lost = fixture.scheduler.next_queue_policy_write().expect("nothing is stored");
+    fixture.configure(configuration(2, Some(night(2))));
+    fixture.scheduler.queue_policies_found(lost.record, Revision(7));
+    let write = fixture.scheduler.next_queue_policy_write().expect("the store holds an older record");
+    assert_eq!(write.replaces, Revision(7));
+    assert!(write.record.queues.contains_key(&NIGHT.into()));
+}
