Remove queues and swap priorities in the simulated world

Change: an action removes queues, adds them again or swaps priorities. Schedulers and the boxes that accept jobs receive a version after up to 8 s, miss some, and may be elected with the version before; the write of the record of policies may be lost or take effect late. Recorded cases draw as before.

--- a/crates/scheduler/tests/common/events.rs
+++ b/crates/scheduler/tests/common/events.rs
@@ -5,8 +5,8 @@
 use jobs::{OccurrenceId, RunNumber, TaskId};
 use model::{AvailabilityZoneId, BackendServerId, Incarnation, Moment, Revision};
 use scheduler::{
-    CallFailure, CompletionKind, EvacuatedBy, Listing, Machine, MachineId, MachineList, StartReply, UnreachableWrite,
-    WitnessRecord, WitnessWrite, WriteBatch,
+    CallFailure, CompletionKind, EvacuatedBy, Listing, Machine, MachineId, MachineList, QueuePolicyWrite, StartReply,
+    UnreachableWrite, WitnessRecord, WitnessWrite, WriteBatch,
 };
 
 use super::{
@@ -133,6 +133,18 @@
         leader: usize,
         server: BackendServerId,
     },
+    /// A scheduler is informed of the configuration in force at that time.
+    ConfigurationReported {
+        leader: usize,
+    },
+    WriteQueuePolicies {
+        leader: usize,
+        write: QueuePolicyWrite,
+        answered: bool,
+    },
+    QueuePolicyWriteLost {
+        leader: usize,
+    },
     /// A scheduler is informed of the evacuations in force at that time.
     EvacuationsReported {
         leader: usize,
@@ -247,6 +259,11 @@
             }
             Event::MachineListed { leader, list, requested } => self.on_machines_listed(leader, &list, requested),
             Event::MachineListFailed { leader } => self.on_machine_list_failed(leader),
+            Event::ConfigurationReported { leader } => self.on_configuration_reported(leader),
+            Event::WriteQueuePolicies { leader, write, answered } => {
+                self.on_write_queue_policies(leader, write, answered);
+            }
+            Event::QueuePolicyWriteLost { leader } => self.leaders[leader].writing_queue_policies = false,
             Event::EvacuationsReported { leader } => self.on_evacuations_reported(leader),
             Event::Crash { server } => self.on_crash(&server),
             Event::Replaced { server } => self.on_replaced(&server),
--- a/crates/scheduler/tests/common/leading.rs
+++ b/crates/scheduler/tests/common/leading.rs
@@ -25,6 +25,7 @@
         self.write_next(i);
         self.write_next_unreachable(i);
         self.write_next_witnesses(i);
+        self.write_next_queue_policies(i);
         self.renew(i);
         self.request_machine_list(i);
         for order in self.leaders[i].scheduler.take_orders() {
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 mod cancelled;
 mod capacity;
+mod configurations;
 mod crashes;
 pub(crate) mod events;
 pub(crate) mod fleet;
--- a/crates/scheduler/tests/common/world.rs
+++ b/crates/scheduler/tests/common/world.rs
@@ -7,7 +7,7 @@
     sync::Arc,
 };
 
-use jobs::{Fence, Job, JobId, JobState, OccurrenceId, Progress, TaskId};
+use jobs::{ConfigurationVersion, Fence, Job, JobId, JobState, OccurrenceId, Progress, TaskId};
 use model::{AvailabilityZoneId, BackendServerId, Duration, Incarnation, Moment, Revision};
 use scheduler::{
     CompletionKind, EvacuatedBy, Scheduler, ServerInfo, Timing, UnreachableRecord, UnreachableWrite, WitnessRecord,
@@ -15,8 +15,8 @@
 };
 
 use super::{
-    cancelled::CancelCheck, events::Event, info, machines::Machines, policy, server::FakeServer, server_id,
-    stalled::StallCheck, witnesses::CutOff,
+    cancelled::CancelCheck, configurations::Configurations, events::Event, info, machines::Machines,
+    server::FakeServer, server_id, stalled::StallCheck, witnesses::CutOff,
 };
 
 pub(crate) const STEP_MS: u64 = 10;
@@ -32,6 +32,10 @@
     pub(crate) writes_in_flight: usize,
     /// Whether a write of the unreachable record is in flight.
     pub(crate) writing_unreachable: bool,
+    /// Version of the configuration that it has.
+    pub(crate) configuration: ConfigurationVersion,
+    /// Whether a write of the policies of queues is in flight.
+    pub(crate) writing_queue_policies: bool,
     /// Whether a request for the list of machines is in flight.
     pub(crate) requesting_machines: bool,
     /// Availability zones that it has recorded as evacuated.
@@ -107,6 +111,7 @@
     /// Backend servers that have left as announced.
     pub(crate) departed: BTreeSet<BackendServerId>,
     pub(crate) machines: Machines,
+    pub(crate) configurations: Configurations,
 }
 
 impl World {
@@ -141,6 +146,7 @@
             cancel_check: CancelCheck::default(),
             departed: BTreeSet::new(),
             machines: Machines::new(seed),
+            configurations: Configurations::new(),
         };
         for _ in 0..servers {
             world.add_server();
@@ -176,7 +182,9 @@
         self.servers.insert(server.id.clone(), server);
     }
 
+    /// Submits a job to a box, which rejects it if its queue is not configured there.
     pub(crate) fn submit(&mut self, job: Job) {
+        let Some(job) = self.accepted(job) else { return };
         for leader in self.leaders.iter_mut().filter(|leader| leader.alive) {
             leader.scheduler.add_job(job.clone());
         }
@@ -207,7 +215,11 @@
             leader.confirmed = leader.confirmed.min(Moment::from_millis(self.now));
         }
         let now = self.moment();
-        let mut scheduler = Scheduler::new(self.holder, now, World::timing(), policy());
+        let configuration = self.configuration_when_elected();
+        let version = configuration.version;
+        let mut scheduler = Scheduler::new(self.holder, now, World::timing(), configuration);
+        let (record, revision) = self.configurations.record.clone();
+        scheduler.restore_queue_policies(record, revision);
         let evacuated: BTreeSet<AvailabilityZoneId> = self.evacuated.keys().cloned().collect();
         scheduler.set_evacuated(EvacuatedBy::Platform, &evacuated, now);
         if let Some((record, revision)) = &self.unreachable {
@@ -239,6 +251,8 @@
             fence: self.holder,
             alive: true,
             writes_in_flight: 0,
+            configuration: version,
+            writing_queue_policies: false,
             writing_unreachable: false,
             requesting_machines: false,
             evacuated,
--- a/crates/scheduler/tests/fuzz.rs
+++ b/crates/scheduler/tests/fuzz.rs
@@ -45,6 +45,7 @@
     KillAll,
     SubmitRestricted(u8),
     SubmitFaulty(u8),
+    Configure(u8),
 }
 
 fn action() -> impl Strategy<Value = Action> {
@@ -160,6 +161,7 @@
             world.elect();
         }
         Action::KillAll => world.kill_leaders(),
+        Action::Configure(change) => world.reconfigure(change),
     }
 }
 
@@ -268,6 +270,26 @@
     run_cases((gaps, action_around_cancellations()), false);
 }
 
+/// Draws mostly submissions, changes of the configuration, and losses of the scheduler, in series and overlapping.
+fn action_around_configurations() -> impl Strategy<Value = Action> {
+    prop_oneof![
+        5 => any::<u8>().prop_map(Action::Submit),
+        5 => any::<u8>().prop_map(Action::Configure),
+        2 => Just(Action::KillAndElect),
+        1 => Just(Action::Elect),
+        1 => Just(Action::KillAll),
+        1 => elect_concurrent(),
+        3 => action_with_restricted_jobs(),
+    ]
+}
+
+/// Guards against accepted jobs that are left when their queue is changed or removed, also beside elections.
+#[test]
+fn jobs_of_removed_queues_do_not_stall_in_calm() {
+    let gaps = prop_oneof![2 => 20u16..1500, 1 => 4000u16..12_000];
+    run_cases((gaps, action_around_configurations()), true);
+}
+
 /// Guards against a gang shown as failed without a cause: two of its members crash their backend servers on every start
 /// (found with seed 3 and 1,500 cases).
 #[test]
