Share the reads and writes of the scheduler's records

Cause: four modules of the runtime read a record with retries and replaced it under the fencing token, each with the same lines; the record of queue policies was the fourth.

Change: stored_record.rs has both; unreachable.rs, witnesses.rs, learned.rs and queue_policies.rs use it. Log lines keep their names. A conflict that shows another scheduler changes nothing in the record of unreachable backend servers any more; that scheduler cannot write again in any case.

--- a/crates/runtime/src/leader.rs
+++ b/crates/runtime/src/leader.rs
@@ -61,7 +61,10 @@
         // Evacuations come first, since no run may be placed before they are known. The same holds for the records that
         // limit how long to wait for restored runs.
         let evacuations = evacuation::restore(cx, &evacuations, &mut scheduler);
-        let records = futures_lite::future::zip(unreachable::read(cx), witnesses::read(cx));
+        let records = futures_lite::future::zip(
+            stored_record::read(cx, keys::UNREACHABLE),
+            stored_record::read(cx, keys::WITNESSES),
+        );
         let records = futures_lite::future::zip(records, stored_record::read(cx, keys::QUEUE_POLICIES));
         let (evacuations_at, ((unreachable_item, witnesses_item), queues_item)) =
             futures_lite::future::zip(evacuations, records).await;
--- a/crates/runtime/src/learned.rs
+++ b/crates/runtime/src/learned.rs
@@ -3,21 +3,20 @@
 use std::sync::Arc;
 
 use model::{Duration, Revision};
-use outside::{Committed, Item, Put, Transaction};
-use scheduler::{LearnedPage, LearnedWrite, Scheduler};
+use outside::Item;
+use scheduler::{LearnedPage, Scheduler};
 use smol::Task;
 
 use crate::{
     active::Active,
     context::Context,
     keys, paged_reads,
+    stored_record::{self, RecordWrite},
     timers::{Backoff, pause},
 };
 
 /// Interval at which the scheduler checks whether a page should be stored.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Timeout of a write.
-const WRITE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Reads that may fail before the scheduler goes on without the pages and replaces them. With the pauses between them
 /// these are several seconds, after which it has measured much of the fleet itself.
 const READ_ATTEMPTS: usize = 20;
@@ -85,14 +84,18 @@
             continue;
         }
         let Some(write) = active.lock().next_learned_write(clock.now(), clock.wall_ms()) else { continue };
-        match cx.store.commit(transaction(&active, &write), WRITE_TIMEOUT).await {
-            Ok(Committed::Done(revision)) => {
+        let (key, value) = (keys::learned(write.page), write.value.clone());
+        match stored_record::replace(&cx, &active, &key, value, write.replaces).await {
+            Ok(RecordWrite::Stored(revision)) => {
                 backoff.reset();
                 metrics::counter!("martenscale_learned_writes_total").increment(1);
                 active.lock().learned_stored(write, revision);
             }
-            Ok(Committed::Conflict(items)) => apply_conflict(&active, write.page, &items),
-            Ok(Committed::LeaseGone) => backoff.wait().await,
+            Ok(RecordWrite::Found(item)) => {
+                let revision = item.map_or(Revision(0), |item| item.revision);
+                active.lock().learned_revision_found(write.page, revision);
+            }
+            Ok(RecordWrite::Deposed) => {}
             Err(e) => {
                 log::info!("event=learned_not_stored page={} fence={} why={e}", write.page, active.fence);
                 backoff.wait().await;
@@ -100,24 +103,3 @@
         }
     }
 }
-
-/// Applies the revision of a page that a conflict has shown. The page is this scheduler's to replace as long as no
-/// other has been elected.
-fn apply_conflict(active: &Active, page: u32, items: &[Item]) {
-    let is_elected = items.iter().any(|item| item.key == keys::SCHEDULER && item.revision.0 == active.fence.0);
-    if is_elected {
-        let found = items.iter().find(|item| item.key == keys::learned(page));
-        let revision = found.map_or(Revision(0), |item| item.revision);
-        active.lock().learned_revision_found(page, revision);
-    }
-}
-
-/// Makes a write that replaces the last known page, conditional on this scheduler being the elected one.
-fn transaction(active: &Active, write: &LearnedWrite) -> Transaction {
-    let key = keys::learned(write.page);
-    Transaction {
-        expect: vec![(keys::SCHEDULER.to_owned(), Revision(active.fence.0)), (key.clone(), write.replaces)],
-        put: vec![Put { key, value: write.value.clone(), lease: None }],
-        remove: Vec::new(),
-    }
-}
--- a/crates/runtime/src/queue_policies.rs
+++ b/crates/runtime/src/queue_policies.rs
@@ -42,17 +42,21 @@
         let Some(write) = active.lock().next_queue_policy_write() else { continue };
         let value = serde_json::to_vec(&write.record).expect("our own types always serialize");
         match stored_record::replace(&cx, &active, keys::QUEUE_POLICIES, value, write.replaces).await {
-            RecordWrite::Stored(revision) => {
+            Ok(RecordWrite::Stored(revision)) => {
                 backoff.reset();
                 active.lock().queue_policies_found(write.record, revision);
             }
-            RecordWrite::Found(item) => {
+            Ok(RecordWrite::Found(item)) => {
                 let revision = item.as_ref().map_or(Revision(0), |item| item.revision);
                 let record = item.as_ref().map(decode_record).unwrap_or_default();
                 active.lock().queue_policies_found(record, revision);
                 backoff.wait().await;
             }
-            RecordWrite::Failed => backoff.wait().await,
+            Ok(RecordWrite::Deposed) => backoff.wait().await,
+            Err(e) => {
+                log::info!("event=queue_policies_not_stored fence={} why={e}", active.fence);
+                backoff.wait().await;
+            }
         }
     }
 }
--- a/crates/runtime/src/unreachable.rs
+++ b/crates/runtime/src/unreachable.rs
@@ -4,35 +4,20 @@
 use std::sync::Arc;
 
 use model::{Duration, Revision};
-use outside::{Committed, Item, Put, Transaction};
-use scheduler::{Scheduler, UnreachableRecord, UnreachableWrite};
+use outside::Item;
+use scheduler::{Scheduler, UnreachableRecord};
 
 use crate::{
     active::Active,
     context::Context,
     keys,
+    stored_record::{self, RecordWrite},
     timers::{Backoff, pause},
 };
 
 /// Interval at which the scheduler checks for changes of the record. A backend server that is reachable again gets no
 /// lease until it has been withdrawn.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Timeout of a write.
-const WRITE_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// Reads the record of earlier schedulers, with retries until the store responds.
-pub(crate) async fn read(cx: &Context) -> Option<Item> {
-    let mut backoff = Backoff::new();
-    loop {
-        match cx.store.get(keys::UNREACHABLE.to_owned()).await {
-            Ok(item) => return item,
-            Err(e) => {
-                log::info!("event=read_failed key={} why={e}", keys::UNREACHABLE);
-                backoff.wait().await;
-            }
-        }
-    }
-}
 
 /// Applies the record that was read. One that cannot be decoded counts as empty, and is replaced.
 pub(crate) fn restore(scheduler: &mut Scheduler, item: &Item) {
@@ -55,17 +40,17 @@
         }
         let now = cx.view.clock().now();
         let Some(write) = active.lock().next_unreachable_write(now) else { continue };
-        match cx.store.commit(transaction(&active, &write), WRITE_TIMEOUT).await {
-            Ok(Committed::Done(revision)) => {
+        let value = serde_json::to_vec(&write.record).expect("our own types always serialize");
+        match stored_record::replace(&cx, &active, keys::UNREACHABLE, value, write.replaces).await {
+            Ok(RecordWrite::Stored(revision)) => {
                 backoff.reset();
                 active.update(|scheduler| scheduler.unreachable_stored(write, revision));
             }
-            Ok(Committed::Conflict(items)) => {
-                let found = items.iter().find(|item| item.key == keys::UNREACHABLE);
-                active.lock().unreachable_revision_found(found.map_or(Revision(0), |item| item.revision));
+            Ok(RecordWrite::Found(item)) => {
+                active.lock().unreachable_revision_found(item.map_or(Revision(0), |item| item.revision));
                 backoff.wait().await;
             }
-            Ok(Committed::LeaseGone) => backoff.wait().await,
+            Ok(RecordWrite::Deposed) => backoff.wait().await,
             Err(e) => {
                 log::info!("event=unreached_not_noted fence={} why={e}", active.fence);
                 backoff.wait().await;
@@ -73,16 +58,3 @@
         }
     }
 }
-
-/// Makes a write that replaces the last known record, conditional on this scheduler being the elected one.
-fn transaction(active: &Active, write: &UnreachableWrite) -> Transaction {
-    let value = serde_json::to_vec(&write.record).expect("our own types always serialize");
-    Transaction {
-        expect: vec![
-            (keys::SCHEDULER.to_owned(), Revision(active.fence.0)),
-            (keys::UNREACHABLE.to_owned(), write.replaces),
-        ],
-        put: vec![Put { key: keys::UNREACHABLE.to_owned(), value, lease: None }],
-        remove: Vec::new(),
-    }
-}
