Keep one policy for all jobs of a queue in memory

Cause: each tracked job held the policy that it was stored with, though the scheduler has the queue's newest one for all of them.

Change: the policy is taken from the job when it is added.

Memory was not measured.

--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -228,12 +228,12 @@
     }
 
     /// Adds a job that the store holds. Idempotent.
-    pub fn add_job(&mut self, job: Job) {
+    pub fn add_job(&mut self, mut job: Job) {
         let id = job.id;
         if self.jobs.contains_key(&id) || self.archived.contains_key(&id) {
             return;
         }
-        self.learn_queue_policy(&job);
+        self.learn_queue_policy(&mut job);
         let priority = self.policy.priority(&job.queue);
         let mut entry = JobEntry::new(job, priority);
         entry.update_chains(&self.queue_ratios);
@@ -246,9 +246,10 @@
 
     /// Learns the policy that a job's queue had when the job was submitted. This scheduler may not have seen that
     /// configuration: it may have been elected later, or the configuration may have changed twice in a row.
-    fn learn_queue_policy(&mut self, job: &Job) {
-        let Some(policy) = &job.policy else { return };
-        if self.policy.learn(&job.queue, policy) {
+    /// The policy is taken from the job, since this scheduler keeps one for all jobs of a queue.
+    fn learn_queue_policy(&mut self, job: &mut Job) {
+        let Some(policy) = job.policy.take() else { return };
+        if self.policy.learn(&job.queue, &policy) {
             log::info!(
                 "job={} event=queue_learned queue={} version={} config={} fence={}",
                 job.id,
--- a/crates/scheduler/tests/removed_queues.rs
+++ b/crates/scheduler/tests/removed_queues.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::collections::BTreeMap;
+
 use common::{Fixture, job_in, policy, step};
 use jobs::{ConfigurationVersion, Job, JobState, QueueId, QueuePolicy, ServiceId};
 use model::Revision;
@@ -123,6 +125,16 @@
     assert_eq!(fixture.start_all().len(), 1);
 }
 
+/// Guards against a job that is left when its customer is removed, and another scheduler is elected.
+#[test]
+fn a_job_of_a_removed_customer_is_started_by_the_next_scheduler() {
+    let mut fixture = Fixture::new(2);
+    fixture.submit(job_in("urgent", 1, vec![step(1, 8)]));
+    fixture.configure(Policy { customers: BTreeMap::new(), ..configuration(2, None) });
+    fixture.elect_next();
+    assert_eq!(fixture.start_all().len(), 1);
+}
+
 /// Guards against a record that grows with each queue that was ever configured.
 #[test]
 fn a_removed_queue_leaves_the_record_once_it_has_no_jobs() {
