Remove a queue in the soak while jobs of it are open

Cause: the soak changed the number of the configuration alone, so it could not show a job that is left with its queue.

At the end it is removed and all boxes are killed, so that its open jobs must be finished by boxes that have never seen it. Regression seeds, recorded without that, stay as they are; what a seed draws does not change.

--- a/crates/martend/tests/soak/callers.rs
+++ b/crates/martend/tests/soak/callers.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     ledger::{Cancellation, Submission},
-    world::{KEY, World},
+    world::{KEY, NIGHT, World},
 };
 
 /// Interval between calls, in milliseconds: four callers keep two thirds of the accelerators busy.
@@ -78,11 +78,14 @@
 async fn submit_work(world: &World, client: &Caller, id: JobId, work: Work, rng: &mut Rng) {
     world.ledger.record_job(id, work);
     let mut is_in_doubt = false;
+    let queue = world.queue_of(id);
+    let client = client.of_queue(queue);
     for _ in 0..rng.usize(1..=MAX_ATTEMPTS) {
         let addr = world.any_front(rng);
         match client.submit(addr, id, work).await.map(|answer| answer.status) {
             Ok(StatusCode::OK) => return world.ledger.record_submission(id, Submission::Accepted(Instant::now())),
             Ok(StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS) => {}
+            Ok(StatusCode::NOT_FOUND) if queue == NIGHT => {}
             Ok(StatusCode::GATEWAY_TIMEOUT) | Err(_) => is_in_doubt = true,
             Ok(status) => world.oracle.report_violation(format!("{id} was answered {status}")),
         }
--- a/crates/martend/tests/soak/faults.rs
+++ b/crates/martend/tests/soak/faults.rs
@@ -66,6 +66,9 @@
 /// Duration of a fault, in milliseconds: below and above the leases of a run (3 s) and of an election (1.5 s).
 const DURATION_MS: std::ops::Range<u64> = 200..5500;
 
+/// Interval between changes of the configuration, in milliseconds: below and above the duration of most tasks.
+const CONFIGURE_INTERVAL_MS: std::ops::Range<u64> = 100..3000;
+
 /// Interval at which tasks that crash their backend server are detected.
 const CRASH_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -167,6 +170,27 @@
     }
 }
 
+/// Changes the configuration again and again, until dropped.
+pub(crate) async fn change_queues(world: Arc<World>, seed: u64) {
+    let mut rng = Rng::with_seed(seed.wrapping_mul(41));
+    loop {
+        world.configure().await;
+        smol::Timer::after(Duration::from_millis(rng.u64(CONFIGURE_INTERVAL_MS))).await;
+    }
+}
+
+/// Removes the queue that has been changed all the time, and kills all boxes: accepted jobs of the queue must be
+/// finished by boxes that have never seen it.
+pub(crate) async fn remove_queue_and_lose_boxes(world: &World) {
+    if world.has_night() {
+        world.configure().await;
+    }
+    world.log_event("all boxes are killed");
+    for a_box in &world.boxes {
+        a_box.lock().await.kill();
+    }
+}
+
 /// Crashes the backend servers that run tasks of jobs marked to crash them, until dropped.
 pub(crate) async fn crash_servers(world: Arc<World>) {
     loop {
--- a/crates/martend/tests/soak/main.rs
+++ b/crates/martend/tests/soak/main.rs
@@ -38,6 +38,9 @@
     /// Whether backend servers may restart under the same id after a crash; `false` for older regression seeds, which
     /// were recorded without that.
     reuses_ids: bool,
+    /// Whether a queue is removed and added again all the time; `false` for regression seeds, which were recorded
+    /// without that.
+    changes_queues: bool,
 }
 
 fn main() -> ExitCode {
@@ -64,7 +67,7 @@
         (Ok(0), Ok(_), Ok(_)) => ci_cases(),
         (Ok(seeds), Ok(from), Ok(seconds)) => {
             let faults = Duration::from_secs(seconds);
-            (from..from + seeds).map(|seed| Case { seed, faults, reuses_ids: true }).collect()
+            (from..from + seeds).map(|seed| Case { seed, faults, reuses_ids: true, changes_queues: true }).collect()
         }
         (Err(e), ..) | (_, Err(e), _) | (.., Err(e)) => return refuse(&e, &usage),
     };
@@ -84,16 +87,16 @@
         let mut words = line.split_whitespace();
         let mut number = || words.next().and_then(|word| word.parse().ok()).expect("a line has a seed and seconds");
         let (seed, faults) = (number(), Duration::from_secs(number()));
-        Case { seed, faults, reuses_ids: words.next() == Some("returns") }
+        Case { seed, faults, reuses_ids: words.next() == Some("returns"), changes_queues: false }
     };
     let kept = lines.map(|line| case(line.split('#').next().unwrap_or_default()));
-    kept.chain([Case { seed: CI_SEED, faults: CI_FAULTS, reuses_ids: true }]).collect()
+    kept.chain([Case { seed: CI_SEED, faults: CI_FAULTS, reuses_ids: true, changes_queues: true }]).collect()
 }
 
 fn run_all(cases: &[Case]) -> ExitCode {
     let mut failed = 0;
     for case in cases {
-        let violations = smol::block_on(World::run(case.seed, case.faults, case.reuses_ids));
+        let violations = smol::block_on(World::run(*case));
         let verdict = if violations.is_empty() { "ok" } else { "FAILED" };
         println!("soak seed {} of {} s ... {verdict}", case.seed, case.faults.as_secs());
         for what in &violations {
--- a/crates/martend/tests/soak/world.rs
+++ b/crates/martend/tests/soak/world.rs
@@ -8,15 +8,16 @@
         Arc, Mutex as StdMutex,
         atomic::{AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 use fastrand::Rng;
 use jobs::JobId;
 use smol::lock::Mutex;
-use users_platform_standin::{BoxAddrs, Oracle, Platform, Setup, free_addrs};
+use users_platform_standin::{BoxAddrs, Oracle, Platform, Queue, Setup, free_addrs};
 
 use crate::{
+    Case,
     boxes::{BoxProcess, wait_terminated},
     callers, checks, faults,
     ledger::Ledger,
@@ -29,6 +30,8 @@
 pub(crate) const BOXES: usize = 4;
 /// Number of backend servers in a run.
 pub(crate) const SERVERS: usize = 6;
+/// Queue that is removed and added again.
+pub(crate) const NIGHT: Queue = Queue { name: "night", service: "desk" };
 /// Number of callers in a run.
 const CALLERS: u64 = 4;
 
@@ -44,6 +47,8 @@
     pub(crate) dir: PathBuf,
     /// Whether backend servers may restart under the same id after a crash.
     pub(crate) reuses_ids: bool,
+    /// Whether the queue [`NIGHT`] is removed and added again all the time.
+    changes_queues: bool,
     fronts: Vec<SocketAddr>,
     version: AtomicU64,
     started: Instant,
@@ -65,8 +70,9 @@
 
 impl World {
     /// Runs a seed and returns the violations of invariants.
-    pub(crate) async fn run(seed: u64, length: Duration, reuses_ids: bool) -> Vec<String> {
-        let world = Arc::new(World::start(seed, reuses_ids).await.expect("loopback is available"));
+    pub(crate) async fn run(case: Case) -> Vec<String> {
+        let Case { seed, faults: length, changes_queues, .. } = case;
+        let world = Arc::new(World::start(case).await.expect("loopback is available"));
         let _kill_boxes = KillBoxesOnDrop(Arc::clone(&world));
         let mut rng = Rng::with_seed(seed);
         let watching = smol::spawn(checks::monitor(Arc::clone(&world)));
@@ -75,7 +81,12 @@
         let crashing = smol::spawn(faults::crash_servers(Arc::clone(&world)));
         let crashing_job =
             smol::spawn(callers::submit_crashing_job(Arc::clone(&world), JobId((CALLERS + 1) << 32), seed));
+        let changing = changes_queues.then(|| smol::spawn(faults::change_queues(Arc::clone(&world), seed)));
         faults::inject(&world, faults::plan(&mut rng, length)).await;
+        if let Some(task) = changing {
+            task.cancel().await;
+            faults::remove_queue_and_lose_boxes(&world).await;
+        }
         world.end_faults().await;
         for task in calling.into_iter().chain([crashing_job]) {
             task.cancel().await;
@@ -96,7 +107,7 @@
         violations
     }
 
-    async fn start(seed: u64, reuses_ids: bool) -> std::io::Result<World> {
+    async fn start(Case { seed, reuses_ids, changes_queues, .. }: Case) -> std::io::Result<World> {
         let dir = std::env::temp_dir().join(format!("martenscale-soak-{}-{seed}", std::process::id()));
         std::fs::create_dir_all(&dir)?;
         let setup = Setup { servers: SERVERS, key: KEY.to_owned(), slow_clocks: true, ..Setup::default() };
@@ -123,6 +134,7 @@
             oracle: Arc::clone(&platform.oracle),
             platform: Mutex::new(platform),
             reuses_ids,
+            changes_queues,
             fronts: boxes.iter().map(|a_box| a_box.front.addr).collect(),
             boxes: boxes.into_iter().map(Mutex::new).collect(),
             servers,
@@ -146,9 +158,22 @@
         self.fronts[rng.usize(..BOXES)]
     }
 
+    /// Returns the queue that a job is submitted to.
+    pub(crate) fn queue_of(&self, id: JobId) -> Queue {
+        if self.changes_queues && !id.0.is_multiple_of(2) { NIGHT } else { Queue::DESK }
+    }
+
+    /// Whether the configuration has the queue [`NIGHT`].
+    pub(crate) fn has_night(&self) -> bool {
+        self.version.load(Ordering::Relaxed).is_multiple_of(2)
+    }
+
+    /// Changes the configuration. Every second version has the queue [`NIGHT`].
     pub(crate) async fn configure(&self) {
         let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
-        self.platform.lock().await.configure(version);
+        let queues = if self.has_night() { &[Queue::DESK, NIGHT][..] } else { &[Queue::DESK] };
+        self.log_event(&format!("configuration {version} with {} queues", queues.len()));
+        self.platform.lock().await.configure_queues(version, queues);
     }
 
     /// Returns whether a box may end late, as it was paused after it had received SIGTERM at `terminated_at`.
