--- a/crates/martend/tests/soak/main.rs
+++ b/crates/martend/tests/soak/main.rs
@@ -43,12 +43,21 @@
     changes_queues: bool,
 }
 
+impl Case {
+    /// Returns the name under which the run is skipped.
+    fn name(&self) -> String {
+        format!("soak_seed_{}", self.seed)
+    }
+}
+
 fn main() -> ExitCode {
     let mut options = Options::new();
     options.optopt("", "seeds", "how many fresh seeds to run", "N");
     options.optopt("", "from", "the first of them (1)", "SEED");
     options.optopt("", "seconds", "duration of the faults of each (15)", "S");
     options.optmulti("", "skip", "pass over soak_seed_SEED; names of other tests are ignored", "NAME");
+    options.optflag("", "exact", "accepted as an option of the test runner: names are always matched exactly");
+    options.optflag("", "list", "print the names of the runs, without running them");
     options.optflag("h", "help", "print this");
     let usage = options.usage("usage: soak [--seeds N] [--from SEED] [--seconds S] [--skip NAME]...");
     let parsed = match options.parse(std::env::args().skip(1)) {
@@ -72,7 +81,13 @@
         (Err(e), ..) | (_, Err(e), _) | (.., Err(e)) => return refuse(&e, &usage),
     };
     let skipped = parsed.opt_strs("skip");
-    cases.retain(|case| !skipped.contains(&format!("soak_seed_{}", case.seed)));
+    cases.retain(|case| !skipped.contains(&case.name()));
+    if parsed.opt_present("list") {
+        for case in &cases {
+            println!("{}: test", case.name());
+        }
+        return ExitCode::SUCCESS;
+    }
     run_all(&cases)
 }
 
