--- a/crates/martend/tests/removed_queues.rs
+++ b/crates/martend/tests/removed_queues.rs
@@ -43,6 +43,14 @@
     world.submit_as(&world.caller.of_queue(queue), JOB, WORK).await;
 }
 
+/// Starts as [`start`] does, and lets a job of `night` run its first task.
+async fn start_with_running_job() -> World {
+    let world = start().await;
+    submit(&world, NIGHT).await;
+    until_started(&world, 1).await;
+    world
+}
+
 async fn until_started(world: &World, starts: usize) {
     until("the task starts", || async { world.platform.oracle.start_count() == starts }).await;
 }
@@ -76,9 +84,7 @@
 #[test]
 fn a_job_of_a_removed_queue_is_finished_by_the_next_scheduler() {
     smol::block_on(async {
-        let mut world = start().await;
-        submit(&world, NIGHT).await;
-        until_started(&world, 1).await;
+        let mut world = start_with_running_job().await;
         configure(&world, 3, &[Queue::DESK]).await;
         let last_fault = Instant::now();
         kill_scheduler(&mut world).await;
@@ -91,9 +97,7 @@
 #[test]
 fn a_job_of_a_removed_queue_is_finished_by_boxes_that_never_saw_the_queue() {
     smol::block_on(async {
-        let mut world = start().await;
-        submit(&world, NIGHT).await;
-        until_started(&world, 1).await;
+        let mut world = start_with_running_job().await;
         configure(&world, 3, &[Queue::DESK]).await;
         let last_fault = Instant::now();
         world.boxes.clear();
@@ -133,9 +137,7 @@
 #[test]
 fn a_job_of_a_removed_queue_and_service_is_finished_by_the_next_scheduler() {
     smol::block_on(async {
-        let mut world = start().await;
-        submit(&world, NIGHT).await;
-        until_started(&world, 1).await;
+        let mut world = start_with_running_job().await;
         configure(&world, 3, &[ELSEWHERE]).await;
         let last_fault = Instant::now();
         kill_scheduler(&mut world).await;
@@ -147,9 +149,7 @@
 #[test]
 fn a_job_of_a_removed_queue_and_service_is_finished_on_a_new_backend_server() {
     smol::block_on(async {
-        let mut world = start().await;
-        submit(&world, NIGHT).await;
-        until_started(&world, 1).await;
+        let mut world = start_with_running_job().await;
         configure(&world, 3, &[ELSEWHERE]).await;
         let last_fault = Instant::now();
         world.platform.crash_server(0).await.expect("its address is free");
--- a/crates/runtime/src/configuration.rs
+++ b/crates/runtime/src/configuration.rs
@@ -60,7 +60,7 @@
 pub struct Access {
     /// Queue that the request addresses.
     pub queue: QueueId,
-    /// Policy of the queue.
+    /// Policy of the queue; `None` if the configuration has none for it.
     pub policy: Option<QueuePolicy>,
     /// Customer whose key the request has; `None` on an open queue without a valid key.
     pub customer: Option<CustomerId>,
--- a/crates/scheduler/src/queue_policies.rs
+++ b/crates/scheduler/src/queue_policies.rs
@@ -27,7 +27,7 @@
     pub replaces: Revision,
 }
 
-/// What the store holds, as far as known.
+/// The record in the store, as far as known.
 #[derive(Debug, Default)]
 pub(crate) struct StoredQueuePolicies {
     record: QueuePolicyRecord,
