Test timed and long-running jobs of removed queues

Cause: the tests of removed queues had plain jobs alone. Later occurrences and restarts are starts after the removal as well.

Change: a test each.

--- a/crates/scheduler/tests/removed_queues.rs
+++ b/crates/scheduler/tests/removed_queues.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use common::{Fixture, job_in, policy, step};
-use jobs::{ConfigurationVersion, Job, JobState, QueueId, QueuePolicy, ServiceId};
+use jobs::{ConfigurationVersion, Job, JobState, QueueId, QueuePolicy, Schedule, ServiceId, Step};
 use model::Revision;
 use scheduler::{CompletionKind, Policy};
 
@@ -55,6 +55,38 @@
     assert_eq!(fixture.state(1), Some(JobState::Failed), "two of two attempts are used up");
 }
 
+/// Guards against occurrences that fall due after their queue was removed and another scheduler was elected, and are left.
+#[test]
+fn later_occurrences_of_a_removed_queue_start_when_they_are_due() {
+    let mut fixture = Fixture::new(2);
+    let first_ms = fixture.now.millis();
+    let schedule = Some(Schedule { times: 2, first_ms, interval_ms: 5000 });
+    fixture.submit(Job { schedule, ..night_job(night(2)) });
+    fixture.advance(500);
+    let first = fixture.start_all().remove(0);
+    fixture.complete(&first, CompletionKind::Done);
+    fixture.store_all();
+    fixture.configure(configuration(3, None));
+    fixture.elect_next();
+    assert!(fixture.start_all().is_empty(), "the second occurrence is not due");
+    fixture.advance(5000);
+    assert_eq!(fixture.start_all().len(), 1);
+}
+
+/// Guards against a long-running task that is not restarted after its queue was removed and another scheduler was
+/// elected.
+#[test]
+fn a_long_running_task_of_a_removed_queue_is_restarted() {
+    let mut fixture = Fixture::new(2);
+    let long_running = Step { long_running: true, ..step(1, 8) };
+    fixture.submit(Job { steps: vec![long_running], ..night_job(night(2)) });
+    let started = fixture.start_all().remove(0);
+    fixture.configure(configuration(3, None));
+    fixture.elect_next();
+    fixture.crash(&started.server);
+    assert_eq!(fixture.start_all().len(), 1);
+}
+
 /// Guards against a job that waits until the scheduler has the configuration with its queue, which the box that
 /// accepted the job had earlier.
 #[test]
