Split the failures and the records out of the tests' fixture

Cause: common/mod.rs of the scheduler's tests had grown to 558 lines, with failures of backend servers and the records for the next scheduler beside the fixture itself.

Change: failures.rs and records.rs take the methods as they were; three of them are visible to the parent module now. No test changes.

--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -1,6 +1,5 @@
 //! Drives a scheduler directly, with backend servers and a store that never fail unless a test makes them. Each call
 //! runs to completion, so tests control the order of events.
-// LONG: one fixture, whose helpers share its private state.
 #![allow(dead_code, reason = "each test file uses a part")]
 
 mod cancelled;
@@ -8,12 +7,14 @@
 mod configurations;
 mod crashes;
 pub(crate) mod events;
+mod failures;
 pub(crate) mod fleet;
 mod leading;
 pub(crate) mod learned;
 mod machines;
 mod oracle;
 mod platform;
+mod records;
 mod restarts;
 mod runs;
 pub(crate) mod server;
@@ -33,7 +34,7 @@
     Scheduler, ServerAddress, ServerInfo, StartReply, Timing, UnreachableRecord, WitnessRecord,
 };
 
-use learned::{LearnedStore, wall_ms};
+use learned::LearnedStore;
 
 pub(crate) const SERVICE: &str = "desk";
 
@@ -255,36 +256,6 @@
         self.learned.store_next(&mut self.scheduler, self.now);
     }
 
-    fn store_unreachable(&mut self) {
-        if let Some(write) = self.scheduler.next_unreachable_write(self.now) {
-            self.revision += 1;
-            self.unreachable = Some((write.record.clone(), Revision(self.revision)));
-            self.scheduler.unreachable_stored(write, Revision(self.revision));
-        }
-    }
-
-    fn store_witnesses(&mut self) {
-        if let Some(write) = self.scheduler.next_witness_write(self.now) {
-            self.revision += 1;
-            self.witnesses = Some((write.record.clone(), Revision(self.revision)));
-            self.scheduler.witnesses_stored(write, Revision(self.revision));
-        }
-    }
-
-    fn store_queue_policies(&mut self) {
-        if let Some(write) = self.scheduler.next_queue_policy_write() {
-            assert_eq!(write.replaces, self.queue_policies.1, "it replaces what the store holds");
-            self.revision += 1;
-            self.queue_policies = (write.record.clone(), Revision(self.revision));
-            self.scheduler.queue_policies_found(write.record, Revision(self.revision));
-        }
-    }
-
-    /// Returns the stored record of the policies of queues.
-    pub(crate) fn stored_queue_policies(&self) -> &QueuePolicyRecord {
-        &self.queue_policies.0
-    }
-
     pub(crate) fn store_all(&mut self) {
         while let Some(batch) = self.scheduler.next_write_batch(8) {
             self.revision += 1;
@@ -395,14 +366,6 @@
         self.scheduler.listing(id, &listing, self.now, self.now);
     }
 
-    pub(crate) fn cut_past_lease(&mut self, id: &BackendServerId) {
-        self.cut.push(id.clone());
-        self.running.get_mut(id).expect("it was added").clear();
-        for _ in 0..80 {
-            self.advance(100);
-        }
-    }
-
     /// Returns the backend server on which a task runs.
     pub(crate) fn server_of(&self, task: TaskId) -> Option<BackendServerId> {
         let here = |runs: &Vec<Started>| runs.iter().any(|started| started.task == task);
@@ -413,146 +376,4 @@
     pub(crate) fn running_on(&self, id: &BackendServerId) -> Vec<Started> {
         self.running.get(id).cloned().unwrap_or_default()
     }
-
-    /// Elects another scheduler, which restores the stored records and receives the listings of all reachable backend
-    /// servers.
-    pub(crate) fn elect_next(&mut self) {
-        self.now = self.now + Duration::from_millis(1000);
-        let fence = Fence(self.scheduler.fence().0 + 1);
-        let mut next = Scheduler::new(fence, self.now, Timing::default(), self.policy.clone());
-        if let Some((record, revision)) = &self.unreachable {
-            next.restore_unreachable(record, *revision);
-        }
-        if self.trusts_provisional {
-            next.trust_provisional_entries();
-        }
-        let (witnesses, at) = self.witnesses.clone().map_or((None, Revision(0)), |(record, at)| (Some(record), at));
-        next.restore_witnesses(witnesses, at, self.witnesses_binding);
-        next.restore_queue_policies(self.queue_policies.0.clone(), self.queue_policies.1);
-        self.learned.elect(fence);
-        next.restore_learned(self.learned.pages(), self.now, wall_ms(self.now));
-        for job in self.jobs.clone() {
-            next.add_job(job);
-        }
-        for (id, (progress, revision)) in &self.stored {
-            next.restore(*id, progress.clone(), *revision);
-        }
-        self.scheduler = next;
-        for (id, info) in self.infos.clone() {
-            self.scheduler.server_listed(id.clone(), info, self.now);
-            if !self.cut.contains(&id) {
-                self.list(&id);
-            }
-        }
-    }
-
-    /// Replaces the stored witnesses; `witnesses_binding` says whether all earlier schedulers renew by witnesses only.
-    pub(crate) fn set_stored_witnesses(&mut self, record: Option<WitnessRecord>, witnesses_binding: bool) {
-        self.revision += 1;
-        self.witnesses = record.map(|record| (record, Revision(self.revision)));
-        self.witnesses_binding = witnesses_binding;
-    }
-
-    /// Returns the backend server that was added last.
-    pub(crate) fn newest(&self) -> BackendServerId {
-        self.running.keys().next_back().expect("there is one").clone()
-    }
-
-    /// Crashes a backend server; an empty one with another id replaces it.
-    pub(crate) fn crash(&mut self, id: &BackendServerId) {
-        self.lose(id);
-        self.added += 1;
-        self.add_server(self.added);
-        self.advance(10);
-    }
-
-    /// Removes an unreachable backend server from the platform's list.
-    pub(crate) fn unlist(&mut self, id: &BackendServerId) {
-        self.scheduler.server_unlisted(id, self.now);
-        self.infos.remove(id);
-        self.advance(100);
-    }
-
-    /// Ends all runs on a backend server as stopped.
-    pub(crate) fn stop_all_on(&mut self, id: &BackendServerId) {
-        for started in self.running_on(id) {
-            self.complete(&started, CompletionKind::Stopped);
-        }
-    }
-
-    /// Crashes a backend server; one with another id replaces it at the same address.
-    pub(crate) fn crash_at_same_address(&mut self, id: &BackendServerId) {
-        let address = self.address_of(id);
-        self.lose(id);
-        self.added += 1;
-        let next = server_id(self.added);
-        self.add_server(self.added);
-        let info = ServerInfo { address, ..self.infos[&next].clone() };
-        self.scheduler.server_listed(next.clone(), info.clone(), self.now);
-        self.addresses.insert(next.clone(), info.address.clone());
-        self.infos.insert(next, info);
-        self.advance(10);
-    }
-
-    /// Restarts a backend server under its id without notice to the scheduler; returns the lost runs.
-    pub(crate) fn restart_unnoticed(&mut self, id: &BackendServerId) -> Vec<Started> {
-        self.serials.remove(id);
-        *self.restarts.entry(id.clone()).or_default() += 1;
-        std::mem::take(self.running.get_mut(id).expect("it was added"))
-    }
-
-    /// Crashes and restarts a backend server under its id: it runs nothing and numbers its completions from 1.
-    pub(crate) fn crash_and_restart(&mut self, id: &BackendServerId) {
-        let lost = self.restart_unnoticed(id);
-        self.scheduler.call_failed(id, CallFailure::Refused, self.now);
-        for started in &lost {
-            self.break_gang(started);
-        }
-        self.advance(600);
-    }
-
-    /// Returns the address of a present or ended backend server.
-    pub(crate) fn address_of(&self, id: &BackendServerId) -> ServerAddress {
-        self.addresses[id].clone()
-    }
-
-    /// Removes a backend server for good without notice to the scheduler.
-    pub(crate) fn lose_unnoticed(&mut self, id: &BackendServerId) {
-        self.running.remove(id).expect("it was added");
-        self.infos.remove(id);
-    }
-
-    /// Loses a backend server for good: calls to it time out.
-    pub(crate) fn stop_responding(&mut self, id: &BackendServerId) {
-        self.cut.push(id.clone());
-        self.running.get_mut(id).expect("it was added").clear();
-    }
-
-    /// Crashes a backend server for good.
-    pub(crate) fn lose(&mut self, id: &BackendServerId) {
-        let lost = self.running.remove(id).expect("it was added");
-        self.infos.remove(id);
-        self.scheduler.server_ended(id, self.now);
-        for started in &lost {
-            self.break_gang(started);
-        }
-    }
-
-    /// Ends the other members of the run's gang, if it has one; their backend servers list that.
-    fn break_gang(&mut self, lost: &Started) {
-        let job = self.jobs.iter().find(|job| job.id == lost.task.occurrence.job).expect("it was submitted");
-        if !job.steps[lost.task.step as usize].gang {
-            return;
-        }
-        let same_run =
-            |s: &&Started| (s.task.occurrence, s.task.step, s.run) == (lost.task.occurrence, lost.task.step, lost.run);
-        let others: Vec<Started> = self.running.values().flatten().filter(same_run).cloned().collect();
-        for other in others {
-            self.complete(&other, CompletionKind::Broken);
-        }
-    }
-
-    pub(crate) fn reconnect(&mut self, id: &BackendServerId) {
-        self.cut.retain(|other| other != id);
-    }
 }
