Look into the store for jobs that a scheduler does not know

Cause: a new scheduler reads the records of ended jobs beside its work. A box that does not reach the store asks other boxes, the scheduler first, and that one answered "no such job" from memory. The asking box took it for what the store says.

Change: a box that is asked looks into the store whenever its memory has no final answer. Without the store it says that the state is unavailable. No accepted job is denied any more, since the store holds the job or the record of its end for as long as queries are allowed.

That the case is this one is suspected only.

--- a/crates/runtime/src/relay_service.rs
+++ b/crates/runtime/src/relay_service.rs
@@ -7,13 +7,7 @@
 use tonic::{Request, Response, Status};
 use wire::relay::{self, cancel_reply, relay_server::Relay, state_reply, submit_reply, taken_request::What};
 
-use crate::{
-    Configuration,
-    active::ActiveSlot,
-    outcome::{StateOutcome, StoredRequest},
-    requests::Requests,
-    view::View,
-};
+use crate::{Configuration, active::ActiveSlot, outcome::StoredRequest, requests::Requests, view::View};
 
 /// Maximum age of the latest confirmation by the store for a box to confirm its configuration to others: the longest
 /// wait of its watch, plus the response time of a slow store.
@@ -51,10 +45,10 @@
     async fn state(&self, req: Request<relay::StateRequest>) -> Result<Response<relay::StateReply>, Status> {
         let req = req.into_inner();
         let (id, customer) = (parse(&req.job)?, customer(&req.customer)?);
-        let mut outcome = self.requests.state_in_memory(id, customer.as_ref());
-        if outcome == StateOutcome::Unavailable && !req.scheduler_only {
-            outcome = self.requests.state_in_store(id, customer.as_ref()).await;
-        }
+        let outcome = match req.scheduler_only {
+            true => self.requests.state_in_memory(id, customer.as_ref()),
+            false => self.requests.state_here(id, customer.as_ref()).await,
+        };
         let state = state_reply::State::from(outcome);
         Ok(Response::new(relay::StateReply { state: state.into() }))
     }
--- a/crates/runtime/src/requests/state.rs
+++ b/crates/runtime/src/requests/state.rs
@@ -53,6 +53,12 @@
         StateOutcome::Unavailable
     }
 
+    /// Returns the state from the memory of this box, or else from the store.
+    pub(crate) async fn state_here(&self, id: JobId, customer: Option<&CustomerId>) -> StateOutcome {
+        let local = self.state_in_memory(id, customer);
+        if is_final(local) { local } else { self.state_in_store(id, customer).await }
+    }
+
     pub(crate) fn state_in_memory(&self, id: JobId, customer: Option<&CustomerId>) -> StateOutcome {
         self.active.state(id, |owner| may_see(owner, customer))
     }
@@ -109,8 +115,8 @@
     }
 }
 
-/// Whether an outcome is final. A scheduler that does not know a job may only not have received it yet, so that answer
-/// is not.
+/// Whether an outcome is final. A scheduler that does not know a job may only not have received it yet, or not have
+/// read the record of its end, so that answer is not.
 fn is_final(outcome: StateOutcome) -> bool {
     matches!(outcome, StateOutcome::Found(_) | StateOutcome::NotYours)
 }
