Write a choice between two answers with if

Cause: matching on a truth value reads oddly. Change: relay_service.rs uses if and else; nothing else changes.

--- a/crates/runtime/src/relay_service.rs
+++ b/crates/runtime/src/relay_service.rs
@@ -45,9 +45,10 @@
     async fn state(&self, req: Request<relay::StateRequest>) -> Result<Response<relay::StateReply>, Status> {
         let req = req.into_inner();
         let (id, customer) = (parse(&req.job)?, customer(&req.customer)?);
-        let outcome = match req.scheduler_only {
-            true => self.requests.state_in_memory(id, customer.as_ref()),
-            false => self.requests.state_here(id, customer.as_ref()).await,
+        let outcome = if req.scheduler_only {
+            self.requests.state_in_memory(id, customer.as_ref())
+        } else {
+            self.requests.state_here(id, customer.as_ref()).await
         };
         let state = state_reply::State::from(outcome);
         Ok(Response::new(relay::StateReply { state: state.into() }))
