Tell apart the ways in which many jobs may be lost

A report of many lost jobs without logs could not be assigned to a cause: at most ten of the stalled jobs were logged, nothing named the box or the job of a denied query, and requests whose connection closed before a response left no trace.

Added: the numbers of stalled occurrences by what they wait for (a log line and a gauge), a line for each query that finds no job and for the box that said so, the time that a query without a state took, the time of callers' requests, requests that were read and never answered (a counter, a line, and their number as a box ends with open connections), panics (a counter and a line), and the size of the elected box in its line.

--- a/crates/martend/src/deployment/mod.rs
+++ b/crates/martend/src/deployment/mod.rs
@@ -21,6 +21,7 @@
     caller_api::{CallerApi, Readiness},
     decode::PlatformDecoder,
     machines::HttpMachines,
+    pending_requests::PendingRequests,
     permits::HttpPermitService,
     servers::HttpBackendServers,
     store::HttpStore,
@@ -63,7 +64,13 @@
         optional_services(&settings),
         Arc::clone(&clock),
     ));
-    let front = CallerApi { requests: Arc::clone(&this_box.requests), view: Arc::clone(&this_box.view), clock };
+    let pending = PendingRequests::default();
+    let front = CallerApi {
+        requests: Arc::clone(&this_box.requests),
+        view: Arc::clone(&this_box.view),
+        clock,
+        pending: pending.clone(),
+    };
     let (accepting, stop) = smol::channel::bounded::<()>(1);
     let limits = ServerLimits { connections: MAX_CALLER_CONNECTIONS, ..ServerLimits::default() };
     let serving = smol::spawn(serve_until(callers, Arc::new(front), Purpose::Callers, limits, stop));
@@ -77,7 +84,7 @@
             _ => break,
         }
     }
-    drain(&this_box, &settings, accepting, serving).await;
+    drain(&this_box, &settings, &pending, accepting, serving).await;
     log::info!("event=ended box={} {AllTraffic}", settings.runtime.box_id);
     Ok(())
 }
@@ -96,6 +103,7 @@
 async fn drain(
     this_box: &RunningBox,
     settings: &DeploymentSettings,
+    pending: &PendingRequests,
     accepting: smol::channel::Sender<()>,
     serving: smol::Task<()>,
 ) {
@@ -106,7 +114,7 @@
     let remaining = StdDuration::from(settings.grace).saturating_sub(ACCEPT_WHILE_DRAINING + EXIT_MARGIN);
     let expire = async {
         smol::Timer::after(remaining).await;
-        log::warn!("event=left_open why=grace_over");
+        log::warn!("event=left_open why=grace_over requests={}", pending.number());
     };
     serving.or(expire).await;
 }
--- a/crates/martend/src/main.rs
+++ b/crates/martend/src/main.rs
@@ -64,6 +64,7 @@
     }
     logs::init_service(settings.log_level);
     telemetry::init_metrics();
+    telemetry::init_panic_log();
     let result = smol::block_on(deployment::run(settings, path));
     log::logger().flush();
     match result {
--- a/crates/martend/src/telemetry.rs
+++ b/crates/martend/src/telemetry.rs
@@ -36,6 +36,19 @@
     });
 }
 
+/// Logs and counts each panic, in addition to the report on standard error.
+///
+/// A panic ends only the task in which it occurs; without a line in the log, nothing shows that the task is gone.
+pub fn init_panic_log() {
+    let report = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        let at = info.location().map_or_else(|| "unknown".to_owned(), ToString::to_string);
+        log::error!("event=panicked at={at} why={:?}", info.payload_as_str().unwrap_or("unknown"));
+        metrics::counter!("martenscale_panics_total").increment(1);
+        report(info);
+    }));
+}
+
 /// Returns the metrics in the Prometheus text format; empty before [`init_metrics`].
 pub fn render() -> String {
     METRICS.get().map(PrometheusHandle::render).unwrap_or_default()
--- a/crates/runtime/src/election.rs
+++ b/crates/runtime/src/election.rs
@@ -236,7 +236,13 @@
         Ok(Committed::LeaseGone) | Err(StoreError::Refused { .. }) => return None,
         Err(StoreError::Lost { .. }) => resolve_unknown_outcome(cx, &record).await?,
     };
-    log::info!("event=elected box={} fence={fence}", settings.box_id);
+    log::info!(
+        "event=elected box={} fence={fence} cpu_share={} link_mbps={} memory_mb={}",
+        settings.box_id,
+        settings.cpu_share,
+        settings.link_mbps,
+        settings.memory_mb
+    );
     metrics::counter!("martenscale_elections_total").increment(1);
     // Another box may have reported this very election before the response to the write arrived.
     let newest_other = cx.view.newest_fence().filter(|newest| *newest != fence).max(previous_fence);
--- a/crates/runtime/src/requests/cancel.rs
+++ b/crates/runtime/src/requests/cancel.rs
@@ -15,7 +15,8 @@
 impl Requests {
     /// Cancels a job, here or by way of another box, within `limit`.
     pub async fn cancel(&self, id: JobId, customer: Option<&CustomerId>, limit: Duration) -> CancelOutcome {
-        let until = self.now() + limit;
+        let started = self.now();
+        let until = started + limit;
         let mut outcome = CancelOutcome::Refused;
         if self.view.is_store_reachable() {
             outcome = self.cancel_in_store(id, customer, limit.min(STORE_WRITE_TIMEOUT)).await;
@@ -34,7 +35,7 @@
             }
         }
         log::info!("job={id} event=cancel_requested outcome={outcome:?}");
-        telemetry::count_request("cancel", &outcome);
+        telemetry::record_request("cancel", &outcome, self.now().since(started));
         outcome
     }
 
--- a/crates/runtime/src/requests/state.rs
+++ b/crates/runtime/src/requests/state.rs
@@ -13,10 +13,20 @@
 impl Requests {
     /// Returns the state of a job, within `limit`.
     pub async fn state(&self, id: JobId, customer: Option<&CustomerId>, limit: Duration) -> StateOutcome {
+        let started = self.now();
         let outcome = self.state_anywhere(id, customer, limit).await;
-        telemetry::count_request("state", &outcome);
-        if outcome == StateOutcome::Unavailable {
-            log::info!("job={id} event=state_unavailable store={}", self.view.is_store_reachable());
+        let took = self.now().since(started);
+        telemetry::record_request("state", &outcome, took);
+        match outcome {
+            StateOutcome::Unavailable => log::info!(
+                "job={id} event=state_unavailable store={} took_ms={}",
+                self.view.is_store_reachable(),
+                took.millis()
+            ),
+            StateOutcome::NoSuchJob => {
+                log::info!("job={id} event=state_not_found took_ms={}", took.millis());
+            }
+            StateOutcome::Found(_) | StateOutcome::NotYours => {}
         }
         outcome
     }
@@ -45,6 +55,9 @@
                 break;
             }
             let remote = self.peers.state(addr, id, customer, false, remaining).await;
+            if remote == StateOutcome::NoSuchJob {
+                log::info!("job={id} event=state_not_found_by box={addr}");
+            }
             if remote != StateOutcome::Unavailable {
                 return remote;
             }
--- a/crates/runtime/src/requests/submit.rs
+++ b/crates/runtime/src/requests/submit.rs
@@ -14,8 +14,9 @@
 impl Requests {
     /// Stores a job, here or by way of another box, within `limit`.
     pub async fn submit(&self, job: &Job, limit: Duration) -> SubmitOutcome {
+        let started = self.now();
         let outcome = self.submit_anywhere(job, limit).await;
-        telemetry::count_request("submit", &outcome);
+        telemetry::record_request("submit", &outcome, self.now().since(started));
         outcome
     }
 
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -7,7 +7,7 @@
 
 use model::{AvailabilityZoneId, BoxId, CustomerId, Duration};
 use outside::{Clock, CoordinationStore};
-use scheduler::{EvacuationStatus, ShareReport, SpeedSummary};
+use scheduler::{EvacuationStatus, ShareReport, SpeedSummary, StalledCounts};
 use serde::Serialize;
 use smol::net::TcpListener;
 use wire::relay::relay_server::RelayServer;
@@ -206,6 +206,7 @@
     pub fn set_gauges(&self) {
         telemetry::count_traffic();
         let status = self.status();
+        let counts = self.active.counts().map(|(_, counts)| counts);
         let set = |name: &'static str, value: Option<f64>| {
             if let Some(value) = value {
                 metrics::gauge!(name).set(value);
@@ -223,6 +224,10 @@
         set("martenscale_held_servers", Some(number(status.linked_servers).unwrap_or(0.0)));
         set("martenscale_waiting_occurrences", Some(number(status.waiting).unwrap_or(0.0)));
         set("martenscale_standing_occurrences", Some(number(status.stalled).unwrap_or(0.0)));
+        let stalled = counts.map_or_else(StalledCounts::default, |counts| counts.stalled);
+        for (wait, number) in stalled.by_wait() {
+            metrics::gauge!("martenscale_standing_occurrences_by_wait", "waits_for" => wait).set(number as f64);
+        }
         set("martenscale_overdue_stops", Some(number(status.overdue_stops).unwrap_or(0.0)));
         set("martenscale_unstored_occurrences", Some(number(status.pending_writes).unwrap_or(0.0)));
         set("martenscale_speed_spread", Some(status.speeds.as_ref().map_or(0.0, |speeds| speeds.spread)));
--- a/crates/runtime/src/telemetry.rs
+++ b/crates/runtime/src/telemetry.rs
@@ -75,10 +75,11 @@
     metrics::counter!("martenscale_restore_bytes_total").increment(bytes as u64);
 }
 
-/// Counts the outcome of a caller's request.
-pub(crate) fn count_request(kind: &'static str, outcome: &impl std::fmt::Debug) {
+/// Records the outcome of a caller's request, and the time until it was known.
+pub(crate) fn record_request(kind: &'static str, outcome: &impl std::fmt::Debug, took: Duration) {
     let outcome = format!("{outcome:?}");
     metrics::counter!("martenscale_requests_total", "kind" => kind, "outcome" => outcome).increment(1);
+    metrics::histogram!("martenscale_request_seconds", "kind" => kind).record(took.secs_f64());
 }
 
 /// Counts the outcome of a call to a backend server.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -82,6 +82,7 @@
     server::{ServerAddress, ServerInfo},
     sharing::ShareReport,
     speed::{SpeedReport, SpeedSummary},
+    stalled::StalledCounts,
     stops::PendingStop,
     timing::Timing,
     tuning::Tuning,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -27,7 +27,7 @@
     server::Server,
     sharing::Sharing,
     speed::FleetSpeed,
-    stalled::Stalled,
+    stalled::{Stalled, StalledCounts},
     timing::Timing,
     unreachable::Unreachable,
     witnesses::Witnesses,
@@ -49,6 +49,8 @@
     pub waiting: usize,
     /// Stalled occurrences: nothing of them has run for long, although something could.
     pub standing: usize,
+    /// The same, by what they wait for.
+    pub stalled: StalledCounts,
     /// Runs that have not ended long after their stop was decided.
     pub overdue_stops: usize,
     /// Occurrences with changes that the store does not hold yet.
@@ -309,7 +311,8 @@
             servers: self.servers.len(),
             unheard_servers: self.servers.values().filter(|server| !server.has_reported).count(),
             waiting: self.ready.len(),
-            standing: self.stalled.long,
+            standing: self.stalled.long.total(),
+            stalled: self.stalled.long,
             overdue_stops: self.overdue_stops.len(),
             unstored: self.pending_writes.len(),
             refreshed: self.refreshed,
--- a/crates/scheduler/src/stalled.rs
+++ b/crates/scheduler/src/stalled.rs
@@ -26,8 +26,49 @@
 pub(crate) struct Stalled {
     since: BTreeMap<OccurrenceId, Moment>,
     checked: Moment,
-    /// Number of occurrences that were stalled for at least [`STALLED_FOR_LONG`] at the latest check.
-    pub(crate) long: usize,
+    /// Occurrences that were stalled for at least [`STALLED_FOR_LONG`] at the latest check.
+    pub(crate) long: StalledCounts,
+}
+
+/// Numbers of stalled occurrences by what they wait for. Where several tasks of an occurrence wait, its first one
+/// counts.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, derive_more::Display)]
+#[display("lease={lease} stop={stop} store={store} start={start} placement={placement}")]
+pub struct StalledCounts {
+    /// A run may be active on an unresponsive backend server until the leases there expire.
+    pub lease: usize,
+    /// A run is being stopped.
+    pub stop: usize,
+    /// The placement of a run is not stored yet.
+    pub store: usize,
+    /// A start order has no reply yet, or its run is not listed yet.
+    pub start: usize,
+    /// Nothing is placed.
+    pub placement: usize,
+}
+
+impl StalledCounts {
+    /// Returns the number of stalled occurrences.
+    pub fn total(&self) -> usize {
+        self.by_wait().iter().map(|(_, number)| number).sum()
+    }
+
+    /// Returns the numbers with the names of what the occurrences wait for.
+    pub fn by_wait(&self) -> [(&'static str, usize); 5] {
+        let StalledCounts { lease, stop, store, start, placement } = *self;
+        [("lease", lease), ("stop", stop), ("store", store), ("start", start), ("place", placement)]
+    }
+
+    fn add(&mut self, wait: Option<&WaitsFor>) {
+        let count = match wait {
+            Some(WaitsFor::Lease { .. }) => &mut self.lease,
+            Some(WaitsFor::Stop { .. }) => &mut self.stop,
+            Some(WaitsFor::Store) => &mut self.store,
+            Some(WaitsFor::Start { .. }) => &mut self.start,
+            Some(WaitsFor::Placement(_) | WaitsFor::QueuePolicy { .. }) | None => &mut self.placement,
+        };
+        *count += 1;
+    }
 }
 
 /// What an occurrence waits for.
@@ -102,7 +143,14 @@
                 );
             }
         }
-        self.stalled = Stalled { since, checked: now, long: long.len() };
+        let mut counts = StalledCounts::default();
+        for (id, _) in &long {
+            counts.add(self.placed_run_wait(*id, now).as_ref());
+        }
+        if !long.is_empty() {
+            log::info!("event=stalled_occurrences number={} {counts}", long.len());
+        }
+        self.stalled = Stalled { since, checked: now, long: counts };
     }
 
     fn open_occurrences(&self) -> impl Iterator<Item = OccurrenceId> {
@@ -127,8 +175,12 @@
 
     fn waits_for(&self, id: OccurrenceId, now: Moment) -> Option<WaitsFor> {
         let placement = self.ready.get(&id).and_then(|steps| self.placement_wait(id, steps.first()?, now));
-        let groups = || self.occurrence(id).groups.iter().flatten();
-        placement.or_else(|| groups().find_map(|group| self.run_wait(group, now)))
+        placement.or_else(|| self.placed_run_wait(id, now))
+    }
+
+    /// Returns what the first placed run of an occurrence waits for; `None` if nothing of it is placed.
+    fn placed_run_wait(&self, id: OccurrenceId, now: Moment) -> Option<WaitsFor> {
+        self.occurrence(id).groups.iter().flatten().find_map(|group| self.run_wait(group, now))
     }
 
     fn run_wait(&self, group: &Group, now: Moment) -> Option<WaitsFor> {
--- a/crates/scheduler/tests/stalled_count.rs
+++ b/crates/scheduler/tests/stalled_count.rs
@@ -49,3 +49,32 @@
     advance_with_plans(&mut fixture, COUNTED_AFTER_MS);
     assert_eq!(fixture.scheduler.counts().standing, 1);
 }
+
+/// Returns the causes for which jobs are stalled, with their numbers.
+fn waits(fixture: &Fixture) -> Vec<(&'static str, usize)> {
+    fixture.scheduler.counts().stalled.by_wait().into_iter().filter(|(_, number)| *number > 0).collect()
+}
+
+/// Guards against causes that cannot be told apart where many jobs are stalled at once: only some are logged one by
+/// one.
+#[test]
+fn stalled_jobs_are_counted_by_what_they_wait_for() {
+    let mut lost = lost_job();
+    advance_with_plans(&mut lost, COUNTED_AFTER_MS);
+    assert_eq!(waits(&lost), [("lease", 1)]);
+
+    let mut without_room = Fixture::new(2);
+    for id in 1..=20 {
+        without_room.submit(job_in("urgent", id, vec![step(1, 9)]));
+    }
+    advance_with_plans(&mut without_room, COUNTED_AFTER_MS);
+    assert_eq!(waits(&without_room), [("place", 20)]);
+
+    let mut without_store = Fixture::new(2);
+    without_store.submit(job_in("urgent", 1, vec![step(1, 8)]));
+    for _ in 0..COUNTED_AFTER_MS / 100 {
+        without_store.advance(100);
+        without_store.scheduler.plan(without_store.now, without_store.now.millis());
+    }
+    assert_eq!(waits(&without_store), [("store", 1)]);
+}
