Bound and saturate sums of numbers that others write

A box that scheduled panicked while it held the scheduler once two entries in the list of backend servers claimed a huge capacity: the sum of their accelerators overflowed. Every later use of the scheduler found its lock poisoned, so the box stayed up, scheduled nothing and followed nothing. A release build went on with a wrapped sum.

All other sums and products of numbers from outside stop at the largest number.

--- a/crates/jobs/src/id.rs
+++ b/crates/jobs/src/id.rs
@@ -162,7 +162,7 @@
 impl RunNumber {
     /// Returns the number of the following run.
     pub fn next(self) -> RunNumber {
-        RunNumber(self.0 + 1)
+        RunNumber(self.0.saturating_add(1))
     }
 }
 
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -60,11 +60,11 @@
             && self.accelerators >= other.accelerators
     }
 
-    /// Adds the amounts of `other`.
+    /// Adds the amounts of `other`; each stops at the largest number.
     pub fn add(&mut self, other: &Resources) {
-        self.cpu_milli += other.cpu_milli;
-        self.memory_mb += other.memory_mb;
-        self.accelerators += other.accelerators;
+        self.cpu_milli = self.cpu_milli.saturating_add(other.cpu_milli);
+        self.memory_mb = self.memory_mb.saturating_add(other.memory_mb);
+        self.accelerators = self.accelerators.saturating_add(other.accelerators);
     }
 
     /// Subtracts the amounts of `other`; each stops at zero.
@@ -91,9 +91,13 @@
             .min(count(self.accelerators, each.accelerators))
     }
 
-    /// Returns the amounts that `n` such tasks take together.
+    /// Returns the amounts that `n` such tasks take together; each stops at the largest number.
     pub fn times(&self, n: u64) -> Resources {
-        Resources { cpu_milli: self.cpu_milli * n, memory_mb: self.memory_mb * n, accelerators: self.accelerators * n }
+        Resources {
+            cpu_milli: self.cpu_milli.saturating_mul(n),
+            memory_mb: self.memory_mb.saturating_mul(n),
+            accelerators: self.accelerators.saturating_mul(n),
+        }
     }
 }
 
@@ -195,7 +199,10 @@
 
     /// Returns the due time of an occurrence, in wall-clock milliseconds since the Unix epoch; 0 if it is due at once.
     pub fn due_ms(&self, occurrence: u32) -> u64 {
-        self.schedule.map_or(0, |schedule| schedule.first_ms + schedule.interval_ms * u64::from(occurrence))
+        self.schedule.map_or(0, |schedule| {
+            let after_first = schedule.interval_ms.saturating_mul(u64::from(occurrence));
+            schedule.first_ms.saturating_add(after_first)
+        })
     }
 
     /// Returns whether the job runs until it is cancelled.
--- a/crates/model/src/quantity.rs
+++ b/crates/model/src/quantity.rs
@@ -2,7 +2,8 @@
 
 use std::{
     fmt,
-    ops::{Add, Sub},
+    iter::Sum,
+    ops::{Add, AddAssign, Sub},
     str::FromStr,
 };
 
@@ -21,25 +22,10 @@
     pub allowed: &'static str,
 }
 
-/// Span of time, in whole milliseconds.
+/// Span of time, in whole milliseconds. Sums stop at the longest span, since spans may come from outside.
 ///
 /// Parsed from a whole number with the unit `ms`, `s`, `m` or `h`.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    Default,
-    Serialize,
-    Deserialize,
-    derive_more::Add,
-    derive_more::AddAssign,
-    derive_more::Sum,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Duration(u64);
 
@@ -54,7 +40,7 @@
 
     /// Creates a span from seconds.
     pub const fn from_secs(s: u64) -> Duration {
-        Duration(s * 1000)
+        Duration(s.saturating_mul(1000))
     }
 
     /// Returns the span in milliseconds.
@@ -73,6 +59,25 @@
     }
 }
 
+impl Add for Duration {
+    type Output = Duration;
+    fn add(self, other: Duration) -> Duration {
+        Duration(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for Duration {
+    fn add_assign(&mut self, other: Duration) {
+        *self = *self + other;
+    }
+}
+
+impl Sum for Duration {
+    fn sum<I: Iterator<Item = Duration>>(spans: I) -> Duration {
+        spans.fold(Duration::ZERO, Duration::add)
+    }
+}
+
 impl From<Duration> for std::time::Duration {
     fn from(span: Duration) -> std::time::Duration {
         std::time::Duration::from_millis(span.0)
@@ -175,7 +180,7 @@
 impl Revision {
     /// Returns the following revision.
     pub fn next(self) -> Revision {
-        Revision(self.0 + 1)
+        Revision(self.0.saturating_add(1))
     }
 }
 
--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -209,7 +209,7 @@
         let entry = &self.jobs[&occurrence.job];
         let Some(queue) = self.policy.queues.get(&entry.job.queue) else { return Vec::new() };
         let due = entry.job.due_ms(occurrence.number);
-        if due > 0 && wall_ms < due + self.timing.due_margin.millis() {
+        if due > 0 && wall_ms < due.saturating_add(self.timing.due_margin.millis()) {
             return Vec::new();
         }
         let state = self.occurrence(occurrence);
@@ -233,9 +233,9 @@
             group_resources: group_resources(&entry.job.steps[ready.step]),
             is_beyond_share: false,
             long_running: entry.job.steps[ready.step].long_running,
-            too_late: wall_ms > from + objective.scaled(MAX_LATENESS_IN_OBJECTIVES).millis(),
-            half_slack_ms: from + slack / 2,
-            deadline_ms: if self.timing.tuning.deadline_order { from + objective.millis() } else { from },
+            too_late: wall_ms > from.saturating_add(objective.scaled(MAX_LATENESS_IN_OBJECTIVES).millis()),
+            half_slack_ms: from.saturating_add(slack / 2),
+            deadline_ms: if self.timing.tuning.deadline_order { from.saturating_add(objective.millis()) } else { from },
         };
         let mut candidates = Vec::new();
         for ready in steps {
--- a/crates/scheduler/src/departures/entry_removal.rs
+++ b/crates/scheduler/src/departures/entry_removal.rs
@@ -34,7 +34,7 @@
     fn max_age(self, clock: Option<ServerClock>, now: Moment) -> Option<Duration> {
         let by_list = self.after.map(|after| now.since(after));
         let by_clock = self.server_clock_ms.zip(clock).and_then(|(written_ms, clock)| {
-            let latest_ms = clock.clock_ms + now.since(clock.read_after).millis();
+            let latest_ms = clock.clock_ms.saturating_add(now.since(clock.read_after).millis());
             latest_ms.checked_sub(written_ms).map(Duration::from_millis)
         });
         by_list.into_iter().chain(by_clock).min()
--- a/crates/scheduler/src/evacuation.rs
+++ b/crates/scheduler/src/evacuation.rs
@@ -13,6 +13,7 @@
 use crate::{
     Scheduler,
     run_state::{GroupId, StopReason},
+    sums::saturating_sum,
 };
 
 /// Who requested an evacuation. If both did, it ends only when both have ended it.
@@ -161,7 +162,7 @@
             return Err(EvacuationError::LastZone { zone: zone.clone() });
         }
         let remains = |other: &AvailabilityZoneId| other != zone && !self.evacuations.is_evacuated(other);
-        let left: u64 = known.iter().filter(|(other, _)| remains(other)).map(|(_, n)| n).sum();
+        let left = saturating_sum(known.iter().filter(|(other, _)| remains(other)).map(|(_, n)| *n));
         let guaranteed = self.guaranteed();
         if left < guaranteed {
             return Err(EvacuationError::Guarantees { zone: zone.clone(), left, guaranteed });
@@ -172,7 +173,8 @@
     /// Returns the progress of each evacuation.
     pub fn evacuations(&self, now: Moment) -> Vec<EvacuationStatus> {
         let by_zone = self.accelerators_by_zone();
-        let elsewhere = by_zone.iter().filter(|(zone, _)| !self.evacuations.is_evacuated(zone)).map(|(_, n)| n).sum();
+        let others = by_zone.iter().filter(|(zone, _)| !self.evacuations.is_evacuated(zone));
+        let elsewhere = saturating_sum(others.map(|(_, n)| *n));
         let status = |(zone, evacuation): (&AvailabilityZoneId, &Evacuation)| {
             let servers = self.servers_in(zone);
             let ends_by_itself = |name: &GroupId| !self.step(*name).long_running;
@@ -235,12 +237,13 @@
     fn accelerators_by_zone(&self) -> BTreeMap<AvailabilityZoneId, u64> {
         let mut by_zone = BTreeMap::new();
         for info in self.servers.values().filter(|server| server.listed).filter_map(|server| server.info.as_ref()) {
-            *by_zone.entry(info.availability_zone.clone()).or_insert(0) += info.capacity.accelerators;
+            let accelerators: &mut u64 = by_zone.entry(info.availability_zone.clone()).or_insert(0);
+            *accelerators = accelerators.saturating_add(info.capacity.accelerators);
         }
         by_zone
     }
 
     fn guaranteed(&self) -> u64 {
-        self.policy.customers.values().map(|customer| customer.guaranteed_accelerators).sum()
+        saturating_sum(self.policy.customers.values().map(|customer| customer.guaranteed_accelerators))
     }
 }
--- a/crates/scheduler/src/fair_share/reservations.rs
+++ b/crates/scheduler/src/fair_share/reservations.rs
@@ -1,6 +1,7 @@
 //! Capacity that is kept for gangs that have been overtaken for long enough.
 
 use super::Claimant;
+use crate::sums::saturating_sum;
 
 /// Position of waiting work relative to the share of its customer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -41,6 +42,6 @@
     /// other customers that are further below their shares.
     pub fn kept_from(&self, claim: &Claim) -> u64 {
         let is_kept_for = |gang: &Claim| gang.customer == claim.customer || gang.position < claim.position;
-        self.gangs.iter().filter(|(gang, _)| is_kept_for(gang)).map(|(_, amount)| amount).sum()
+        saturating_sum(self.gangs.iter().filter(|(gang, _)| is_kept_for(gang)).map(|(_, amount)| *amount))
     }
 }
--- a/crates/scheduler/src/guarantee.rs
+++ b/crates/scheduler/src/guarantee.rs
@@ -21,7 +21,8 @@
         for id in &scheduler.open_jobs {
             let entry = &scheduler.jobs[id];
             if let Some(customer) = entry.job.customer.as_ref().filter(|_| entry.priority == 0) {
-                *held.entry(customer).or_insert(0) += accelerators_held(entry);
+                let sum = held.entry(customer).or_insert(0);
+                *sum = sum.saturating_add(accelerators_held(entry));
             }
         }
         let customers = &scheduler.policy.customers;
@@ -56,11 +57,11 @@
 
 /// Returns the accelerators that a job's tasks occupy, including those that are being stopped.
 fn accelerators_held(entry: &JobEntry) -> u64 {
-    let mut sum = 0;
+    let mut sum: u64 = 0;
     for occurrence in &entry.occurrences {
         for (step, groups) in entry.job.steps.iter().zip(&occurrence.groups) {
             let members: usize = groups.iter().map(|group| group.members.len()).sum();
-            sum += step.need.accelerators * members as u64;
+            sum = sum.saturating_add(step.need.accelerators.saturating_mul(members as u64));
         }
     }
     sum
--- a/crates/scheduler/src/headroom.rs
+++ b/crates/scheduler/src/headroom.rs
@@ -93,7 +93,9 @@
     ) -> bool {
         let may_use_headroom = || {
             let free = fleet.totals(requirements.service).free;
-            candidate.is_stalled && taken == 0 && free >= STALLED_FREE_FACTOR * count * requirements.need.accelerators
+            candidate.is_stalled
+                && taken == 0
+                && free >= requirements.need.accelerators.saturating_mul(STALLED_FREE_FACTOR.saturating_mul(count))
         };
         requirements.urgent || self.leaves_headroom(requirements, taken, count, fleet) || may_use_headroom()
     }
@@ -109,8 +111,9 @@
     ) -> bool {
         let totals = fleet.totals(requirements.service);
         let each = requirements.need.accelerators;
-        let required = (each * (taken + count)) as f64 + self.reserved_accelerators(requirements, fleet);
-        let used = totals.used + each * taken;
+        let required =
+            each.saturating_mul(taken.saturating_add(count)) as f64 + self.reserved_accelerators(requirements, fleet);
+        let used = totals.used.saturating_add(each.saturating_mul(taken));
         totals.free as f64 >= required || (used as f64) < totals.all as f64 * LOW_USE_SHARE
     }
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -56,6 +56,7 @@
 mod stalled;
 mod starts;
 mod stops;
+mod sums;
 mod throttle;
 mod timing;
 mod tuning;
--- a/crates/scheduler/src/observations.rs
+++ b/crates/scheduler/src/observations.rs
@@ -94,7 +94,7 @@
     /// Returns the time of day in milliseconds since 1970, extrapolated from the clock readings of the latest plan.
     pub(crate) fn wall_ms(&self, now: Moment) -> u64 {
         let (at, wall_ms) = self.plan_clocks;
-        wall_ms + now.since(at).millis()
+        wall_ms.saturating_add(now.since(at).millis())
     }
 
     pub(crate) fn time_since_accepted(&self, entry: &JobEntry, now: Moment) -> Duration {
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -16,6 +16,7 @@
     run_state::GroupId,
     server_capacity::ServerCapacity,
     speed::SpeedClass,
+    sums::saturating_sum,
 };
 
 /// How long a group waits for a backend server other than those where it failed.
@@ -171,7 +172,7 @@
             let whole = self.fitting_by_rack(name, requirements, fleet, |server| server.capacity, now);
             whole.iter().any(|(_, n)| *n >= count)
         };
-        if fitting_tasks.iter().map(|(_, n)| n).sum::<u64>() < count
+        if saturating_sum(fitting_tasks.iter().map(|(_, n)| *n)) < count
             || requirements.step.same_rack && !requirements.is_stalled && could_fit_one_rack()
         {
             return None;
@@ -194,7 +195,7 @@
     ) -> Vec<(&'r Rack, u64)> {
         let count = |rack| {
             let servers = self.servers_for_gang(name, requirements, fleet, rack, now);
-            servers.map(|(_, server)| requirements.fitting(&server.id, &part(server))).sum::<u64>()
+            saturating_sum(servers.map(|(_, server)| requirements.fitting(&server.id, &part(server))))
         };
         fleet.racks().map(|(_, rack)| (rack, count(rack))).collect()
     }
--- a/crates/scheduler/src/preempt.rs
+++ b/crates/scheduler/src/preempt.rs
@@ -301,7 +301,7 @@
         if tasks >= count {
             break;
         }
-        tasks += offer.tasks;
+        tasks = u64::saturating_add(tasks, offer.tasks);
         waste += offer.waste;
         victims.extend(offer.victims);
     }
--- a/crates/scheduler/src/server_capacity.rs
+++ b/crates/scheduler/src/server_capacity.rs
@@ -69,17 +69,17 @@
 
 impl Totals {
     pub(crate) fn add(&mut self, server: &ServerCapacity) {
-        self.free += server.open_resources().accelerators;
+        self.free = self.free.saturating_add(server.open_resources().accelerators);
         self.free_resources.add(&server.open_resources());
-        self.used += server.used_accelerators();
-        self.all += server.capacity.accelerators;
+        self.used = self.used.saturating_add(server.used_accelerators());
+        self.all = self.all.saturating_add(server.capacity.accelerators);
     }
 
     pub(crate) fn remove(&mut self, server: &ServerCapacity) {
-        self.free -= server.open_resources().accelerators;
+        self.free = self.free.saturating_sub(server.open_resources().accelerators);
         self.free_resources.remove(&server.open_resources());
-        self.used -= server.used_accelerators();
-        self.all -= server.capacity.accelerators;
+        self.used = self.used.saturating_sub(server.used_accelerators());
+        self.all = self.all.saturating_sub(server.capacity.accelerators);
     }
 }
 
--- a/crates/scheduler/src/sharing.rs
+++ b/crates/scheduler/src/sharing.rs
@@ -16,6 +16,7 @@
     fleet_capacity::FleetCapacity,
     policy::Policy,
     run_state::{GroupId, JobEntry},
+    sums::saturating_sum,
 };
 
 /// Shortest time between two log lines about one service and priority.
@@ -237,7 +238,8 @@
         for (index, level) in self.sharing.levels.iter().enumerate() {
             let Some(shares) = &level.shares else { continue };
             // What is held may have changed since the shares were computed.
-            let held = |i: usize| self.sharing.up_to(index).map(|level| shares.kind().of(&level.held[i])).sum::<u64>();
+            let held =
+                |i: usize| saturating_sum(self.sharing.up_to(index).map(|level| shares.kind().of(&level.held[i])));
             let capacity = (shares.capacity() as f64).max(1.0);
             let with_demand = shares.iter().filter(|(_, share)| share.demand > 0);
             reports.extend(with_demand.map(|(claimant, share)| ShareReport {
@@ -346,7 +348,7 @@
         let kind = shares.kind();
         let mut queue = Queue::new(&shares, &level.above);
         for (i, demand) in demands.iter().enumerate() {
-            let of_higher_priorities = kind.of(&demand.wanted) - kind.of(&level.wanted[i]);
+            let of_higher_priorities = kind.of(&demand.wanted).saturating_sub(kind.of(&level.wanted[i]));
             queue.take(Claimant(i), of_higher_priorities);
         }
         level.shares = Some(shares);
@@ -355,7 +357,7 @@
         for candidate in candidates.iter_mut().filter(|candidate| candidate.account.level == Some(index)) {
             let (claimant, each) = (candidate.account.claimant, kind.of(&candidate.group_resources));
             if candidate.guaranteed {
-                queue.take(claimant, each * candidate.groups.len() as u64);
+                queue.take(claimant, each.saturating_mul(candidate.groups.len() as u64));
                 continue;
             }
             let within = queue.take_groups(claimant, each, candidate.groups.len());
