--- a/crates/scheduler/src/completions.rs
+++ b/crates/scheduler/src/completions.rs
@@ -20,6 +20,8 @@
     Broken,
     /// Its gang was not complete in time.
     Alone,
+    /// In a way that this version does not know. It has not done its work.
+    Other,
 }
 
 /// Completion of a run; a backend server lists it until it is acknowledged.
@@ -66,4 +68,15 @@
     pub completions: Vec<Completion>,
     /// Whether there may be more completions than are listed.
     pub more_completions: bool,
+    /// What could not be read; `None` if all was.
+    pub unreadable: Option<Unreadable>,
+}
+
+/// Rows of a listing that could not be read. Any run that is not listed may be one of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Unreadable {
+    /// Number of the rows.
+    pub rows: usize,
+    /// Highest serial number before the first completion that could not be read; `None` if all completions were read.
+    pub acknowledge_up_to: Option<u64>,
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -66,7 +66,7 @@
 pub use crate::{
     archive::Archival,
     batch::{ProgressWrite, WriteBatch},
-    completions::{Completion, CompletionKind, Listing, RunningTask},
+    completions::{Completion, CompletionKind, Listing, RunningTask, Unreadable},
     contact::CallFailure,
     departures::{LastWrite, MachineList},
     evacuation::{EvacuatedBy, EvacuationError, EvacuationStatus},
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Scheduler,
-    completions::{Listing, RunningTask},
+    completions::{Listing, RunningTask, Unreadable},
     departures::ServerClock,
     observations::Observation,
     orders::Order,
@@ -53,6 +53,7 @@
         server.contact.refused = false;
         self.record_witness_answer(id, listing.incarnation, sent, now);
         self.plan_requested |= !listing.completions.is_empty();
+        let had_unreadable = self.record_unreadable(id, listing);
         for completion in &listing.completions {
             self.receive_completion(id, completion, now);
         }
@@ -60,16 +61,35 @@
         for running in &listing.running {
             self.confirm_run(id, running, now);
         }
-        if !listing.more_completions {
+        if !listing.more_completions && listing.unreadable.is_none() {
             self.remove_lost_runs(id, listing, sent, now);
         }
         self.update_isolated_retries(id);
         self.throttle_best_effort(id, now);
-        if !listing.completions.is_empty() {
+        if had_unreadable || !listing.completions.is_empty() {
             self.acknowledge_stored(id);
         }
     }
 
+    /// Records what of a listing could not be read, and logs it if that has changed. Returns whether there was anything
+    /// in the listing before.
+    ///
+    /// A full listing is acknowledged all the same: the backend server could not report any other completion while it
+    /// waits for the one that cannot be read.
+    fn record_unreadable(&mut self, id: &BackendServerId, listing: &Listing) -> bool {
+        let Some(server) = self.servers.get_mut(id) else { return false };
+        let unreadable = listing.unreadable.map(|unreadable| Unreadable {
+            acknowledge_up_to: unreadable.acknowledge_up_to.filter(|_| !listing.more_completions),
+            ..unreadable
+        });
+        let before = std::mem::replace(&mut server.unreadable, unreadable);
+        let rows = |unreadable: Option<Unreadable>| unreadable.map_or(0, |unreadable| unreadable.rows);
+        if rows(before) != rows(unreadable) {
+            log::error!("server={id} event=rows_unreadable rows={} before={}", rows(unreadable), rows(before));
+        }
+        before.is_some()
+    }
+
     /// Confirms that a run is where it was placed.
     fn confirm_run(&mut self, id: &BackendServerId, running: &RunningTask, now: Moment) {
         let Some(name) = self.group_of(running.task) else { return };
@@ -127,6 +147,10 @@
             };
             orphaned_runs.insert(task, orphaned_run);
         }
+        if listing.unreadable.is_some() {
+            before.append(&mut orphaned_runs);
+            orphaned_runs = before;
+        }
         self.server_mut(id).expect("the caller checked that the server is tracked").orphaned_runs = orphaned_runs;
     }
 
--- a/crates/scheduler/src/outcomes.rs
+++ b/crates/scheduler/src/outcomes.rs
@@ -190,7 +190,7 @@
                 let state = entry.and_then(|entry| entry.occurrences.get(occurrence.number as usize));
                 state.is_none_or(|state| state.stored_version >= version)
             });
-            if !stored {
+            if !stored || !server.may_acknowledge(completion.serial) {
                 break;
             }
             server.acknowledged_serial = completion.serial;
--- a/crates/scheduler/src/server.rs
+++ b/crates/scheduler/src/server.rs
@@ -13,6 +13,7 @@
 use model::{AvailabilityZoneId, Duration, Incarnation, Moment};
 
 use crate::{
+    completions::Unreadable,
     departures::{RemovedBy, ServerClock},
     health::Health,
     speed::Speed,
@@ -124,6 +125,8 @@
     pub(crate) highest_completion: u64,
     /// Highest serial number that may be acknowledged.
     pub(crate) acknowledged_serial: u64,
+    /// What of its latest listing could not be read.
+    pub(crate) unreadable: Option<Unreadable>,
     /// Whether the incarnation that last responded has announced its departure.
     pub(crate) departing: bool,
     /// Whether it is being drained for maintenance.
@@ -158,6 +161,7 @@
             pending_completions: VecDeque::new(),
             highest_completion: 0,
             acknowledged_serial: 0,
+            unreadable: None,
             closed_for_maintenance: false,
             evacuated: false,
             no_starts_before: Moment::ZERO,
@@ -172,6 +176,13 @@
         self.has_reported && self.failed_calls == 0
     }
 
+    /// Whether a completion with this serial number may be acknowledged, as far as its latest listing shows: none from
+    /// the first on that could not be read.
+    pub(crate) fn may_acknowledge(&self, serial: u64) -> bool {
+        let up_to = self.unreadable.and_then(|unreadable| unreadable.acknowledge_up_to);
+        up_to.is_none_or(|up_to| serial <= up_to)
+    }
+
     /// Whether a completion can be acknowledged only after an occurrence is stored.
     pub(crate) fn awaits_write(&self, id: OccurrenceId) -> bool {
         self.pending_completions
