Report long-running tasks that wait to start again

An occurrence counted as stalled only while nothing of it ran, so that neither `martenscale_standing_occurrences` nor `event=stands` told of a long-running task that waits while another one of its job runs on. Such a wait could not be told from a task that runs.

A long-running group that has waited for 2 s for a place now makes its occurrence count, and the line names what the group that has waited longest waits for.

No decision changes.

--- a/crates/scheduler/src/stalled.rs
+++ b/crates/scheduler/src/stalled.rs
@@ -1,5 +1,5 @@
-//! Stalled occurrences: nothing of them is known to run although something could. Records how long each has been
-//! stalled and logs what it waits for.
+//! Stalled occurrences: nothing of them is known to run although something could, or a long-running task of theirs
+//! waits. Records how long each has been stalled and logs what it waits for.
 
 use std::{collections::BTreeMap, fmt};
 
@@ -109,7 +109,8 @@
         self.open_jobs.iter().flat_map(|id| self.jobs[id].occurrence_ids())
     }
 
-    /// Returns whether nothing of an occurrence is known to run although something of it is placed or could be.
+    /// Returns whether nothing of an occurrence is known to run although something of it is placed or could be, or a
+    /// long-running task has waited for [`STALLED_FOR_LONG`] to be placed.
     fn is_stalled(&self, id: OccurrenceId, now: Moment) -> bool {
         let entry = &self.jobs[&id.job];
         let occurrence = self.occurrence(id);
@@ -118,7 +119,22 @@
         }
         let members = || occurrence.groups.iter().flatten().flat_map(|group| &group.members);
         let is_running = members().any(|member| member.phase == Phase::Running && self.is_responsive(&member.server));
-        !is_running && (self.ready.contains_key(&id) || members().next().is_some())
+        let is_idle = !is_running && (self.ready.contains_key(&id) || members().next().is_some());
+        is_idle || self.has_waiting_long_running(id, now)
+    }
+
+    fn has_waiting_long_running(&self, id: OccurrenceId, now: Moment) -> bool {
+        let steps = &self.jobs[&id.job].job.steps;
+        let ready = self.ready.get(&id).into_iter().flatten().filter(|ready| steps[ready.step].long_running);
+        let mut since = ready.filter_map(|ready| self.longest_waiting(id, ready)).filter_map(|(since, _)| since);
+        since.any(|since| now.since(since) >= STALLED_FOR_LONG)
+    }
+
+    /// Returns the group of a step that has waited longest to be placed, and since when.
+    fn longest_waiting(&self, occurrence: OccurrenceId, ready: &ReadyStep) -> Option<(Option<Moment>, usize)> {
+        let groups = &self.occurrence(occurrence).groups[ready.step];
+        let waiting = ready.groups.iter().chain(&ready.suspected);
+        waiting.map(|&group| (groups[group].ready_since, group)).min()
     }
 
     fn is_responsive(&self, id: &BackendServerId) -> bool {
@@ -145,15 +161,15 @@
         Some(if member.phase == Phase::Planned { WaitsFor::Store } else { WaitsFor::Start { server } })
     }
 
-    /// Returns why the first ready group of an occurrence is not placed.
+    /// Returns why the group of a step that has waited longest is not placed.
     fn placement_wait(&self, occurrence: OccurrenceId, ready: &ReadyStep, now: Moment) -> Option<WaitsFor> {
-        let group = *ready.groups.first().or(ready.suspected.first())?;
+        let (_, group) = self.longest_waiting(occurrence, ready)?;
         let name = GroupId { occurrence, step: ready.step, group };
         let Some(requirements) = self.requirements(&Candidate::for_diagnosis(name), now) else {
             let queue = self.jobs[&occurrence.job].job.queue.clone();
             return Some(WaitsFor::QueuePolicy { queue });
         };
-        let awaits_retry = ready.groups.is_empty() && self.awaits_isolated_retry(name, now);
+        let awaits_retry = ready.suspected.contains(&group) && self.awaits_isolated_retry(name, now);
         let no_headroom = !requirements.urgent && !self.leaves_headroom(&requirements, 0, 1, &self.fleet);
         let held_back_by = if awaits_retry { Some("trial") } else { no_headroom.then_some("headroom") };
         let with_room: Vec<_> =
