Let a long-running task that waits count as stalled by itself

Callers saw a long-running task that failed once and was not started again for 26 s and more, though accelerators were free: jobs whose tasks always fail kept all backend servers in quarantine, and only a job of which nothing ran could start there. Another task of this job ran on.

A stall was a property of an occurrence, which is right for tasks that end. The tasks of a long-running job do not, so that those that run tell nothing about the one that waits. A long-running group that has waited for 2 s to be placed now counts as stalled by itself.

--- a/crates/scheduler/src/candidate.rs
+++ b/crates/scheduler/src/candidate.rs
@@ -37,7 +37,8 @@
     pub(crate) is_moving: bool,
     /// See [`ReadyStep::is_rest_of_step`].
     pub(crate) is_rest_of_step: bool,
-    /// Whether its occurrence is stalled: nothing of it has run for [`STALL_LIMIT`], although something could.
+    /// Whether nothing of its occurrence has run for [`STALL_LIMIT`], although something could, or it consists of
+    /// long-running groups that have waited as long.
     pub(crate) is_stalled: bool,
     /// Where it is counted for fair shares.
     pub(crate) account: Account,
@@ -129,7 +130,7 @@
     pub(crate) prefers_fast: bool,
     /// Whether half of the slack of the job is used up.
     pub(crate) slack_half_used: bool,
-    /// Whether its occurrence is stalled; it then accepts any backend server that can run it.
+    /// See [`Candidate::is_stalled`]; it then accepts any backend server that can run it.
     pub(crate) is_stalled: bool,
     /// Whether a run of the step has failed before, so that one more failure is costly.
     has_failed: bool,
@@ -219,14 +220,15 @@
         let idle_since = state.idle_since.filter(|_| !state.is_placed);
         let idle = idle_since.map_or(Duration::ZERO, |since| self.plan_clocks.0.since(since));
         let slack = objective.millis().saturating_sub(state.chain.millis());
-        let candidate = |ready: &ReadyStep, groups: Vec<usize>, suspected: bool| Candidate {
+        let is_stalled = idle.min(since_due) >= STALL_LIMIT;
+        let candidate = |ready: &ReadyStep, groups: Vec<usize>, suspected: bool, is_stalled: bool| Candidate {
             occurrence,
             step: ready.step,
             groups,
             suspected,
             is_moving: false,
             is_rest_of_step: ready.is_rest_of_step,
-            is_stalled: idle.min(since_due) >= STALL_LIMIT,
+            is_stalled,
             priority: queue.priority,
             guaranteed: false,
             account: entry.account,
@@ -239,16 +241,31 @@
         };
         let mut candidates = Vec::new();
         for ready in steps {
-            if !ready.groups.is_empty() {
-                candidates.push(candidate(ready, ready.groups.clone(), false));
+            let has_waited =
+                |group: &usize| is_stalled || self.has_stalled_long_running(occurrence, ready.step, *group);
+            let (stalled, others): (Vec<usize>, Vec<usize>) = ready.groups.iter().partition(|group| has_waited(group));
+            for (groups, is_stalled) in [(stalled, true), (others, false)] {
+                if !groups.is_empty() {
+                    candidates.push(candidate(ready, groups, false, is_stalled));
+                }
             }
             // Suspected groups are separate candidates, so that each sees the capacity that the one before has
             // claimed.
-            candidates.extend(ready.suspected.iter().map(|&group| candidate(ready, vec![group], true)));
+            let suspected = ready.suspected.iter();
+            candidates.extend(suspected.map(|group| candidate(ready, vec![*group], true, has_waited(group))));
         }
         candidates
     }
 
+    /// Returns whether a group is long-running and has waited for [`STALL_LIMIT`] to be placed, whatever else of its
+    /// occurrence runs: its tasks do not end, so that the others tell nothing about when it is placed.
+    fn has_stalled_long_running(&self, occurrence: OccurrenceId, step: usize, group: usize) -> bool {
+        let is_long_running = self.jobs[&occurrence.job].job.steps[step].long_running;
+        let ready_since = self.occurrence(occurrence).groups[step][group].ready_since;
+        let waited = ready_since.map_or(Duration::ZERO, |since| self.plan_clocks.0.since(since));
+        is_long_running && waited >= STALL_LIMIT
+    }
+
     /// Takes the accelerators of all groups of a candidate from its customer's guarantee; returns `false` and takes
     /// nothing if the guarantee does not cover all of them.
     fn take_guarantee(&self, candidate: &Candidate, guarantees: &mut Guarantees) -> bool {
