End the term of a scheduler one of whose tasks has failed

Callers saw jobs of which nothing runs, and operators a box that stays elected: a panic in a write of the scheduler left its jobs marked as being written, and a panic under the scheduler's lock stopped all planning, while the renewal of the election went on.

Cause: a panic ends only the task in which it occurs, and nothing watched the tasks of a term. Now the tasks of a scheduler, its writes and its links report a panic, which ends the term as a resignation does; the box stands for the next election after the others. The next scheduler continues from what the store holds, as after a crash. The process goes on, so that a request that makes its handler panic cannot end one box after another.

--- a/crates/runtime/src/active.rs
+++ b/crates/runtime/src/active.rs
@@ -33,6 +33,8 @@
     write: Signal,
     /// Holds a token when another scheduler has been elected.
     lost_leadership: Signal,
+    /// Holds a token when a task of this scheduler has failed.
+    task_failed: Signal,
     /// Whether the term of this scheduler has ended. Tasks that still run must give no more orders.
     term_ended: AtomicBool,
     /// Whether leases may be granted, as of the latest call.
@@ -50,6 +52,7 @@
             permits: smol::channel::bounded(1),
             write: smol::channel::bounded(1),
             lost_leadership: smol::channel::bounded(1),
+            task_failed: smol::channel::bounded(1),
             term_ended: AtomicBool::new(false),
             grants_leases: AtomicBool::new(true),
         }
@@ -123,6 +126,16 @@
         let _ = self.lost_leadership.1.recv().await;
     }
 
+    /// Records that a task of this scheduler has failed.
+    pub(crate) fn report_failed_task(&self) {
+        let _ = self.task_failed.0.try_send(());
+    }
+
+    /// Waits until a task of this scheduler has failed.
+    pub(crate) async fn task_failed(&self) {
+        let _ = self.task_failed.1.recv().await;
+    }
+
     /// Waits until a plan is needed.
     pub(crate) async fn plan_requested(&self) {
         let _ = self.plan.1.recv().await;
--- a/crates/runtime/src/election.rs
+++ b/crates/runtime/src/election.rs
@@ -42,8 +42,9 @@
 /// time that the platform demands. A box that needs longer resigns, since another may be faster; its limit doubles for
 /// the next term, since no other may be.
 const RESTORE_TIMEOUT: Duration = Duration::from_millis(3000);
-/// Additional delay of a box that could not restore in time, so that any other candidate is elected first.
-const FAILED_RESTORE_DELAY: Duration = Duration::from_millis(1500);
+/// Additional delay of a box that could not restore in time, or whose scheduler lost a task by a fault, so that any other
+/// candidate is elected first.
+const FAILED_TERM_DELAY: Duration = Duration::from_millis(1500);
 /// Timeout of the write of the key.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Interval at which a box checks whether it may become a candidate, besides being notified. Polling alone elected a
@@ -87,24 +88,27 @@
     Resigned,
     /// The state could not be restored in time.
     NotRestored,
+    /// A task of the scheduler has failed.
+    TaskFailed,
 }
 
-/// Outcome of the latest restore of this box, which determines its next candidacy.
-struct RestoreOutcome {
+/// Outcome of the latest term of this box, which determines its next candidacy.
+struct TermOutcome {
     /// Time limit of the next restore.
-    timeout: Duration,
-    /// Whether the latest restore timed out.
-    has_timed_out: bool,
+    restore_timeout: Duration,
+    /// Whether the state could not be restored in time, or a task has failed.
+    has_failed: bool,
 }
 
-impl RestoreOutcome {
-    const INITIAL: RestoreOutcome = RestoreOutcome { timeout: RESTORE_TIMEOUT, has_timed_out: false };
+impl TermOutcome {
+    const INITIAL: TermOutcome = TermOutcome { restore_timeout: RESTORE_TIMEOUT, has_failed: false };
 
     /// Updates the limits after a term has ended.
     fn record_term_end(&mut self, ended: Ended) {
         *self = match ended {
-            Ended::NotRestored => RestoreOutcome { timeout: self.timeout.scaled(2.0), has_timed_out: true },
-            _ => RestoreOutcome::INITIAL,
+            Ended::NotRestored => TermOutcome { restore_timeout: self.restore_timeout.scaled(2.0), has_failed: true },
+            Ended::TaskFailed => TermOutcome { has_failed: true, ..TermOutcome::INITIAL },
+            _ => TermOutcome::INITIAL,
         };
     }
 }
@@ -155,17 +159,17 @@
 
 /// Runs for election whenever there is no scheduler, and schedules while elected.
 pub(crate) async fn run(settings: Settings, cx: Context, active: ActiveSlot) {
-    let mut restore = RestoreOutcome::INITIAL;
+    let mut latest = TermOutcome::INITIAL;
     loop {
         if can_be_candidate(&cx.view) {
-            let wait = candidacy_delay(&settings, restore.has_timed_out, cx.view.has_seen_leader());
+            let wait = candidacy_delay(&settings, latest.has_failed, cx.view.has_seen_leader());
             if conditions_change_within(&cx.view, wait).await {
                 continue;
             }
             if can_be_candidate(&cx.view)
                 && let Some(won) = try_win_election(&settings, &cx).await
             {
-                serve_term(&settings, &cx, &active, won, &mut restore).await;
+                serve_term(&settings, &cx, &active, won, &mut latest).await;
             }
         }
         with_timeout(CHECK_INTERVAL, cx.view.leader_changed()).await;
@@ -189,13 +193,13 @@
 }
 
 /// Returns the delay before this box becomes a candidate: shorter, the more of the work of a scheduler it can carry.
-fn candidacy_delay(settings: &Settings, has_timed_out: bool, seen_leader: bool) -> Duration {
+fn candidacy_delay(settings: &Settings, has_failed: bool, seen_leader: bool) -> Duration {
     let size_delay = CPU_DELAY.scaled(1.0 / settings.cpu_share)
         + LINK_DELAY.scaled(1.0 / settings.link_mbps)
         + MEMORY_DELAY.scaled(1.0 / settings.memory_mb);
     let size_delay = if seen_leader { size_delay } else { size_delay.scaled(COLD_START_FACTOR) };
-    let after_timeout = if has_timed_out { FAILED_RESTORE_DELAY } else { Duration::ZERO };
-    CANDIDACY_JITTER.scaled(fastrand::f64()) + size_delay + after_timeout
+    let after_failure = if has_failed { FAILED_TERM_DELAY } else { Duration::ZERO };
+    CANDIDACY_JITTER.scaled(fastrand::f64()) + size_delay + after_failure
 }
 
 fn can_be_candidate(view: &View) -> bool {
@@ -264,7 +268,7 @@
     cx: &Context,
     active: &ActiveSlot,
     won: WonElection,
-    restore: &mut RestoreOutcome,
+    latest: &mut TermOutcome,
 ) {
     let (fence, lease) = (won.fence, won.lease);
     if !cx.view.begin_term(fence) {
@@ -274,9 +278,10 @@
     }
     let earlier = won.earlier.clone();
     let schedule = async {
-        match leader::run(settings, cx, active, fence, earlier, restore.timeout).await {
+        match leader::run(settings, cx, active, fence, earlier, latest.restore_timeout).await {
             LeaderExit::LeadershipLost => Ended::Deposed,
             LeaderExit::NotRestored => Ended::NotRestored,
+            LeaderExit::TaskFailed => Ended::TaskFailed,
         }
     };
     let ended = futures_lite::FutureExt::or(renew_until_ended(settings, cx, won), schedule).await;
@@ -284,8 +289,8 @@
     cx.view.end_term();
     cx.view.set_leader(None);
     log::info!("event=stopped_scheduling box={} fence={fence} why={ended}", settings.box_id);
-    restore.record_term_end(ended);
-    if matches!(ended, Ended::Resigned | Ended::NotRestored)
+    latest.record_term_end(ended);
+    if matches!(ended, Ended::Resigned | Ended::NotRestored | Ended::TaskFailed)
         && let Err(e) = cx.store.revoke_lease(lease).await
     {
         log::warn!("event=lease_not_ended fence={fence} why={e}");
--- a/crates/runtime/src/leader.rs
+++ b/crates/runtime/src/leader.rs
@@ -21,6 +21,7 @@
     queue_policies,
     settings::Settings,
     stored_record, submissions, telemetry,
+    term_tasks::TermTasks,
     timers::{pause, with_timeout},
     unreachable, witnesses, writer,
 };
@@ -40,9 +41,11 @@
     LeadershipLost,
     /// The state of the scheduler could not be read from the store in time.
     NotRestored,
+    /// A task of the scheduler has failed.
+    TaskFailed,
 }
 
-/// Schedules until another scheduler is elected or the future is dropped. Returns [`LeaderExit::NotRestored`] if the
+/// Schedules until another scheduler is elected, a task fails, or the future is dropped. Returns [`LeaderExit::NotRestored`] if the
 /// state cannot be read from the store within `restore_timeout`.
 pub(crate) async fn run(
     settings: &Settings,
@@ -97,8 +100,9 @@
     // Earlier versions ignore provisional entries, so the next scheduler must find those terms until their leases end.
     let last_lease = settings.timing.lease_expiry(Moment::ZERO).since(Moment::ZERO);
     let kept_for = if earlier.obey_provisional { Duration::ZERO } else { last_lease };
+    let term = TermTasks::new(&active);
     let tasks = [
-        smol::spawn(predecessors::await_ended(
+        term.spawn(predecessors::await_ended(
             cx.clone(),
             Arc::clone(&active),
             own_box,
@@ -106,27 +110,35 @@
             max_wait,
             kept_for,
         )),
-        smol::spawn(submissions::follow_submissions(cx.clone(), Arc::clone(&active), submissions_at)),
-        smol::spawn(evacuation::follow_platform(cx.clone(), Arc::clone(&active), evacuations_at)),
-        smol::spawn(directory::follow_servers(cx.clone(), Arc::clone(&active))),
-        smol::spawn(submissions::restore_ended(cx.clone(), Arc::clone(&active))),
-        smol::spawn(writer::run(cx.clone(), Arc::clone(&active))),
-        smol::spawn(box_list::publish_relay_boxes(cx.clone(), Arc::clone(&active))),
-        smol::spawn(unreachable::run(cx.clone(), Arc::clone(&active))),
-        smol::spawn(witnesses::run(cx.clone(), Arc::clone(&active))),
-        smol::spawn(queue_policies::run(cx.clone(), Arc::clone(&active))),
-        smol::spawn(learned::run(cx.clone(), Arc::clone(&active), learned_pages)),
-        smol::spawn(cleaner::run(cx.clone(), Arc::clone(&active))),
-        smol::spawn(permits::run(cx.clone(), Arc::clone(&active))),
-        smol::spawn(machine_list::run(cx.clone(), Arc::clone(&active))),
-        smol::spawn(maintenance::follow_requests(cx.clone(), Arc::clone(&active))),
-        smol::spawn(maintenance::run(cx.clone(), Arc::clone(&active), settings.box_id.clone())),
-        smol::spawn(plan(cx.clone(), Arc::clone(&active), configuration.version)),
-        smol::spawn(telemetry::log_traffic(fence)),
+        term.spawn(submissions::follow_submissions(cx.clone(), Arc::clone(&active), submissions_at)),
+        term.spawn(evacuation::follow_platform(cx.clone(), Arc::clone(&active), evacuations_at)),
+        term.spawn(directory::follow_servers(cx.clone(), Arc::clone(&active))),
+        term.spawn(submissions::restore_ended(cx.clone(), Arc::clone(&active))),
+        term.spawn(writer::run(cx.clone(), Arc::clone(&active))),
+        term.spawn(box_list::publish_relay_boxes(cx.clone(), Arc::clone(&active))),
+        term.spawn(unreachable::run(cx.clone(), Arc::clone(&active))),
+        term.spawn(witnesses::run(cx.clone(), Arc::clone(&active))),
+        term.spawn(queue_policies::run(cx.clone(), Arc::clone(&active))),
+        term.spawn(learned::run(cx.clone(), Arc::clone(&active), learned_pages)),
+        term.spawn(cleaner::run(cx.clone(), Arc::clone(&active))),
+        term.spawn(permits::run(cx.clone(), Arc::clone(&active))),
+        term.spawn(machine_list::run(cx.clone(), Arc::clone(&active))),
+        term.spawn(maintenance::follow_requests(cx.clone(), Arc::clone(&active))),
+        term.spawn(maintenance::run(cx.clone(), Arc::clone(&active), settings.box_id.clone())),
+        term.spawn(plan(cx.clone(), Arc::clone(&active), configuration.version)),
+        term.spawn(telemetry::log_traffic(fence)),
     ];
-    active.leadership_lost().await;
+    let lost = async {
+        active.leadership_lost().await;
+        LeaderExit::LeadershipLost
+    };
+    let failed = async {
+        active.task_failed().await;
+        LeaderExit::TaskFailed
+    };
+    let exit = futures_lite::FutureExt::or(lost, failed).await;
     drop(tasks);
-    LeaderExit::LeadershipLost
+    exit
 }
 
 /// Opens links to the backend servers of restored runs at their last known addresses, without waiting for the list of
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -42,6 +42,7 @@
 mod stored_record;
 mod submissions;
 mod telemetry;
+mod term_tasks;
 pub mod timeout_estimator;
 mod timers;
 mod unreachable;
--- a/crates/runtime/src/link_worker.rs
+++ b/crates/runtime/src/link_worker.rs
@@ -18,6 +18,7 @@
     order_queue::OrderQueue,
     platform::{Heartbeat, HeartbeatReply, Lease, Start, StopReply, Target, ThrottleOrder},
     telemetry,
+    term_tasks::TermTasks,
     timers::{Backoff, pause, with_timeout},
 };
 
@@ -121,7 +122,7 @@
 
 /// Sends orders in the order of the queue, until it is dropped. One without a response delays the others only for
 /// [`ORDER_TURN`].
-pub(crate) async fn order_loop(worker: Worker, queue: Arc<OrderQueue>) {
+pub(crate) async fn order_loop(worker: Worker, term: TermTasks, queue: Arc<OrderQueue>) {
     let worker = Arc::new(worker);
     let mut unanswered: Vec<smol::Task<()>> = Vec::new();
     loop {
@@ -133,7 +134,7 @@
         unanswered.retain(|call| !call.is_finished());
         let slot = if unanswered.len() < MAX_UNANSWERED_ORDERS { worker.unanswered.try_acquire_arc() } else { None };
         match slot {
-            Some(slot) => unanswered.push(smol::spawn(async move {
+            Some(slot) => unanswered.push(term.spawn(async move {
                 call.await;
                 drop(slot);
             })),
--- a/crates/runtime/src/links.rs
+++ b/crates/runtime/src/links.rs
@@ -19,6 +19,7 @@
     link_worker::{Worker, heartbeat_loop, order_loop},
     order_queue::OrderQueue,
     platform::Target,
+    term_tasks::TermTasks,
 };
 
 /// Concurrent first calls to backend servers. A new scheduler has to call all of them, and a box that calls all at once
@@ -110,9 +111,10 @@
             first_calls: Arc::clone(&self.first_calls),
             unanswered: Arc::clone(&self.unanswered),
         };
+        let term = TermTasks::new(active);
         let tasks = [
-            smol::spawn(heartbeat_loop(worker.clone(), stored_rx)),
-            smol::spawn(order_loop(worker, Arc::clone(&orders))),
+            term.spawn(heartbeat_loop(worker.clone(), stored_rx)),
+            term.spawn(order_loop(worker, term.clone(), Arc::clone(&orders))),
         ];
         table.by_id.insert(target.id.clone(), Link { target: target.clone(), orders, stored, _tasks: tasks });
     }
--- a/crates/runtime/src/writer.rs
+++ b/crates/runtime/src/writer.rs
@@ -18,6 +18,7 @@
     active::Active,
     context::Context,
     evacuation, keys,
+    term_tasks::TermTasks,
     timeout_estimator::TimeoutEstimator,
     timers::{Backoff, pause, with_timeout},
 };
@@ -55,6 +56,7 @@
         backoff: Mutex::new(Backoff::new()),
         finished: smol::channel::bounded(1),
     });
+    let term = TermTasks::new(&active);
     let mut in_flight: Vec<smol::Task<()>> = Vec::new();
     loop {
         in_flight.retain(|write| !write.is_finished());
@@ -69,7 +71,7 @@
             with_timeout(CONCURRENT_WRITE_DELAY, finished).await;
         }
         match next_write_batch(&active) {
-            Some(batch) => in_flight.push(smol::spawn(Arc::clone(&writer).write(batch))),
+            Some(batch) => in_flight.push(term.spawn(Arc::clone(&writer).write(batch))),
             None => active.write_requested().await,
         }
     }
