Decide which connections may hold memory

Nothing bounded the memory that the connections of a process hold together, so a crowd of clients that stop short of the end of their requests could use up all of it.

Nothing uses the module yet.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,6 +3,7 @@
 //! `hyper` implements the protocols and `smol-hyper` adapts its traits. This crate adds what `hyper`'s connection types
 //! leave to their user: connection reuse, deadlines and limits. It has no routing, discovery or proxying.
 
+pub mod admission;
 pub mod grpc;
 pub mod http;
 
