Bound what clients' connections hold together

Clients that don't behave could end a process: many large bodies at once that stop just short of their end, bodies in tiny chunks, each of which cost a multiple of its length, heads and responses without end, and idle connections. Each was within the limits on one request, and nothing bounded their sum.

All servers of a box now share one guard over the memory and the number of their connections. A body is received into one contiguous buffer whose memory is granted before it grows; what a request costs while it is processed is granted before the handler sees it, so that a refusal (503, 413 or 408, with the connection closed) is true. Responses count until their client has read them, and are no longer copied into a buffer that the connection keeps. Under pressure the connection is closed that has waited longest for its client, of the client that holds the most. Bodies that do not arrive, and responses that nobody reads, end after 30 s. Streams between boxes count too, and their windows are smaller.

The share of a box's memory and descriptors that clients may take is planned with the number of backend servers that the box can carry as the scheduler.

--- a/crates/martend/src/deployment/mod.rs
+++ b/crates/martend/src/deployment/mod.rs
@@ -9,6 +9,7 @@
 use futures_lite::{FutureExt, StreamExt};
 use net::{
     AllTraffic, Purpose,
+    guard::Server,
     http::{Client, ServerLimits, serve, serve_until},
 };
 use outside::{Clock, SystemClock};
@@ -35,8 +36,6 @@
 const ACCEPT_WHILE_DRAINING: StdDuration = StdDuration::from_millis(2300);
 /// Part of the drain time that is reserved for an orderly exit.
 const EXIT_MARGIN: StdDuration = StdDuration::from_millis(500);
-/// Maximum number of callers' connections, below the 4,100 descriptors that the platform gives a box.
-const MAX_CALLER_CONNECTIONS: usize = 3000;
 
 /// Runs a box until SIGTERM or SIGINT, then drains it. On SIGHUP, reads the log level from the settings file at `path`
 /// again.
@@ -65,11 +64,14 @@
     ));
     let front = CallerApi { requests: Arc::clone(&this_box.requests), view: Arc::clone(&this_box.view), clock };
     let (accepting, stop) = smol::channel::bounded::<()>(1);
-    let limits = ServerLimits { connections: MAX_CALLER_CONNECTIONS, ..ServerLimits::default() };
-    let serving = smol::spawn(serve_until(callers, Arc::new(front), Purpose::Callers, limits, stop));
+    let guard = || this_box.guard.clone();
+    let limits = ServerLimits::default();
+    let serving = smol::spawn(serve_until(callers, Arc::new(front), guard(), Server::Callers, limits, stop));
+    let readiness_handler = Arc::new(Readiness { view: Arc::clone(&this_box.view) });
+    let metrics_handler = Arc::new(OperatorApi { this_box: Arc::clone(&this_box) });
     let _handlers = [
-        smol::spawn(serve(readiness, Arc::new(Readiness { view: Arc::clone(&this_box.view) }))),
-        smol::spawn(serve(metrics, Arc::new(OperatorApi { this_box: Arc::clone(&this_box) }))),
+        smol::spawn(serve(readiness, readiness_handler, guard(), Server::Readiness)),
+        smol::spawn(serve(metrics, metrics_handler, guard(), Server::Metrics)),
     ];
     while let Some(signal) = signals.next().await {
         match signal {
--- a/crates/martend/src/deployment/operators.rs
+++ b/crates/martend/src/deployment/operators.rs
@@ -23,7 +23,14 @@
     pub(super) this_box: Arc<RunningBox>,
 }
 
+/// Longest body of a request, in bytes; none needs one.
+const MAX_BODY_BYTES: usize = 4096;
+
 impl Handler for OperatorApi {
+    fn body_limit(&self) -> usize {
+        MAX_BODY_BYTES
+    }
+
     fn handle(&self, call: Call) -> BoxFuture<'_, Option<Response<Full<Bytes>>>> {
         Box::pin(async move {
             Some(match call.path.as_str() {
--- a/crates/martend/src/deployment/settings.rs
+++ b/crates/martend/src/deployment/settings.rs
@@ -3,7 +3,11 @@
 use std::net::SocketAddr;
 
 use model::{AvailabilityZoneId, BoxId, CheckError, Duration, JsonPath};
-use runtime::box_capacity::BoxCapacity;
+use net::{
+    admission::{ConnectionLimit, MemoryLimit},
+    guard::GuardLimits,
+};
+use runtime::box_capacity::{self, BoxCapacity, MIN_CLIENTS_CONNECTIONS, MIN_CLIENTS_MEMORY_MB};
 use scheduler::{Timing, Tuning};
 use serde::{Deserialize, Serialize};
 
@@ -61,6 +65,14 @@
     /// File descriptors available to the box's process, 256 to 10,000,000.
     #[serde(default = "default_descriptors")]
     pub descriptors: usize,
+    /// Memory that all connections of clients may hold together, in MB, 4 to `memory_mb`. If left out, a tenth of
+    /// `memory_mb`, and at least 4.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request_memory_mb: Option<f64>,
+    /// Connections of clients that may be open at the same time, 64 to `descriptors`. If left out, three sixteenths of
+    /// `descriptors`, and 64 to 2,048.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub connections: Option<usize>,
     /// Shortest lease that the store grants, in milliseconds, 1 to 60,000.
     pub shortest_ttl_ms: u64,
     /// Longest lease that a backend server grants, in milliseconds, 1,000 to 600,000.
@@ -112,6 +124,7 @@
         check(&raw)?;
         let adviser_address = parse_optional_address("adviser_address", &raw.adviser_address)?;
         let machines_address = parse_optional_address("machines_address", &raw.machines_address)?;
+        let guard = guard_limits(&raw);
         let election_ttl = ELECTION_TTL.max(Duration::from_millis(raw.shortest_ttl_ms));
         let timing = Timing {
             lease: Duration::from_millis(raw.lease_ms),
@@ -130,7 +143,8 @@
                 cpu_share: raw.cpu_share,
                 link_mbps: raw.link_mbps,
                 memory_mb: raw.memory_mb,
-                capacity: BoxCapacity::new(raw.cpu_share, raw.memory_mb, raw.descriptors),
+                capacity: BoxCapacity::beside(guard, raw.cpu_share, raw.memory_mb, raw.descriptors),
+                guard,
                 election_ttl,
                 watch_wait: WATCH_WAIT,
                 store_silence: STORE_SILENCE,
@@ -170,9 +184,33 @@
     if raw.memory_mb.is_nan() || raw.memory_mb <= 0.0 {
         return Err(CheckError::new(&path.field("memory_mb"), raw.memory_mb, "allowed is more than 0"));
     }
+    check_clients(&path, raw)
+}
+
+/// Checks the limits on connections of clients.
+fn check_clients(path: &JsonPath, raw: &RawDeployment) -> Result<(), CheckError> {
+    let most = raw.memory_mb;
+    if let Some(mb) = raw.request_memory_mb.filter(|mb| !(MIN_CLIENTS_MEMORY_MB..=most).contains(mb)) {
+        let allowed = format!("allowed is {MIN_CLIENTS_MEMORY_MB} to memory_mb, which is {most}");
+        return Err(CheckError::new(&path.field("request_memory_mb"), mb, allowed));
+    }
+    let most = raw.descriptors;
+    if let Some(connections) = raw.connections.filter(|n| !(MIN_CLIENTS_CONNECTIONS..=most).contains(n)) {
+        let allowed = format!("allowed is {MIN_CLIENTS_CONNECTIONS} to descriptors, which is {most}");
+        return Err(CheckError::new(&path.field("connections"), connections, allowed));
+    }
     Ok(())
 }
 
+/// Returns the limits on connections of clients: those of the settings, or the usual ones of a box of its size.
+fn guard_limits(raw: &RawDeployment) -> GuardLimits {
+    let usual = box_capacity::guard_limits(raw.memory_mb, raw.descriptors);
+    GuardLimits {
+        memory: raw.request_memory_mb.map_or(usual.memory, |mb| MemoryLimit((mb * 1_000_000.0) as usize)),
+        connections: raw.connections.map_or(usual.connections, ConnectionLimit),
+    }
+}
+
 fn default_server_heartbeat_ms() -> u64 {
     Timing::default().server_heartbeat.millis()
 }
--- a/crates/martend/src/host.rs
+++ b/crates/martend/src/host.rs
@@ -7,7 +7,11 @@
     BackendOp, CallerReply, CallerRequest, EntryBox, Identity, Input, Output, PeerReply, PeerRequest, ReplyTo,
 };
 use model::{BackendServerId, BoxId, Duration, Incarnation, OperatorFile};
-use net::NetError;
+use net::{
+    NetError,
+    admission::{ConnectionLimit, MemoryLimit},
+    guard::{Guard, GuardLimits, Server},
+};
 use outside::{Clock, HttpListing, HttpStore, Listing, Store, SystemClock};
 use policy::Planner;
 use smol::{
@@ -23,6 +27,9 @@
 /// Maximum number of calls in flight to one backend server, not counting the pending watch.
 const MAX_BACKEND_CALLS: usize = 64;
 
+/// Limits on the connections of callers, operators and other boxes together.
+const GUARD_LIMITS: GuardLimits = GuardLimits { memory: MemoryLimit(16_000_000), connections: ConnectionLimit(1024) };
+
 /// A message to the task that owns the entry box.
 pub(crate) enum Event {
     Input(Input),
@@ -113,9 +120,10 @@
     let listing: Arc<dyn Listing> = Arc::new(HttpListing::new(settings.platform_address));
     let api = Arc::new(Api { events: tx.clone(), box_id: settings.box_id.to_string() });
     let service = wire::peer_server::PeerServer::new(PeerService { events: tx.clone() });
+    let guard = Guard::new(GUARD_LIMITS);
     let servers = vec![
-        smol::spawn(net::http::serve(parts.callers, api)),
-        smol::spawn(net::grpc::serve(parts.peers, service)),
+        smol::spawn(net::http::serve(parts.callers, api, guard.clone(), Server::Callers)),
+        smol::spawn(net::grpc::serve(parts.peers, service, guard)),
         smol::spawn(tick(settings.tick, tx.clone())),
         smol::spawn(read_list(listing, tx.clone())),
     ];
--- a/crates/net/src/grpc.rs
+++ b/crates/net/src/grpc.rs
@@ -14,8 +14,6 @@
 };
 
 use hyper::{Request, Response, body::Incoming, client::conn::http2::SendRequest};
-use hyper_util::service::TowerToHyperService;
-use smol::net::TcpListener;
 use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
 use tonic::{
     Status,
@@ -25,17 +23,19 @@
 
 use crate::{BoxFuture, Purpose, connect, traffic::Counted};
 
+pub use crate::grpc_server::{GuardedBody, serve};
+
 /// Most calls in flight to one peer; further calls fail immediately.
-const MAX_IN_FLIGHT: usize = 256;
+pub(crate) const MAX_IN_FLIGHT: usize = 256;
 /// Time limit of establishing a connection.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 /// Interval of keep-alive pings on a connection with calls in flight.
-const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+pub(crate) const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which a connection without a response to a ping is closed. With the interval, an unresponsive connection
 /// is detected within 2 s.
-const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(1);
+pub(crate) const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(1);
 
-type Executor = SmolExecutor<GlobalSpawn>;
+pub(crate) type Executor = SmolExecutor<GlobalSpawn>;
 
 /// Handle that spawns on an executor which `smol`'s global executor runs.
 #[derive(Clone, Debug)]
@@ -180,38 +180,3 @@
         Box::pin(self.clone().send(req))
     }
 }
-
-/// Serves a generated service until the future is dropped, which also closes every connection.
-pub async fn serve<S>(listener: TcpListener, service: S)
-where
-    S: Service<http::Request<Incoming>, Response = http::Response<Body>, Error = std::convert::Infallible>
-        + Clone
-        + Send
-        + 'static,
-    S::Future: Send + 'static,
-{
-    let ex = smol::Executor::new();
-    let accept = async {
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                smol::Timer::after(Duration::from_millis(50)).await;
-                continue;
-            };
-            if stream.set_nodelay(true).is_err() {
-                continue;
-            }
-            let service = TowerToHyperService::new(service.clone());
-            let conn = hyper::server::conn::http2::Builder::new(Executor::new(GlobalSpawn))
-                .timer(SmolTimer::new())
-                .keep_alive_interval(KEEP_ALIVE_INTERVAL)
-                .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
-                .serve_connection(FuturesIo::new(Counted::new(stream, Purpose::Boxes)), service);
-            ex.spawn(async move {
-                // An error here means that the connection broke, which the peer detects too.
-                let _ = conn.await;
-            })
-            .detach();
-        }
-    };
-    ex.run(accept).await
-}
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -12,18 +12,24 @@
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
-    body::Incoming,
-    header::{CONTENT_TYPE, HeaderValue},
+    body::{Body, Incoming},
+    header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
     service::service_fn,
 };
 use serde::{Serialize, de::DeserializeOwned};
-use smol::net::{TcpListener, TcpStream};
+use smol::net::TcpListener;
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use crate::{BoxFuture, NetError, Purpose, traffic::Counted};
+use crate::{
+    BoxFuture, NetError, Purpose,
+    account::{Account, BodyError},
+    guard::{Accepted, Guard, GuardLimits, Reason, Server},
+    guarded_stream::GuardedStream,
+    traffic::Counted,
+};
 
 pub use crate::connection::{Connection, ReadLimits, Reply};
 
@@ -40,10 +46,10 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Interval at which a stopping server checks whether its last connection has closed.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// Delay after a failed accept, which gives time for file descriptors to be freed.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Default limit of the connections that a server has open at the same time; further ones are closed on arrival.
-pub const MAX_CONNECTIONS: usize = 4096;
+/// Default time limit of receiving the body of a request: that of the longest body over a link of 2 Mbit/s, and more.
+const BODY_LIMIT: Duration = Duration::from_secs(30);
+/// Value of the `retry-after` header of a request that is refused for lack of room, in seconds.
+const RETRY_AFTER_S: &str = "1";
 
 /// Content type of JSON.
 pub(crate) const JSON: HeaderValue = HeaderValue::from_static("application/json");
@@ -183,6 +189,11 @@
 
 /// Handler of the requests that a server receives.
 pub trait Handler: Send + Sync + 'static {
+    /// Returns the longest body that a request may have at present, in bytes.
+    fn body_limit(&self) -> usize {
+        MAX_BODY
+    }
+
     /// Returns the response to a request; `None` closes the connection without a response.
     fn handle(&self, call: Call) -> BoxFuture<'_, Option<Response<Full<Bytes>>>>;
 }
@@ -208,31 +219,31 @@
 /// Limits of an HTTP server.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerLimits {
-    /// Most connections open at the same time; further ones are closed on arrival.
-    pub connections: usize,
     /// Time limit of receiving the head of a request, which includes the time that the connection is idle before.
     pub head: Duration,
     /// Longest head of a request, in bytes; values below 8192 act as 8192.
     pub head_bytes: usize,
-    /// Longest body of a request, in bytes; a longer one is answered with status 413.
+    /// Time limit of receiving the body of a request.
+    pub body: Duration,
+    /// Longest body of a request, in bytes; a longer one is answered with status 413. That of the handler applies too.
     pub body_bytes: usize,
 }
 
 impl Default for ServerLimits {
     fn default() -> ServerLimits {
-        ServerLimits {
-            connections: MAX_CONNECTIONS,
-            head: HEAD_LIMIT,
-            head_bytes: MAX_HEAD_BYTES,
-            body_bytes: MAX_BODY,
-        }
+        ServerLimits { head: HEAD_LIMIT, head_bytes: MAX_HEAD_BYTES, body: BODY_LIMIT, body_bytes: MAX_BODY }
     }
 }
 
 /// Serves connections with default limits until the future is dropped, which also closes every connection.
-pub async fn serve(listener: TcpListener, handler: Arc<dyn Handler>) {
+pub async fn serve(listener: TcpListener, handler: Arc<dyn Handler>, guard: Guard, server: Server) {
     let (_never, stop) = smol::channel::bounded(1);
-    serve_until(listener, handler, Purpose::Other, ServerLimits::default(), stop).await;
+    serve_until(listener, handler, guard, server, ServerLimits::default(), stop).await;
+}
+
+/// Serves connections of trusted clients as [`serve`] does, without a limit on the sum over them.
+pub async fn serve_trusted(listener: TcpListener, handler: Arc<dyn Handler>) {
+    serve(listener, handler, Guard::new(GuardLimits::NONE), Server::Metrics).await;
 }
 
 /// Serves connections until `stop` is closed, then stops gracefully: no more connections are accepted, each open one is
@@ -240,26 +251,21 @@
 pub async fn serve_until(
     listener: TcpListener,
     handler: Arc<dyn Handler>,
-    purpose: Purpose,
+    guard: Guard,
+    server: Server,
     limits: ServerLimits,
     stop: smol::channel::Receiver<()>,
 ) {
+    guard.limit_receive_buffers(&listener);
     let open = Arc::new(AtomicUsize::new(0));
     let ex = smol::Executor::new();
     let accept = async {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                // Most likely no file descriptors are left: wait until some are closed.
-                smol::Timer::after(ACCEPT_RETRY_DELAY).await;
-                continue;
-            };
-            if open.load(Ordering::Relaxed) >= limits.connections {
-                continue;
-            }
+            let accepted = guard.accept(&listener, server).await;
             open.fetch_add(1, Ordering::Relaxed);
             let (handler, stop, open) = (Arc::clone(&handler), stop.clone(), Arc::clone(&open));
             ex.spawn(async move {
-                serve_connection(stream, &handler, purpose, limits, &stop).await;
+                serve_connection(accepted, &handler, server.purpose(), limits, &stop).await;
                 open.fetch_sub(1, Ordering::Relaxed);
             })
             .detach();
@@ -278,53 +284,139 @@
     ex.run(all_closed).await;
 }
 
+/// How the service of a connection has stopped.
+enum Stopped {
+    Ended,
+    Gracefully,
+}
+
 async fn serve_connection(
-    stream: TcpStream,
+    accepted: Accepted,
     handler: &Arc<dyn Handler>,
     purpose: Purpose,
     limits: ServerLimits,
     stop: &smol::channel::Receiver<()>,
 ) {
+    let Accepted { stream, account, evicted } = accepted;
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let service = service_fn(|req: Request<Incoming>| async move { answer(req, handler, limits.body_bytes).await });
+    let service = service_fn(|req: Request<Incoming>| answer(req, &**handler, &account, limits));
+    let stream = GuardedStream::new(Counted::new(stream, purpose), Arc::clone(&account));
+    // With vectored writes, responses are not copied into a buffer that the connection keeps.
     let conn = hyper::server::conn::http1::Builder::new()
         .timer(SmolTimer::new())
         .header_read_timeout(limits.head)
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER_BYTES))
-        .serve_connection(FuturesIo::new(Counted::new(stream, purpose)), service);
+        .writev(true)
+        .serve_connection(FuturesIo::new(stream), service);
     let mut conn = std::pin::pin!(conn);
-    // An error here means that the connection broke, which the caller detects too.
-    let ended = async {
-        let _ = conn.as_mut().await;
-        true
+    let is_evicted = async || {
+        let _ = evicted.recv().await;
+        Stopped::Ended
     };
     let stopped = async {
         let _ = stop.recv().await;
-        false
+        Stopped::Gracefully
     };
-    if !ended.or(stopped).await {
+    let how = is_evicted().or(ended(conn.as_mut())).or(stopped).await;
+    if let Stopped::Gracefully = how {
         conn.as_mut().graceful_shutdown();
-        let _ = conn.await;
+        is_evicted().or(ended(conn)).await;
     }
 }
 
+/// Runs a connection to its end. An error means that it broke, which the caller detects too.
+async fn ended(conn: impl Future) -> Stopped {
+    let _ = conn.await;
+    Stopped::Ended
+}
+
+/// Receives a request, passes it to the handler and returns the response. An error closes the connection.
 async fn answer(
     req: Request<Incoming>,
-    handler: &Arc<dyn Handler>,
-    max_body_bytes: usize,
+    handler: &dyn Handler,
+    account: &Account,
+    limits: ServerLimits,
 ) -> std::io::Result<Response<Full<Bytes>>> {
     let (parts, body) = req.into_parts();
-    let Ok(body) = Limited::new(body, max_body_bytes).collect().await else {
-        return Ok(text_response(StatusCode::PAYLOAD_TOO_LARGE, format!("a body may have {max_body_bytes} bytes\n")));
-    };
+    let max_bytes = limits.body_bytes.min(handler.body_limit());
+    account.begin_body();
+    match within(limits.body, receive(body, max_bytes, account)).await {
+        Received::Whole => {}
+        Received::TooLarge => return Ok(refusal(account, Reason::TooLarge, max_bytes)),
+        Received::NoMemory => return Ok(refusal(account, Reason::Refused, max_bytes)),
+        Received::Late => return Ok(refusal(account, Reason::Stalled, max_bytes)),
+        Received::Broken => return Err(std::io::ErrorKind::UnexpectedEof.into()),
+    }
+    let Some(body) = account.process() else { return Ok(refusal(account, Reason::Refused, max_bytes)) };
     let call = Call {
         method: parts.method,
         path: parts.uri.path().to_owned(),
         query: parts.uri.query().unwrap_or_default().to_owned(),
         headers: parts.headers,
-        body: body.to_bytes(),
+        body,
     };
-    handler.handle(call).await.ok_or_else(|| std::io::Error::other("the handler closed the connection"))
+    let response = handler.handle(call).await;
+    let bytes = response.as_ref().and_then(|response| response.body().size_hint().exact()).unwrap_or_default();
+    let may_send = account.respond(bytes as usize);
+    let response = response.ok_or_else(|| std::io::Error::other("the handler closed the connection"))?;
+    if !may_send {
+        return Err(std::io::Error::other("there is no memory for the response"));
+    }
+    Ok(response)
+}
+
+/// Outcome of receiving a body.
+enum Received {
+    Whole,
+    TooLarge,
+    NoMemory,
+    Late,
+    /// The client closed the connection, or what it sent is not a body.
+    Broken,
+}
+
+async fn within(limit: Duration, receive: impl Future<Output = Received>) -> Received {
+    let expire = async {
+        smol::Timer::after(limit).await;
+        Received::Late
+    };
+    receive.or(expire).await
+}
+
+/// Receives a body into the account of its connection. One whose announced length is over the limit is not read.
+async fn receive(mut body: Incoming, max_bytes: usize, account: &Account) -> Received {
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Received::TooLarge;
+    }
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return Received::Broken };
+        let Some(piece) = frame.data_ref() else { continue };
+        match account.extend_body(piece, max_bytes) {
+            Ok(()) => {}
+            Err(BodyError::TooLarge) => return Received::TooLarge,
+            Err(BodyError::NoMemory) => return Received::NoMemory,
+        }
+    }
+    Received::Whole
+}
+
+/// Creates the response to a request that is not passed to the handler, and so has no effect.
+fn refusal(account: &Account, reason: Reason, max_bytes: usize) -> Response<Full<Bytes>> {
+    account.refuse(reason);
+    let (status, why) = match reason {
+        Reason::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, format!("a body may have {max_bytes} bytes\n")),
+        Reason::Stalled => (StatusCode::REQUEST_TIMEOUT, "the body did not arrive in time\n".to_owned()),
+        Reason::Refused | Reason::Evicted => {
+            (StatusCode::SERVICE_UNAVAILABLE, "too many requests are open; this one was not processed\n".to_owned())
+        }
+    };
+    let mut response = text_response(status, why);
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S));
+    }
+    account.respond(response.body().size_hint().exact().unwrap_or_default() as usize);
+    response
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,10 +5,15 @@
 
 pub mod admission;
 pub mod grpc;
+pub mod guard;
 pub mod http;
 
+mod account;
 mod connection;
 mod deadline;
+mod grpc_server;
+mod guarded_stream;
+mod stream_account;
 mod traffic;
 mod turns;
 
--- a/crates/net/tests/traffic.rs
+++ b/crates/net/tests/traffic.rs
@@ -7,6 +7,8 @@
 use hyper::{Method, Response, StatusCode};
 use net::{
     BoxFuture, Purpose, Traffic,
+    admission::{ConnectionLimit, MemoryLimit},
+    guard::{Guard, GuardLimits, Server},
     http::{Call, Client, Handler, ServerLimits, serve_until, text_response},
 };
 use smol::net::TcpListener;
@@ -29,7 +31,9 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has free ports");
         let addr = listener.local_addr().expect("it is bound");
         let (_never, stop) = smol::channel::bounded(1);
-        let serving = serve_until(listener, Arc::new(FixedReply), Purpose::Callers, ServerLimits::default(), stop);
+        let limits = GuardLimits { memory: MemoryLimit(10_000_000), connections: ConnectionLimit(100) };
+        let (guard, handler) = (Guard::new(limits), Arc::new(FixedReply));
+        let serving = serve_until(listener, handler, guard, Server::Callers, ServerLimits::default(), stop);
         let _serving = smol::spawn(serving);
         let client = Client::new(Purpose::Store);
         client.call(addr, Method::POST, "/", vec![b'q'; REQUEST_BYTES].into(), LIMIT).await.expect("it is answered");
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -6,6 +6,7 @@
 };
 
 use model::{AvailabilityZoneId, BoxId, CustomerId, Duration};
+use net::guard::Guard;
 use outside::{Clock, CoordinationStore};
 use scheduler::{EvacuationStatus, ShareReport, SpeedSummary};
 use serde::Serialize;
@@ -98,6 +99,8 @@
     pub requests: Arc<Requests>,
     /// View that the box has of the system.
     pub view: Arc<View>,
+    /// Guard that all servers of the process share.
+    pub guard: Guard,
     active: ActiveSlot,
     store: Arc<dyn CoordinationStore>,
     box_id: BoxId,
@@ -144,8 +147,9 @@
             view: Arc::clone(&view),
             peers: Arc::clone(&peers),
         };
+        let guard = Guard::new(settings.guard);
         let tasks = vec![
-            smol::spawn(net::grpc::serve(listener, RelayServer::new(relay.clone()))),
+            smol::spawn(net::grpc::serve(listener, RelayServer::new(relay.clone()), guard.clone())),
             smol::spawn(follow_configuration(settings.clone(), cx.clone())),
             smol::spawn(probe::run(Arc::clone(&store), Arc::clone(&view))),
             smol::spawn(election::follow_leader(Arc::clone(&store), Arc::clone(&view))),
@@ -156,6 +160,7 @@
         RunningBox {
             requests,
             view,
+            guard,
             active,
             store,
             box_id: settings.box_id,
@@ -205,6 +210,7 @@
     /// Sets the gauges that are derived from the status. Called when metrics are read.
     pub fn set_gauges(&self) {
         telemetry::count_traffic();
+        telemetry::count_clients(&self.guard);
         let status = self.status();
         let set = |name: &'static str, value: Option<f64>| {
             if let Some(value) = value {
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use model::{AvailabilityZoneId, BoxId, Duration};
+use net::guard::GuardLimits;
 use scheduler::Timing;
 
 use crate::box_capacity::BoxCapacity;
@@ -26,6 +27,8 @@
     pub memory_mb: f64,
     /// Number of backend servers that the box can have links to as the scheduler.
     pub capacity: BoxCapacity,
+    /// Limits on the connections of clients of all servers of the process together.
+    pub guard: GuardLimits,
     /// Lease of the scheduler's key: the time after the failure of a scheduler at which another one can be elected.
     pub election_ttl: Duration,
     /// Longest wait of a watch on the configuration, whose response also shows that the store is reachable.
--- a/crates/runtime/src/telemetry.rs
+++ b/crates/runtime/src/telemetry.rs
@@ -4,7 +4,10 @@
 
 use jobs::{Fence, QueueId};
 use model::{CustomerId, Duration, Revision};
-use net::{AllTraffic, BoxFuture, Purpose};
+use net::{
+    AllTraffic, BoxFuture, Purpose,
+    guard::{Guard, Reason, Server},
+};
 use outside::{Committed, CoordinationStore, Item, LeaseId, Page, StoreError, Transaction, Watched};
 use scheduler::Observation;
 
@@ -109,6 +112,19 @@
     }
 }
 
+/// Publishes what connections of clients hold, and how often they were closed or refused, as metrics.
+pub(crate) fn count_clients(guard: &Guard) {
+    let held = guard.held();
+    metrics::gauge!("martenscale_clients_held_bytes").set(held.bytes as f64);
+    metrics::gauge!("martenscale_clients_connections").set(held.connections as f64);
+    for server in Server::ALL {
+        for reason in Reason::ALL {
+            let labels = [("server", server.to_string()), ("why", reason.to_string())];
+            metrics::counter!("martenscale_clients_limited_total", &labels).absolute(guard.count(server, reason));
+        }
+    }
+}
+
 /// The platform's store, with each call counted and timed.
 pub(crate) struct MeasuredStore<S>(pub(crate) S);
 
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -12,7 +12,7 @@
 use model::Moment;
 use net::{
     BoxFuture,
-    http::{Call, Handler, json_response, serve, text_response},
+    http::{Call, Handler, json_response, serve_trusted, text_response},
 };
 use outside::{Clock, ListedBox, StoreReply, StoreRequest, SystemClock};
 use smol::{Task, net::TcpListener};
@@ -97,7 +97,7 @@
     let addr = listener.local_addr()?;
     let faults = Arc::new(Faults::default());
     let shared = Arc::new(BackendShared { table: Mutex::new(table), faults: Arc::clone(&faults), clock });
-    let task = smol::spawn(serve(listener, Arc::clone(&shared) as Arc<dyn Handler>));
+    let task = smol::spawn(serve_trusted(listener, Arc::clone(&shared) as Arc<dyn Handler>));
     Ok(BackendHandle { addr, faults, shared, _task: task })
 }
 
@@ -188,7 +188,7 @@
         faults: Arc::clone(&faults),
         clock: SystemClock::default(),
     });
-    let task = smol::spawn(serve(listener, Arc::clone(&shared) as Arc<dyn Handler>));
+    let task = smol::spawn(serve_trusted(listener, Arc::clone(&shared) as Arc<dyn Handler>));
     Ok(PlatformHandle { addr, faults, shared, _task: task })
 }
 
