Bound the time that requests for metrics take

400 connections that each sent 200 requests for metrics at once, and read no answer, kept a box busy for longer than a caller waits: in a trial on an unoptimized build, no job was accepted within 20 s. A page takes milliseconds to render, and one connection was served up to 16 requests in a row.

A page of metrics is now returned again for 100 ms, and other connections have a turn before the next request of one that sends several at once.

--- a/crates/martend/src/deployment/mod.rs
+++ b/crates/martend/src/deployment/mod.rs
@@ -68,7 +68,7 @@
     let limits = ServerLimits::default();
     let serving = smol::spawn(serve_until(callers, Arc::new(front), guard(), Server::Callers, limits, stop));
     let readiness_handler = Arc::new(Readiness { view: Arc::clone(&this_box.view) });
-    let metrics_handler = Arc::new(OperatorApi { this_box: Arc::clone(&this_box) });
+    let metrics_handler = Arc::new(OperatorApi::new(Arc::clone(&this_box)));
     let _handlers = [
         smol::spawn(serve(readiness, readiness_handler, guard(), Server::Readiness)),
         smol::spawn(serve(metrics, metrics_handler, guard(), Server::Metrics)),
--- a/crates/martend/src/deployment/operators.rs
+++ b/crates/martend/src/deployment/operators.rs
@@ -1,6 +1,9 @@
 //! The operators' API of a box: metrics, status, and evacuations of availability zones.
 
-use std::sync::Arc;
+use std::{
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -20,9 +23,13 @@
 
 /// HTTP handler for operators. It checks no keys, as only operators can reach its address.
 pub(super) struct OperatorApi {
-    pub(super) this_box: Arc<RunningBox>,
+    this_box: Arc<RunningBox>,
+    /// Page of metrics, and when it was rendered.
+    metrics: Mutex<Option<(Instant, String)>>,
 }
 
+/// Age up to which a page of metrics is returned again. It bounds the time that a client can take from other work.
+const METRICS_AGE: Duration = Duration::from_millis(100);
 /// Longest body of a request, in bytes; none needs one.
 const MAX_BODY_BYTES: usize = 4096;
 
@@ -34,10 +41,7 @@
     fn handle(&self, call: Call) -> BoxFuture<'_, Option<Response<Full<Bytes>>>> {
         Box::pin(async move {
             Some(match call.path.as_str() {
-                "/metrics" => {
-                    self.this_box.set_gauges();
-                    text_response(StatusCode::OK, telemetry::render())
-                }
+                "/metrics" => text_response(StatusCode::OK, self.metrics()),
                 "/v1/status" => json_response(StatusCode::OK, &self.this_box.status()),
                 EVACUATIONS_PATH => self.list_evacuations(),
                 path => match path.strip_prefix(EVACUATIONS_PATH).and_then(|rest| rest.strip_prefix('/')) {
@@ -53,6 +57,24 @@
 }
 
 impl OperatorApi {
+    pub(super) fn new(this_box: Arc<RunningBox>) -> OperatorApi {
+        OperatorApi { this_box, metrics: Mutex::default() }
+    }
+
+    /// Returns the page of metrics, which is rendered anew if the last one is too old.
+    fn metrics(&self) -> String {
+        let mut last = self.metrics.lock().expect("no holder panics");
+        match &*last {
+            Some((rendered, page)) if rendered.elapsed() < METRICS_AGE => page.clone(),
+            _ => {
+                self.this_box.set_gauges();
+                let page = telemetry::render();
+                *last = Some((Instant::now(), page.clone()));
+                page
+            }
+        }
+    }
+
     fn list_evacuations(&self) -> Response<Full<Bytes>> {
         match self.this_box.evacuations() {
             Some(evacuations) => json_response(StatusCode::OK, &json!({ "evacuations": evacuations })),
--- a/crates/net/src/account.rs
+++ b/crates/net/src/account.rs
@@ -144,15 +144,16 @@
         granted
     }
 
-    /// Begins to receive the body of a request.
-    pub(crate) fn begin_body(&self) {
+    /// Begins to receive the body of a request. Returns whether the request arrived together with the one before it.
+    pub(crate) fn begin_body(&self) -> bool {
         let mut progress = self.progress();
         progress.stage = Stage::Body;
-        // A request that arrived together with the one before it has not been seen as it was received.
-        if progress.head == 0 {
+        let is_pipelined = progress.head == 0;
+        if is_pipelined {
+            // It has not been seen as it was received.
             self.guard.set_phase(self.id, Phase::Receiving { since: self.guard.now() });
         }
-        *self.body.lock().expect("no holder panics") = Vec::new();
+        is_pipelined
     }
 
     /// Appends to the body, which has at most `limit` bytes. Its memory is contiguous, however small the pieces are in
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -341,7 +341,10 @@
 ) -> std::io::Result<Response<Full<Bytes>>> {
     let (parts, body) = req.into_parts();
     let max_bytes = limits.body_bytes.min(handler.body_limit());
-    account.begin_body();
+    if account.begin_body() {
+        // Other connections have a turn before the next request of this one.
+        futures_lite::future::yield_now().await;
+    }
     match within(limits.body, receive(body, max_bytes, account)).await {
         Received::Whole => {}
         Received::TooLarge => return Ok(refusal(account, Reason::TooLarge, max_bytes)),
