--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -15,7 +15,7 @@
 /// Longest text that a job passes to its tasks, in bytes (platform protocol).
 const MAX_TEXT_BYTES: usize = 4000;
 /// Most steps of one job: far above what callers submit, low enough to bound the size of a stored record.
-const MAX_STEPS: usize = 64;
+pub const MAX_STEPS: usize = 64;
 /// Most tasks of one occurrence: the record of its progress must fit into one value of the store.
 const MAX_TASKS: u64 = 10_000;
 /// Most occurrences of a timed job.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,7 +13,7 @@
 pub use crate::{
     ended::{EndedJob, WorkDigest},
     id::{Fence, JobId, OccurrenceId, ParseNameError, QueueId, RunNumber, StepId, TaskId},
-    job::{Duration, Job, JobError, RawJob, RawStep, Resources, Schedule, Step},
+    job::{Duration, Job, JobError, MAX_STEPS, RawJob, RawStep, Resources, Schedule, Step},
     progress::{Checkpoint, Crash, GroupProgress, Placement, Progress, Start},
     queue::{ConfigurationVersion, PermitPolicy, QueuePolicy, ServiceId},
     state::JobState,
