--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,11 +3,17 @@
 //! `hyper` implements the protocols and `smol-hyper` adapts its traits. This crate adds what `hyper`'s connection types
 //! leave to their user: connection reuse, deadlines and limits. It has no routing, discovery or proxying.
 
+pub mod admission;
 pub mod grpc;
+pub mod guard;
 pub mod http;
 
+mod account;
 mod connection;
 mod deadline;
+mod grpc_server;
+mod guarded_stream;
+mod stream_account;
 mod traffic;
 mod turns;
 
