Leave younger connections alone when a response is sent

A request that was processed could close any waiting connection of its client to make room for its response, also one that was opened later: a crowd that asks for large responses and reads none cut off an ordinary caller from the same address who had just arrived.

A connection now counts as old as its request, also while it is being processed and as it responds, and closes only older ones of its client. A response of more than 4 KB for which there is no room closes its connection, as before.

--- a/crates/net/src/admission.rs
+++ b/crates/net/src/admission.rs
@@ -82,6 +82,8 @@
     client: IpAddr,
     bytes: usize,
     phase: Phase,
+    /// Since when it has waited for its client, or had done so when the request began that is being processed.
+    since: Duration,
 }
 
 #[derive(Default)]
@@ -140,7 +142,7 @@
 
     /// Adds an idle connection that holds `bytes`. Its id must be new.
     pub fn open(&mut self, id: ConnectionId, client: IpAddr, bytes: usize, now: Duration) -> Decision {
-        let requester = Requester { id, client, waiting_since: Some(now) };
+        let requester = Requester { id, client, since: now };
         let surplus = (self.holders.len() + 1).saturating_sub(self.connections);
         let Some(mut victims) = self.victims(requester, Resource::Connections, surplus, &[]) else {
             return Decision::Refused;
@@ -148,7 +150,7 @@
         let Some(more) = self.victims_for_memory(requester, bytes, &victims) else { return Decision::Refused };
         victims.extend(more);
         self.close_all(&victims);
-        self.holders.insert(id, Holder { client, bytes: 0, phase: Phase::Idle { since: now } });
+        self.holders.insert(id, Holder { client, bytes: 0, phase: Phase::Idle { since: now }, since: now });
         self.clients.entry(client).or_default().held.connections += 1;
         self.add_bytes(id, bytes);
         Decision::Granted(victims)
@@ -199,6 +201,7 @@
     pub fn set_phase(&mut self, id: ConnectionId, phase: Phase) {
         let Some(holder) = self.holders.get_mut(&id) else { return };
         let before = std::mem::replace(&mut holder.phase, phase);
+        holder.since = phase.waiting_since().unwrap_or(holder.since);
         let processing = &mut self.clients.get_mut(&holder.client).expect("it has a connection").processing;
         if before == Phase::Processing {
             processing.connections -= 1;
@@ -243,7 +246,7 @@
 
     fn requester(&self, id: ConnectionId) -> Option<Requester> {
         let holder = self.holders.get(&id)?;
-        Some(Requester { id, client: holder.client, waiting_since: holder.phase.waiting_since() })
+        Some(Requester { id, client: holder.client, since: holder.since })
     }
 
     /// Returns the connections to close before `bytes` more can be held, beside `closed`; `None` if there is no room.
@@ -259,7 +262,7 @@
     }
 
     /// Returns the connections to close, beside `closed`, before there is `surplus` less of a resource in use; `None`
-    /// if the requester has to wait for its client longer than all that could be closed, or if these are not enough.
+    /// if the requester has waited longer than all that could be closed of its client, or if these are not enough.
     fn victims(
         &self,
         requester: Requester,
@@ -271,8 +274,7 @@
         let mut freed = 0;
         while freed < surplus {
             let (id, victim) = self.victim(requester, resource, &all)?;
-            let is_younger = victim.phase.waiting_since() > requester.waiting_since;
-            if victim.client == requester.client && requester.waiting_since.is_some() && is_younger {
+            if victim.client == requester.client && victim.since > requester.since {
                 return None;
             }
             freed += resource.of(Held { bytes: victim.bytes, connections: 1 });
@@ -321,8 +323,8 @@
 struct Requester {
     id: ConnectionId,
     client: IpAddr,
-    /// Since when it has waited for its client; `None` if its request is being processed.
-    waiting_since: Option<Duration>,
+    /// See [`Holder::since`].
+    since: Duration,
 }
 
 /// Returns how much of a limit one client may have in requests that are being processed.
