Limit the send buffers of accepted sockets

Responses that nobody reads filled the send buffer of each connection, which the system lets grow to 4 MB: the limit on what connections hold counts only what the process itself holds, and released a response as soon as the kernel had taken it.

Accepted sockets now buffer 64 KB, twice that with the overhead of the kernel. The sizes are set on the listener and again on each accepted socket, as some are opened before their server starts.

--- a/crates/net/src/grpc_server.rs
+++ b/crates/net/src/grpc_server.rs
@@ -48,7 +48,7 @@
         + 'static,
     S::Future: Send + 'static,
 {
-    guard.limit_receive_buffers(&listener);
+    guard.limit_socket_buffers(&listener);
     let ex = smol::Executor::new();
     let accept = async {
         loop {
--- a/crates/net/src/guard.rs
+++ b/crates/net/src/guard.rs
@@ -4,6 +4,7 @@
     collections::HashMap,
     fmt,
     net::IpAddr,
+    os::fd::AsFd,
     sync::{
         Arc, Mutex,
         atomic::{AtomicU64, AtomicUsize, Ordering},
@@ -27,6 +28,8 @@
 pub const CONNECTION_BYTES: usize = 16 * 1024;
 /// Receive buffer of an accepted socket, in bytes: what has arrived and has not been read takes memory too.
 const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
+/// Send buffer of an accepted socket, in bytes: what the client has not read takes memory too.
+const SEND_BUFFER_BYTES: usize = 64 * 1024;
 /// Delay after a failed accept, which gives time for file descriptors to be freed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Connections to be closed whose tasks may still run when another one is accepted. Each holds its descriptor until
@@ -170,14 +173,16 @@
         self.0.counters[server as usize][reason as usize].load(Ordering::Relaxed)
     }
 
-    /// Makes the sockets that a listener accepts buffer little, unless there is no limit.
-    pub(crate) fn limit_receive_buffers(&self, listener: &TcpListener) {
+    /// Makes a socket, and those that a listener accepts from now on, buffer little, unless there is no limit.
+    pub(crate) fn limit_socket_buffers(&self, socket: impl AsFd) {
         if self.0.limits == GuardLimits::NONE {
             return;
         }
-        if let Err(e) = sockopt::set_socket_recv_buffer_size(listener, RECEIVE_BUFFER_BYTES) {
+        let receive = sockopt::set_socket_recv_buffer_size(&socket, RECEIVE_BUFFER_BYTES);
+        let send = sockopt::set_socket_send_buffer_size(&socket, SEND_BUFFER_BYTES);
+        if let Err(e) = receive.and(send) {
             // The buffers then have the size that the system chooses.
-            log::debug!("event=receive_buffer_not_set why={e}");
+            log::debug!("event=socket_buffer_not_set why={e}");
         }
     }
 
@@ -189,6 +194,8 @@
                 smol::Timer::after(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
+            // It may have been opened before its listener was limited.
+            self.limit_socket_buffers(&stream);
             self.wait_closed().await;
             if let Some((account, evicted)) = self.open(server, addr.ip()) {
                 return Accepted { stream, account: Arc::new(account), evicted };
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -256,7 +256,7 @@
     limits: ServerLimits,
     stop: smol::channel::Receiver<()>,
 ) {
-    guard.limit_receive_buffers(&listener);
+    guard.limit_socket_buffers(&listener);
     let open = Arc::new(AtomicUsize::new(0));
     let ex = smol::Executor::new();
     let accept = async {
