Bound what a connection holds while it processes a request

A connection with a request that is being processed is never closed to make room. On the boxes' own address it can have many streams: with one long wait and others whose messages stop short of their end it could take all the memory of clients, so that callers, readiness checks and operators were refused for as long as it stayed.

Memory for a connection that is processing a request is now refused beyond the three quarters that one client may have in such connections, as the start of a further request was already.

`a_connection_with_a_request_that_is_processed_leaves_room_for_others` failed before; it and the other tests of `net` pass.

--- a/crates/net/src/admission.rs
+++ b/crates/net/src/admission.rs
@@ -156,9 +156,15 @@
         Decision::Granted(victims)
     }
 
-    /// Lets a connection hold `bytes` more. Refused for a connection that is not open.
+    /// Lets a connection hold `bytes` more. Refused for a connection that is not open, and for one that is processing a
+    /// request if its client would hold more than three quarters of the memory in such connections.
     pub fn reserve(&mut self, id: ConnectionId, bytes: usize) -> Decision {
         let Some(requester) = self.requester(id) else { return Decision::Refused };
+        let processing = self.clients[&requester.client].processing.bytes;
+        let is_processing = self.holders[&id].phase == Phase::Processing;
+        if is_processing && processing.saturating_add(bytes) > client_share(self.memory) {
+            return Decision::Refused;
+        }
         let Some(victims) = self.victims_for_memory(requester, bytes, &[]) else { return Decision::Refused };
         self.close_all(&victims);
         self.add_bytes(id, bytes);
--- a/crates/net/tests/admission.rs
+++ b/crates/net/tests/admission.rs
@@ -120,6 +120,19 @@
     assert!(is_granted(&admission.process(ConnectionId(1000), 0)));
 }
 
+/// Guards against a connection with one request that is processed for long, beside which more and more requests begin
+/// without an end: it is not closed, so that it could hold all memory.
+#[test]
+fn a_connection_with_a_request_that_is_processed_leaves_room_for_others() {
+    let mut admission = admission();
+    assert!(begin(&mut admission, 0, client(1), 0).is_some());
+    assert!(is_granted(&admission.process(ConnectionId(0), 1_000)));
+    while is_granted(&admission.reserve(ConnectionId(0), 10_000)) {}
+    assert!(begin(&mut admission, 1, client(2), 1).is_some());
+    assert!(is_granted(&admission.reserve(ConnectionId(1), 100_000)));
+    assert!(is_granted(&admission.process(ConnectionId(1), 100_000)));
+}
+
 /// Guards against a crowd whose pressure closes the connections of clients that hold little.
 #[test]
 fn a_client_that_holds_little_keeps_its_connections_beside_a_crowd() {
