Bound the time that requests of other boxes take

A box waited for a configuration, and repeated a write to a store that did not answer, for as long as its peer asked for: a number of milliseconds without a bound. A request that is being processed is never closed to make room for others, so that a few peers could hold all connections of a box for good.

Ten seconds are the most now; boxes themselves ask for about one.

--- a/crates/runtime/src/relay_service.rs
+++ b/crates/runtime/src/relay_service.rs
@@ -12,6 +12,8 @@
 /// Maximum age of the latest confirmation by the store for a box to confirm its configuration to others: the longest
 /// wait of its watch, plus the response time of a slow store.
 const MAX_CONFIRMATION_AGE: Duration = Duration::from_millis(3000);
+/// Longest time for which a request of another box is processed, whatever it asks for. Callers wait for a few seconds.
+const MAX_REQUEST_TIME: Duration = Duration::from_millis(10_000);
 /// Interval at which a pending request for a configuration checks that the store is still reachable.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -30,14 +32,14 @@
         let req = req.into_inner();
         let job: Job = serde_json::from_slice(&req.job).map_err(|e| Status::invalid_argument(e.to_string()))?;
         let outcome: submit_reply::Outcome =
-            self.requests.submit_to_store(&job, Duration::from_millis(req.limit_ms)).await.into();
+            self.requests.submit_to_store(&job, request_time(req.limit_ms)).await.into();
         Ok(Response::new(relay::SubmitReply { outcome: outcome.into() }))
     }
 
     async fn cancel(&self, req: Request<relay::CancelRequest>) -> Result<Response<relay::CancelReply>, Status> {
         let req = req.into_inner();
         let (id, customer) = (parse(&req.job)?, customer(&req.customer)?);
-        let limit = Duration::from_millis(req.limit_ms);
+        let limit = request_time(req.limit_ms);
         let outcome: cancel_reply::Outcome = self.requests.cancel_in_store(id, customer.as_ref(), limit).await.into();
         Ok(Response::new(relay::CancelReply { outcome: outcome.into() }))
     }
@@ -66,7 +68,7 @@
         req: Request<relay::ConfigurationRequest>,
     ) -> Result<Response<relay::ConfigurationReply>, Status> {
         let req = req.into_inner();
-        let wait = Duration::from_millis(req.wait_ms);
+        let wait = request_time(req.wait_ms);
         if wait > Duration::ZERO && !self.view.is_configuration_confirmed(MAX_CONFIRMATION_AGE) {
             return Err(Status::unavailable("this box does not follow the configuration in the store"));
         }
@@ -129,6 +131,11 @@
     }
 }
 
+/// Returns the time for which a request may take, of the milliseconds that another box asks for.
+fn request_time(ms: u64) -> Duration {
+    Duration::from_millis(ms).min(MAX_REQUEST_TIME)
+}
+
 fn parse<T: std::str::FromStr<Err: std::fmt::Display>>(text: &str) -> Result<T, Status> {
     text.parse().map_err(|e: T::Err| Status::invalid_argument(e.to_string()))
 }
