Hold jobs of which a record cannot be read

A scheduler that found the stored progress of a job unreadable, of another shape, or naming tasks that the job does not have started the job from the beginning and replaced the record: its runs were stopped, and work that was done was done again. The runs of a job whose own record was unreadable were stopped as those of a job that nobody knows, and their ends were acknowledged unseen. Another version of the program, which may be able to read the record, had then lost both. Callers were told that such a job was queued.

Such a job is now held: nothing of it is started or stopped, its runs keep their capacity, and its ends are not acknowledged unless a listing is full. If its caller cancels it, its runs are stopped. Boxes answer that its state is not known. Whether a record can belong to a job is checked in one place, before any of the job is restored.

--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -2,12 +2,12 @@
 //!
 //! The serialized field names are short: the progress of up to 10,000 tasks has to fit into one value of the store.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use model::{BackendServerId, Incarnation};
 use serde::{Deserialize, Serialize};
 
-use crate::{Job, JobState, RunNumber};
+use crate::{Job, JobState, RunNumber, Step};
 
 /// Checkpoint that a task wrote, opaque to the scheduler.
 pub type Checkpoint = Arc<str>;
@@ -111,6 +111,13 @@
         Progress { groups, failed: false }
     }
 
+    /// Whether this can be the progress of an occurrence of `job`: it has the same steps and groups, and names no other
+    /// tasks than theirs, none of them twice.
+    pub fn fits(&self, job: &Job) -> bool {
+        let steps = self.groups.iter().zip(&job.steps);
+        self.groups.len() == job.steps.len() && steps.into_iter().all(|(groups, step)| groups_fit(groups, step))
+    }
+
     /// Returns whether every task has succeeded.
     pub fn done(&self) -> bool {
         self.groups.iter().flatten().all(|group| group.done)
@@ -142,6 +149,17 @@
     }
 }
 
+fn groups_fit(groups: &[GroupProgress], step: &Step) -> bool {
+    let count = if step.gang { 1 } else { step.count as usize };
+    let fits = |(index, group): (usize, &GroupProgress)| {
+        let is_member = |task: u32| if step.gang { task < step.count } else { task as usize == index };
+        let placed: BTreeSet<u32> = group.placed.iter().map(|placement| placement.index).collect();
+        let others = group.crashes.iter().map(|crash| crash.index).chain(group.starts.iter().map(|start| start.index));
+        placed.len() == group.placed.len() && placed.into_iter().chain(others).all(is_member)
+    };
+    groups.len() == count && groups.iter().enumerate().all(fits)
+}
+
 fn is_false(b: &bool) -> bool {
     !*b
 }
--- a/crates/runtime/src/requests/state.rs
+++ b/crates/runtime/src/requests/state.rs
@@ -85,10 +85,14 @@
         let mut all = vec![Progress::new(&job); job.occurrences() as usize];
         for item in stored.items {
             let number = keys::occurrence(&item.key).map(|occurrence| occurrence.number as usize);
-            let progress = serde_json::from_slice(&item.value).ok();
-            if let (Some(slot), Some(progress)) = (number.and_then(|n| all.get_mut(n)), progress) {
-                *slot = progress;
+            let Some(slot) = number.and_then(|n| all.get_mut(n)) else { continue };
+            let Ok(progress) = serde_json::from_slice::<Progress>(&item.value) else {
+                return Ok(StateOutcome::Unavailable);
+            };
+            if !progress.fits(&job) {
+                return Ok(StateOutcome::Unavailable);
             }
+            *slot = progress;
         }
         Ok(StateOutcome::Found(Progress::job_state(all.iter(), cancelled)))
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -25,6 +25,7 @@
 mod guarantee;
 mod headroom;
 mod health;
+mod held_jobs;
 mod incarnations;
 mod learned;
 mod listing;
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -74,13 +74,17 @@
     /// Records what of a listing could not be read, and logs it if that has changed. Returns whether there was anything
     /// in the listing before.
     ///
-    /// A full listing is acknowledged all the same: the backend server could not report any other completion while it
-    /// waits for the one that cannot be read.
+    /// The completions of held jobs are kept back like those that cannot be read. A full listing is acknowledged all the
+    /// same: the backend server could not report any other completion while it waits for these.
     fn record_unreadable(&mut self, id: &BackendServerId, listing: &Listing) -> bool {
+        let before_held = self.before_held_completions(listing);
+        let before_unreadable = listing.unreadable.and_then(|unreadable| unreadable.acknowledge_up_to);
+        let acknowledge_up_to =
+            before_held.into_iter().chain(before_unreadable).min().filter(|_| !listing.more_completions);
         let Some(server) = self.servers.get_mut(id) else { return false };
-        let unreadable = listing.unreadable.map(|unreadable| Unreadable {
-            acknowledge_up_to: unreadable.acknowledge_up_to.filter(|_| !listing.more_completions),
-            ..unreadable
+        let unreadable = (listing.unreadable.is_some() || before_held.is_some()).then_some(Unreadable {
+            rows: listing.unreadable.map_or(0, |unreadable| unreadable.rows),
+            acknowledge_up_to,
         });
         let before = std::mem::replace(&mut server.unreadable, unreadable);
         let rows = |unreadable: Option<Unreadable>| unreadable.map_or(0, |unreadable| unreadable.rows);
@@ -134,10 +138,13 @@
         let mut orphaned_runs = BTreeMap::new();
         for (task, run) in orphaned {
             // A run of a job that is no longer tracked may take the whole capacity.
-            let resources = self.group_of(task).map_or(full_capacity, |name| self.step(name).counted_resources());
+            let of_group = self.group_of(task).map(|name| self.step(name).counted_resources());
+            let resources = of_group.or_else(|| self.held_resources(task)).unwrap_or(full_capacity);
+            let is_held = self.is_held(task.occurrence.job);
             let earlier = before.remove(&task).filter(|earlier| earlier.run == run);
             let orphaned_run = match earlier {
-                Some(orphaned_run) if orphaned_run.stop_sent + retry > now => orphaned_run,
+                Some(orphaned_run) if is_held || orphaned_run.stop_sent + retry > now => orphaned_run,
+                None if is_held => OrphanedRun { run, resources, since: now, stop_sent: Moment::ZERO },
                 earlier => {
                     log::info!("job={} event=stray_stopped task={task} run={run} server={id}", task.occurrence.job);
                     self.orders.push(Order::Stop { server: id.clone(), task, run });
--- a/crates/scheduler/src/overdue_stops.rs
+++ b/crates/scheduler/src/overdue_stops.rs
@@ -39,6 +39,7 @@
         let mut runs = BTreeSet::new();
         for (id, server) in &self.servers {
             let orphaned = server.orphaned_runs.iter().map(|(task, orphaned_run)| (*task, orphaned_run.run));
+            let orphaned = orphaned.filter(|(task, _)| !self.is_held(task.occurrence.job));
             let placed = server.members.iter().map(|(task, run)| (*task, *run));
             let stopping = placed.filter(|(task, _)| self.is_stopping(*task));
             for (task, run) in stopping.chain(orphaned) {
--- a/crates/scheduler/src/restore.rs
+++ b/crates/scheduler/src/restore.rs
@@ -22,8 +22,7 @@
         };
         let job = Arc::clone(&entry.job);
         let Some(occurrence) = entry.occurrences.get_mut(id.number as usize) else { return };
-        let shape = |p: &Progress| p.groups.iter().map(Vec::len).collect::<Vec<_>>();
-        if shape(&progress) != shape(&occurrence.progress) {
+        if !progress.fits(&job) {
             log::error!("job={} event=progress_unreadable occurrence={} why=other_shape", id.job, id.number);
             return;
         }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -12,6 +12,7 @@
     evacuation::Evacuations,
     fleet_capacity::FleetCapacity,
     headroom::StopDurations,
+    held_jobs::HeldJob,
     learned::Learned,
     maintenance::Maintenance,
     observations::Observation,
@@ -76,6 +77,8 @@
     pub(crate) finished_jobs: BTreeSet<JobId>,
     /// Jobs that have ended and have left the submission records.
     pub(crate) archived: BTreeMap<JobId, Archived>,
+    /// Jobs of which a record cannot be read.
+    pub(crate) held_jobs: BTreeMap<JobId, HeldJob>,
     /// Progress in the store whose job no longer exists.
     pub(crate) orphans: BTreeSet<OccurrenceId>,
     /// Jobs cancelled before they were submitted; a mark in the store rejects their later submission.
@@ -155,6 +158,7 @@
             open_jobs: BTreeSet::new(),
             finished_jobs: BTreeSet::new(),
             archived: BTreeMap::new(),
+            held_jobs: BTreeMap::new(),
             orphans: BTreeSet::new(),
             cancelled_before_submission: BTreeMap::new(),
             changed: BTreeSet::new(),
@@ -230,7 +234,7 @@
     /// Adds a job that the store holds. Idempotent.
     pub fn add_job(&mut self, mut job: Job) {
         let id = job.id;
-        if self.jobs.contains_key(&id) || self.archived.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.archived.contains_key(&id) || self.held_jobs.contains_key(&id) {
             return;
         }
         self.learn_queue_policy(&mut job);
@@ -265,7 +269,7 @@
     /// Cancels a job whose cancellation the store holds. Idempotent. A job that is not tracked yet is recorded as
     /// cancelled before its submission.
     pub fn cancel(&mut self, id: JobId, now: Moment) {
-        if self.archived.contains_key(&id) {
+        if self.archived.contains_key(&id) || self.cancel_held(id) {
             return;
         }
         let Some(entry) = self.jobs.get_mut(&id) else {
