--- a/crates/martend/tests/odd_entries.rs
+++ b/crates/martend/tests/odd_entries.rs
@@ -67,3 +67,59 @@
         check_followed(&mut world).await;
     });
 }
+
+/// Values that cannot be used, whoever reads them.
+fn odd_values() -> Vec<Vec<u8>> {
+    let deep = "[".repeat(100_000) + &"]".repeat(100_000);
+    let long = "x".repeat(500_000);
+    vec![
+        Vec::new(),
+        b"\xff\xfe\x00".to_vec(),
+        b"null".to_vec(),
+        b"-1".to_vec(),
+        b"1e400".to_vec(),
+        deep.clone().into_bytes(),
+        format!(r#"{{"service":{deep}}}"#).into_bytes(),
+        format!(r#"{{"service":"{long}"}}"#).into_bytes(),
+        format!(r#""{long}""#).into_bytes(),
+    ]
+}
+
+#[test]
+fn odd_entries_under_every_prefix_end_no_box_and_stop_no_watch() {
+    smol::block_on(async {
+        let mut world = World::start(2, 2).await;
+        let fields = [
+            ("addr", json!("127.0.0.1:70000")),
+            ("addr", json!("127.0.0.1:-1")),
+            ("addr", json!("127.0.0.1:0")),
+            ("zone", json!("z".repeat(100_000))),
+            ("labels", json!(vec!["r1-1"; 10_000])),
+            ("capacity", json!({"cpu": -1, "memMb": 1, "gpu": 1})),
+            ("seq", json!(-1)),
+            ("remainingMs", json!(-5)),
+            ("born", json!(1.5)),
+        ];
+        for (i, (name, value)) in fields.into_iter().enumerate() {
+            world.platform.write(&format!("servers/i-field{i}"), &entry(&world, name, value));
+        }
+        let prefixes = ["servers/i-odd", "op/wave/", "op/evacuate/odd", "op/odd", "marten/in/", "marten/progress/"];
+        let own = ["marten/ended/", "marten/learned/", "marten/box/", "marten/evacuation/", "marten/wave/", "marten/"];
+        for (i, value) in odd_values().into_iter().enumerate() {
+            for prefix in prefixes.into_iter().chain(own) {
+                world.platform.write(&format!("{prefix}{i}"), &value);
+            }
+            for key in ["unreached", "witnesses", "queues", "terms", "scheduler/relays"] {
+                world.platform.write(&format!("marten/{key}"), &value);
+            }
+            world.platform.write("op/config", &value);
+        }
+        for key in ["servers/", "servers/ ", "servers/#", "servers/\u{1}", "servers/%", "op/evacuate/", "op/wave/x"] {
+            world.platform.write(key, b"{}");
+        }
+        for i in 0..2000 {
+            world.platform.write(&format!("servers/many {i}"), b"{}");
+        }
+        check_followed(&mut world).await;
+    });
+}
