Log an unusable entry once for each revision

Each read of a list logged every entry that could not be used again, and with the whole of an odd value: a text of half a megabyte became a line of that length.

Entries of backend servers and maintenance requests that cannot be used are logged once for each revision, shortened, and counted in martenscale_unusable_items_total. At most 1,024 keys are remembered.

--- a/crates/runtime/src/context.rs
+++ b/crates/runtime/src/context.rs
@@ -7,6 +7,7 @@
 use crate::{
     platform::{BackendServers, Decoder, Machines, PermitService},
     relay::Peers,
+    unusable_items::UnusableItems,
     view::View,
 };
 
@@ -22,4 +23,5 @@
     pub(crate) machines: Option<Arc<dyn Machines>>,
     pub(crate) view: Arc<View>,
     pub(crate) peers: Arc<Peers>,
+    pub(crate) unusable_items: Arc<UnusableItems>,
 }
--- a/crates/runtime/src/directory.rs
+++ b/crates/runtime/src/directory.rs
@@ -106,7 +106,7 @@
             listed.insert(id, Entry { target, info, last_write }).is_none()
         }
         Err(e) => {
-            log::error!("event=server_unreadable why={e}");
+            cx.unusable_items.report("server_unreadable", item, &e.why);
             false
         }
     }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod timeout_estimator;
 mod timers;
 mod unreachable;
+mod unusable_items;
 mod view;
 mod witnesses;
 mod writer;
@@ -56,5 +57,6 @@
     requests::Requests,
     running_box::{OptionalServices, RunningBox, Status},
     settings::Settings,
+    unusable_items::UnusableItems,
     view::View,
 };
--- a/crates/runtime/src/maintenance.rs
+++ b/crates/runtime/src/maintenance.rs
@@ -48,7 +48,10 @@
 async fn apply_request(cx: &Context, active: &Active, item: &Item) {
     let request: MaintenanceRequest = match cx.decoder.maintenance_request(item) {
         Ok(request) => request,
-        Err(e) => return log::error!("event=wave_unreadable why={e}"),
+        Err(e) => {
+            cx.unusable_items.report("wave_unreadable", item, &e.why);
+            return;
+        }
     };
     let progress = read_progress(cx, request.number).await;
     let now = cx.view.clock().now();
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -143,6 +143,7 @@
             machines: optional_services.machines,
             view: Arc::clone(&view),
             peers: Arc::clone(&peers),
+            unusable_items: Arc::default(),
         };
         let tasks = vec![
             smol::spawn(net::grpc::serve(listener, RelayServer::new(relay.clone()))),
