--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod timeout_estimator;
 mod timers;
 mod unreachable;
+mod unusable_items;
 mod view;
 mod witnesses;
 mod writer;
@@ -57,5 +58,6 @@
     requests::Requests,
     running_box::{OptionalServices, RunningBox, Status},
     settings::Settings,
+    unusable_items::UnusableItems,
     view::View,
 };
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -146,6 +146,7 @@
             machines: optional_services.machines,
             view: Arc::clone(&view),
             peers: Arc::clone(&peers),
+            unusable_items: Arc::default(),
         };
         let guard = Guard::new(settings.guard);
         let tasks = vec![
