Limit the tasks of all occurrences of a job together

A scheduler keeps the tasks of all occurrences of a job in memory, about 0.4 KB each by the sizes of the types. Tasks and occurrences were limited to 10,000 each, and their product was not: one request of a few hundred bytes could ask for a hundred million tasks. The job is stored first, so that each box that is elected would read it and run out of memory in turn; a box that reads its state builds as much.

50,000 tasks of all occurrences are allowed now. A stored job above that is one that cannot be read, which costs that job alone.

The sum over all open jobs is still not limited.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -20,6 +20,8 @@
 const MAX_TASKS: u64 = 10_000;
 /// Most occurrences of a timed job.
 const MAX_TIMES: u32 = 10_000;
+/// Most tasks of all occurrences of a job together: a scheduler keeps about 0.4 KB for each in memory.
+const MAX_TASKS_OF_ALL_TIMES: u64 = 50_000;
 
 /// Error of checking a submitted job.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
@@ -247,6 +249,11 @@
         if raw.schedule.is_some_and(|schedule| schedule.times == 0 || schedule.times > MAX_TIMES) {
             return Err(JobError::new("schedule.times", format!("allowed is 1 to {MAX_TIMES}")));
         }
+        let times = raw.schedule.map_or(1, |schedule| schedule.times);
+        let tasks = u64::from(times).saturating_mul(task_count(&raw.steps));
+        if tasks > MAX_TASKS_OF_ALL_TIMES {
+            return Err(JobError::new("schedule.times", format!("allowed are {MAX_TASKS_OF_ALL_TIMES} tasks in all")));
+        }
         Ok(Job {
             id: raw.id,
             queue: raw.queue,
@@ -275,12 +282,15 @@
     }
 }
 
+fn task_count(steps: &[Step]) -> u64 {
+    steps.iter().map(|step| u64::from(step.count)).sum()
+}
+
 fn check_steps(steps: &[Step]) -> Result<(), JobError> {
     if steps.is_empty() || steps.len() > MAX_STEPS {
         return Err(JobError::new("steps", format!("allowed are 1 to {MAX_STEPS}")));
     }
-    let tasks: u64 = steps.iter().map(|step| u64::from(step.count)).sum();
-    if tasks > MAX_TASKS {
+    if task_count(steps) > MAX_TASKS {
         return Err(JobError::new("steps", format!("allowed are {MAX_TASKS} tasks in all")));
     }
     for (i, step) in steps.iter().enumerate() {
