Serve the operators of a test as trusted clients

`net::http::serve` takes the guard that the servers of a box share. The test of evacuations of the command line has a server of its own, whose only client is the test, so that it serves without a limit on the sum. Nothing is checked otherwise than before.

--- a/crates/marten/tests/evacuate.rs
+++ b/crates/marten/tests/evacuate.rs
@@ -11,7 +11,7 @@
 use hyper::{Method, Response, StatusCode};
 use net::{
     BoxFuture,
-    http::{Call, Handler, json_response, serve},
+    http::{Call, Handler, json_response, serve_trusted},
 };
 use serde_json::{Value, json};
 use smol::net::TcpListener;
@@ -43,7 +43,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback is available");
     let addr = listener.local_addr().expect("the listener is bound");
     let operators = Arc::new(Operators { answers: Mutex::new(answers), ..Operators::default() });
-    smol::spawn(serve(listener, Arc::new(OperatorsHandler(Arc::clone(&operators))))).detach();
+    smol::spawn(serve_trusted(listener, Arc::new(OperatorsHandler(Arc::clone(&operators))))).detach();
     (addr, operators)
 }
 
