Count a connection with the memory that it takes

A connection of a client counted with 16 KB. It now counts with 32 KB, so that the bound on the sum is closer to what is used.

--- a/crates/net/src/guard.rs
+++ b/crates/net/src/guard.rs
@@ -24,7 +24,7 @@
 };
 
 /// Memory of an open connection apart from what it receives and sends: buffers, state and task, in bytes.
-pub const CONNECTION_BYTES: usize = 16 * 1024;
+pub const CONNECTION_BYTES: usize = 32 * 1024;
 /// Receive buffer of an accepted socket, in bytes: what has arrived and has not been read takes memory too.
 const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
 /// Delay after a failed accept, which gives time for file descriptors to be freed.
