--- a/crates/net/src/guard.rs
+++ b/crates/net/src/guard.rs
@@ -25,7 +25,7 @@
 };
 
 /// Memory of an open connection apart from what it receives and sends: buffers, state and task, in bytes.
-pub const CONNECTION_BYTES: usize = 16 * 1024;
+pub const CONNECTION_BYTES: usize = 32 * 1024;
 /// Receive buffer of an accepted socket, in bytes: what has arrived and has not been read takes memory too.
 const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
 /// Send buffer of an accepted socket, in bytes: what the client has not read takes memory too.
