Keep a box in the election after a panic in its restore

The election of a box is one task, which also restores the scheduler. A panic in the restore, or in an attempt to be elected, ended that task for as long as the process lived: the slot of the scheduler was not cleared, the term not ended, and the box was never a candidate again. The next box restored the same records and could be lost to the election in the same way.

A panic is now caught around the term, which ends like one whose task has failed: the lease is revoked, and the box stands for the next election later than the others. A panic in the attempt itself is caught as well and logged as event=candidacy_failed.

--- a/crates/martend/tests/failed_tasks.rs
+++ b/crates/martend/tests/failed_tasks.rs
@@ -29,12 +29,35 @@
 /// Prefix of the records of progress.
 const PROGRESS: &str = "marten/progress/";
 
-/// The platform's store, whose client panics in the first write of progress.
+/// Prefix of the records of submissions, which a new scheduler reads first.
+const SUBMISSIONS: &str = "marten/in/";
+
+/// Call on the store that panics once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    /// The first write of progress.
+    WriteOfProgress,
+    /// The first read of the submissions, by a scheduler that restores its state.
+    ReadOfSubmissions,
+    /// The first grant of a lease, by a candidate.
+    GrantOfLease,
+}
+
+/// The platform's store, whose client panics in one call.
 struct StoreThatPanicsOnce {
     inner: HttpStore,
+    fault: Fault,
     has_panicked: AtomicBool,
 }
 
+impl StoreThatPanicsOnce {
+    /// Panics at the first call that meets the fault.
+    fn check(&self, met: Option<Fault>) {
+        let is_met = met == Some(self.fault);
+        assert!(!is_met || self.has_panicked.swap(true, Ordering::SeqCst), "the fault of this test");
+    }
+}
+
 impl CoordinationStore for StoreThatPanicsOnce {
     fn get(&self, key: String) -> BoxFuture<'_, Result<Option<Item>, StoreError>> {
         self.inner.get(key)
@@ -45,6 +68,7 @@
     }
 
     fn page(&self, prefix: String, after: Option<String>) -> BoxFuture<'_, Result<Page, StoreError>> {
+        self.check((prefix == SUBMISSIONS).then_some(Fault::ReadOfSubmissions));
         self.inner.page(prefix, after)
     }
 
@@ -54,11 +78,12 @@
 
     fn commit(&self, transaction: Transaction, limit: Duration) -> BoxFuture<'_, Result<Committed, StoreError>> {
         let writes_progress = transaction.put.iter().any(|put| put.key.starts_with(PROGRESS));
-        assert!(!writes_progress || self.has_panicked.swap(true, Ordering::SeqCst), "the fault of this test");
+        self.check(writes_progress.then_some(Fault::WriteOfProgress));
         self.inner.commit(transaction, limit)
     }
 
     fn grant_lease(&self, ttl: Duration) -> BoxFuture<'_, Result<LeaseId, StoreError>> {
+        self.check(Some(Fault::GrantOfLease));
         self.inner.grant_lease(ttl)
     }
 
@@ -71,16 +96,15 @@
     }
 }
 
-/// Starts a box in this process whose first write of progress panics. Returns it with the address at which other boxes
-/// reach it.
-async fn start_faulty_box(world: &World) -> (RunningBox, SocketAddr) {
+/// Starts a box in this process with a fault. Returns it with the address at which other boxes reach it.
+async fn start_faulty_box(world: &World, fault: Fault) -> (RunningBox, SocketAddr) {
     let addrs = free_addrs();
-    let path = std::env::temp_dir().join(format!("failed-tasks-{}.json", std::process::id()));
+    let path = std::env::temp_dir().join(format!("failed-tasks-{}-{fault:?}.json", std::process::id()));
     std::fs::write(&path, world.platform.settings("box-f", &addrs, &[])).expect("the temporary directory is writable");
     let settings = read(&path.to_string_lossy()).expect("the settings are valid").runtime;
     let listener = TcpListener::bind(addrs[2]).await.expect("the address is free");
     let inner = HttpStore::new(Client::default(), world.platform.store_addr);
-    let store = StoreThatPanicsOnce { inner, has_panicked: AtomicBool::new(false) };
+    let store = StoreThatPanicsOnce { inner, fault, has_panicked: AtomicBool::new(false) };
     let servers = Arc::new(HttpBackendServers::default());
     let decoder = Arc::new(PlatformDecoder);
     let clock = Arc::new(SystemClock::default());
@@ -95,8 +119,41 @@
     smol::block_on(async {
         let setup = Setup { servers: 1, key: KEY.to_owned(), ..Setup::default() };
         let mut world = World::start_on(0, &setup).await;
-        let (faulty, peers_addr) = start_faulty_box(&world).await;
+        let (faulty, peers_addr) = start_faulty_box(&world, Fault::WriteOfProgress).await;
+        until("the box schedules", || async { faulty.status().schedules_with_fence.is_some() }).await;
+        let addrs = free_addrs();
+        let settings = world.platform.settings("box-1", &addrs, &[peers_addr]);
+        world.boxes.push(start_box_with("box-1", addrs, settings));
+        world.until_ready(0).await;
+        world.submit(JOB, WORK).await;
+        until("the job has succeeded", || async {
+            world.state(0, JOB).await.is_some_and(|answer| answer.state == "succeeded")
+        })
+        .await;
+    });
+}
+
+/// Guards against a box whose part in the election ends by a panic while its scheduler restores its state: it was never
+/// elected again, and a lone box scheduled nothing any more.
+#[test]
+fn a_box_whose_restore_has_panicked_is_elected_again() {
+    assert_elected_again_after(Fault::ReadOfSubmissions);
+}
+
+/// Guards against the same where the panic occurs in the candidacy.
+#[test]
+fn a_box_whose_candidacy_has_panicked_is_elected_again() {
+    assert_elected_again_after(Fault::GrantOfLease);
+}
+
+/// Asserts that a lone box schedules after a fault, and that a job runs under it.
+fn assert_elected_again_after(fault: Fault) {
+    smol::block_on(async {
+        let setup = Setup { servers: 1, key: KEY.to_owned(), ..Setup::default() };
+        let mut world = World::start_on(0, &setup).await;
+        let (faulty, peers_addr) = start_faulty_box(&world, fault).await;
         until("the box schedules", || async { faulty.status().schedules_with_fence.is_some() }).await;
+        let fence = faulty.status().schedules_with_fence;
         let addrs = free_addrs();
         let settings = world.platform.settings("box-1", &addrs, &[peers_addr]);
         world.boxes.push(start_box_with("box-1", addrs, settings));
@@ -106,5 +163,6 @@
             world.state(0, JOB).await.is_some_and(|answer| answer.state == "succeeded")
         })
         .await;
+        assert_eq!(faulty.status().schedules_with_fence, fence, "the job ran under the box that had failed");
     });
 }
--- a/crates/runtime/src/election.rs
+++ b/crates/runtime/src/election.rs
@@ -18,6 +18,7 @@
     follow::{Changes, PrefixUpdate, PrefixWatcher, WatchTiming},
     keys,
     leader::{self, LeaderExit},
+    panics::catch_panic,
     predecessors::{self, EarlierTerms},
     settings::Settings,
     timers::{Backoff, pause, with_timeout},
@@ -88,7 +89,7 @@
     Resigned,
     /// The state could not be restored in time.
     NotRestored,
-    /// A task of the scheduler has failed.
+    /// A task of the scheduler, its restore or the renewal of its election has failed.
     TaskFailed,
 }
 
@@ -166,16 +167,22 @@
             if conditions_change_within(&cx.view, wait).await {
                 continue;
             }
-            if can_be_candidate(&cx.view)
-                && let Some(won) = try_win_election(&settings, &cx).await
-            {
-                serve_term(&settings, &cx, &active, won, &mut latest).await;
+            if can_be_candidate(&cx.view) && catch_panic(stand(&settings, &cx, &active, &mut latest)).await.is_none() {
+                log::error!("event=candidacy_failed box={}", settings.box_id);
+                latest.record_term_end(Ended::TaskFailed);
             }
         }
         with_timeout(CHECK_INTERVAL, cx.view.leader_changed()).await;
     }
 }
 
+/// Tries to win the election, and schedules if it is won.
+async fn stand(settings: &Settings, cx: &Context, active: &ActiveSlot, latest: &mut TermOutcome) {
+    if let Some(won) = try_win_election(settings, cx).await {
+        serve_term(settings, cx, active, won, latest).await;
+    }
+}
+
 /// Waits, and returns early with `true` if the conditions for a candidacy change.
 ///
 /// The delay lets larger boxes become candidates first, so it must start at the moment at which all of them learn that
@@ -284,7 +291,12 @@
             LeaderExit::TaskFailed => Ended::TaskFailed,
         }
     };
-    let ended = futures_lite::FutureExt::or(renew_until_ended(settings, cx, won), schedule).await;
+    // A panic here, as in the restore, must not end the task of the election: this box would stand for no later one.
+    let term = futures_lite::FutureExt::or(renew_until_ended(settings, cx, won), schedule);
+    let ended = catch_panic(term).await.unwrap_or_else(|| {
+        log::error!("event=task_failed fence={fence}");
+        Ended::TaskFailed
+    });
     active.clear();
     cx.view.end_term();
     cx.view.set_leader(None);
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod order_queue;
 mod outcome;
 mod paged_reads;
+mod panics;
 mod permits;
 pub mod platform;
 mod predecessors;
