Render metrics after a rendering that panicked

A request for /metrics that met the poisoned lock of a scheduler whose task had panicked panicked in turn, while it held the lock around the rendered page. Every later request then failed for as long as the process lived.

The page is now kept by a type of its own, which recovers its lock: a panic leaves the last page whole. The lock around the customers with gauges is recovered in the same way.

--- a/crates/martend/src/deployment/mod.rs
+++ b/crates/martend/src/deployment/mod.rs
@@ -1,5 +1,6 @@
 //! A box on a platform that keeps its state: combines the runtime with the adapter for that platform.
 
+mod cached_page;
 mod operators;
 mod settings;
 
@@ -30,6 +31,7 @@
 
 use self::operators::OperatorApi;
 
+pub use cached_page::CachedPage;
 pub use settings::{DeploymentSettings, RawDeployment, has_deployment_settings, read};
 
 /// Time for which a draining box still accepts connections: the load balancer checks every second, and removes a box
--- a/crates/martend/src/deployment/operators.rs
+++ b/crates/martend/src/deployment/operators.rs
@@ -1,9 +1,6 @@
 //! The operators' API of a box: metrics, status, and evacuations of availability zones.
 
-use std::{
-    sync::{Arc, Mutex},
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -16,6 +13,7 @@
 use runtime::{EvacuationOutcome, RunningBox};
 use serde_json::json;
 
+use super::cached_page::CachedPage;
 use crate::telemetry;
 
 /// Path of the evacuations; that of a single one adds `/` and its availability zone.
@@ -24,8 +22,7 @@
 /// HTTP handler for operators. It checks no keys, as only operators can reach its address.
 pub(super) struct OperatorApi {
     this_box: Arc<RunningBox>,
-    /// Page of metrics, and when it was rendered.
-    metrics: Mutex<Option<(Instant, String)>>,
+    metrics: CachedPage,
 }
 
 /// Age up to which a page of metrics is returned again. It bounds the time that a client can take from other work.
@@ -58,21 +55,15 @@
 
 impl OperatorApi {
     pub(super) fn new(this_box: Arc<RunningBox>) -> OperatorApi {
-        OperatorApi { this_box, metrics: Mutex::default() }
+        OperatorApi { this_box, metrics: CachedPage::new(METRICS_AGE) }
     }
 
     /// Returns the page of metrics, which is rendered anew if the last one is too old.
     fn metrics(&self) -> String {
-        let mut last = self.metrics.lock().expect("no holder panics");
-        match &*last {
-            Some((rendered, page)) if rendered.elapsed() < METRICS_AGE => page.clone(),
-            _ => {
-                self.this_box.set_gauges();
-                let page = telemetry::render();
-                *last = Some((Instant::now(), page.clone()));
-                page
-            }
-        }
+        self.metrics.get(|| {
+            self.this_box.set_gauges();
+            telemetry::render()
+        })
     }
 
     fn list_evacuations(&self) -> Response<Full<Bytes>> {
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeSet,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, PoisonError},
 };
 
 use model::{AvailabilityZoneId, BoxId, CustomerId, Duration};
@@ -254,7 +254,8 @@
     fn set_share_gauges(&self, shares: &[ShareReport]) {
         let Some(configuration) = self.view.configuration() else { return };
         let configured = configuration.policy.customers.keys().cloned().map(Some).chain([None]);
-        let mut customers = self.customers_with_gauges.lock().expect("no holder panics");
+        // A panic of an earlier holder leaves the set whole; at worst it lacks customers that are added here.
+        let mut customers = self.customers_with_gauges.lock().unwrap_or_else(PoisonError::into_inner);
         customers.extend(configured);
         for customer in customers.iter() {
             // Of several services or priorities, the one counts where the customer takes most beyond its share.
