Let the delay after a failed term grow

A box whose scheduler was ended by a fault of the program stood for the next election 1.5 s later than the others, however often that had happened. A fault that every box meets, as in a record that each of them restores, led to elections at the full rate for as long as it lasted.

The delay doubles now with each such term in a row up to 12 s, and starts again after a term of 60 s or one that ended otherwise; event=term_failed tells the number and the delay. A restore that took too long gets the 1.5 s as before, since its time limit doubles already.

--- a/crates/martend/tests/failed_tasks.rs
+++ b/crates/martend/tests/failed_tasks.rs
@@ -8,9 +8,10 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
+    time::Instant,
 };
 
 use common::{KEY, World, start_box_with, until};
@@ -26,13 +27,15 @@
 
 const JOB: JobId = JobId(1);
 const WORK: Work = Work { tasks: 1, accelerators: 1, work_ms: 50, gang: false };
+/// Delays after the first two of three failed terms: 1.5 s and twice as long.
+const ELAPSED_OF_THREE: std::time::Duration = std::time::Duration::from_millis(4500);
 /// Prefix of the records of progress.
 const PROGRESS: &str = "marten/progress/";
 
 /// Prefix of the records of submissions, which a new scheduler reads first.
 const SUBMISSIONS: &str = "marten/in/";
 
-/// Call on the store that panics once.
+/// Call on the store that panics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Fault {
     /// The first write of progress.
@@ -41,16 +44,20 @@
     ReadOfSubmissions,
     /// The first grant of a lease, by a candidate.
     GrantOfLease,
+    /// Every read of the submissions.
+    EachReadOfSubmissions,
 }
 
 /// The platform's store, whose client panics in one call.
-struct StoreThatPanicsOnce {
+struct FaultyStore {
     inner: HttpStore,
     fault: Fault,
     has_panicked: AtomicBool,
+    /// When a read of the submissions was begun.
+    reads: Arc<Mutex<Vec<Instant>>>,
 }
 
-impl StoreThatPanicsOnce {
+impl FaultyStore {
     /// Panics at the first call that meets the fault.
     fn check(&self, met: Option<Fault>) {
         let is_met = met == Some(self.fault);
@@ -58,7 +65,7 @@
     }
 }
 
-impl CoordinationStore for StoreThatPanicsOnce {
+impl CoordinationStore for FaultyStore {
     fn get(&self, key: String) -> BoxFuture<'_, Result<Option<Item>, StoreError>> {
         self.inner.get(key)
     }
@@ -68,7 +75,11 @@
     }
 
     fn page(&self, prefix: String, after: Option<String>) -> BoxFuture<'_, Result<Page, StoreError>> {
-        self.check((prefix == SUBMISSIONS).then_some(Fault::ReadOfSubmissions));
+        if prefix == SUBMISSIONS {
+            self.reads.lock().expect("no holder panics").push(Instant::now());
+            self.check(Some(Fault::ReadOfSubmissions));
+            assert!(self.fault != Fault::EachReadOfSubmissions, "the fault of this test");
+        }
         self.inner.page(prefix, after)
     }
 
@@ -96,20 +107,30 @@
     }
 }
 
-/// Starts a box in this process with a fault. Returns it with the address at which other boxes reach it.
-async fn start_faulty_box(world: &World, fault: Fault) -> (RunningBox, SocketAddr) {
+/// A box in this process with a fault.
+struct FaultyBox {
+    running: RunningBox,
+    /// Address at which other boxes reach it.
+    peers_addr: SocketAddr,
+    /// When its schedulers have read the submissions.
+    reads: Arc<Mutex<Vec<Instant>>>,
+}
+
+async fn start_faulty_box(world: &World, fault: Fault) -> FaultyBox {
     let addrs = free_addrs();
     let path = std::env::temp_dir().join(format!("failed-tasks-{}-{fault:?}.json", std::process::id()));
     std::fs::write(&path, world.platform.settings("box-f", &addrs, &[])).expect("the temporary directory is writable");
     let settings = read(&path.to_string_lossy()).expect("the settings are valid").runtime;
     let listener = TcpListener::bind(addrs[2]).await.expect("the address is free");
     let inner = HttpStore::new(Client::default(), world.platform.store_addr);
-    let store = StoreThatPanicsOnce { inner, fault, has_panicked: AtomicBool::new(false) };
+    let reads = Arc::<Mutex<Vec<Instant>>>::default();
+    let store = FaultyStore { inner, fault, has_panicked: AtomicBool::new(false), reads: Arc::clone(&reads) };
     let servers = Arc::new(HttpBackendServers::default());
     let decoder = Arc::new(PlatformDecoder);
     let clock = Arc::new(SystemClock::default());
     let services = OptionalServices::default();
-    (RunningBox::start(settings, listener, store, servers, decoder, services, clock), addrs[2])
+    let running = RunningBox::start(settings, listener, store, servers, decoder, services, clock);
+    FaultyBox { running, peers_addr: addrs[2], reads }
 }
 
 /// Guards against a box that stays elected after a write of its scheduler has failed by a panic: the jobs of that write
@@ -119,7 +140,7 @@
     smol::block_on(async {
         let setup = Setup { servers: 1, key: KEY.to_owned(), ..Setup::default() };
         let mut world = World::start_on(0, &setup).await;
-        let (faulty, peers_addr) = start_faulty_box(&world, Fault::WriteOfProgress).await;
+        let FaultyBox { running: faulty, peers_addr, .. } = start_faulty_box(&world, Fault::WriteOfProgress).await;
         until("the box schedules", || async { faulty.status().schedules_with_fence.is_some() }).await;
         let addrs = free_addrs();
         let settings = world.platform.settings("box-1", &addrs, &[peers_addr]);
@@ -151,7 +172,7 @@
     smol::block_on(async {
         let setup = Setup { servers: 1, key: KEY.to_owned(), ..Setup::default() };
         let mut world = World::start_on(0, &setup).await;
-        let (faulty, peers_addr) = start_faulty_box(&world, fault).await;
+        let FaultyBox { running: faulty, peers_addr, .. } = start_faulty_box(&world, fault).await;
         until("the box schedules", || async { faulty.status().schedules_with_fence.is_some() }).await;
         let fence = faulty.status().schedules_with_fence;
         let addrs = free_addrs();
@@ -166,3 +187,18 @@
         assert_eq!(faulty.status().schedules_with_fence, fence, "the job ran under the box that had failed");
     });
 }
+
+/// Guards against elections at the full rate for as long as a fault meets every scheduler.
+#[test]
+fn elections_slow_down_while_each_restore_panics() {
+    smol::block_on(async {
+        let setup = Setup { servers: 1, key: KEY.to_owned(), ..Setup::default() };
+        let world = World::start_on(0, &setup).await;
+        let faulty = start_faulty_box(&world, Fault::EachReadOfSubmissions).await;
+        let reads = || faulty.reads.lock().expect("no holder panics").clone();
+        until("three restores have failed", || async { reads().len() >= 3 }).await;
+        let elapsed = reads()[2].duration_since(reads()[0]);
+        assert!(elapsed >= ELAPSED_OF_THREE, "three failed after {elapsed:?}");
+        drop(faulty.running);
+    });
+}
--- a/crates/runtime/src/election.rs
+++ b/crates/runtime/src/election.rs
@@ -15,6 +15,7 @@
     active::ActiveSlot,
     box_list,
     context::Context,
+    failed_terms::FailedTerms,
     follow::{Changes, PrefixUpdate, PrefixWatcher, WatchTiming},
     keys,
     leader::{self, LeaderExit},
@@ -43,9 +44,6 @@
 /// time that the platform demands. A box that needs longer resigns, since another may be faster; its limit doubles for
 /// the next term, since no other may be.
 const RESTORE_TIMEOUT: Duration = Duration::from_millis(3000);
-/// Additional delay of a box that could not restore in time, or whose scheduler lost a task by a fault, so that any other
-/// candidate is elected first.
-const FAILED_TERM_DELAY: Duration = Duration::from_millis(1500);
 /// Timeout of the write of the key.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Interval at which a box checks whether it may become a candidate, besides being notified. Polling alone elected a
@@ -93,24 +91,30 @@
     TaskFailed,
 }
 
-/// Outcome of the latest term of this box, which determines its next candidacy.
+/// Outcome of the latest terms of this box, which determines its next candidacy.
 struct TermOutcome {
     /// Time limit of the next restore.
     restore_timeout: Duration,
-    /// Whether the state could not be restored in time, or a task has failed.
-    has_failed: bool,
+    failed: FailedTerms,
 }
 
 impl TermOutcome {
-    const INITIAL: TermOutcome = TermOutcome { restore_timeout: RESTORE_TIMEOUT, has_failed: false };
+    const INITIAL: TermOutcome = TermOutcome { restore_timeout: RESTORE_TIMEOUT, failed: FailedTerms::NONE };
 
-    /// Updates the limits after a term has ended.
-    fn record_term_end(&mut self, ended: Ended) {
-        *self = match ended {
-            Ended::NotRestored => TermOutcome { restore_timeout: self.restore_timeout.scaled(2.0), has_failed: true },
-            Ended::TaskFailed => TermOutcome { has_failed: true, ..TermOutcome::INITIAL },
-            _ => TermOutcome::INITIAL,
-        };
+    /// Updates the limits after a term of some length has ended.
+    fn record_term_end(&mut self, ended: Ended, length: Duration) {
+        match ended {
+            Ended::NotRestored => {
+                self.restore_timeout = self.restore_timeout.scaled(2.0);
+                self.failed.record_not_restored();
+            }
+            Ended::TaskFailed => {
+                self.restore_timeout = RESTORE_TIMEOUT;
+                self.failed.record_failure(length);
+                log::error!("event=term_failed in_a_row={} delay={}", self.failed.in_a_row(), self.failed.delay());
+            }
+            _ => *self = TermOutcome::INITIAL,
+        }
     }
 }
 
@@ -163,13 +167,13 @@
     let mut latest = TermOutcome::INITIAL;
     loop {
         if can_be_candidate(&cx.view) {
-            let wait = candidacy_delay(&settings, latest.has_failed, cx.view.has_seen_leader());
+            let wait = candidacy_delay(&settings, latest.failed.delay(), cx.view.has_seen_leader());
             if conditions_change_within(&cx.view, wait).await {
                 continue;
             }
             if can_be_candidate(&cx.view) && catch_panic(stand(&settings, &cx, &active, &mut latest)).await.is_none() {
                 log::error!("event=candidacy_failed box={}", settings.box_id);
-                latest.record_term_end(Ended::TaskFailed);
+                latest.record_term_end(Ended::TaskFailed, Duration::ZERO);
             }
         }
         with_timeout(CHECK_INTERVAL, cx.view.leader_changed()).await;
@@ -200,12 +204,11 @@
 }
 
 /// Returns the delay before this box becomes a candidate: shorter, the more of the work of a scheduler it can carry.
-fn candidacy_delay(settings: &Settings, has_failed: bool, seen_leader: bool) -> Duration {
+fn candidacy_delay(settings: &Settings, after_failure: Duration, seen_leader: bool) -> Duration {
     let size_delay = CPU_DELAY.scaled(1.0 / settings.cpu_share)
         + LINK_DELAY.scaled(1.0 / settings.link_mbps)
         + MEMORY_DELAY.scaled(1.0 / settings.memory_mb);
     let size_delay = if seen_leader { size_delay } else { size_delay.scaled(COLD_START_FACTOR) };
-    let after_failure = if has_failed { FAILED_TERM_DELAY } else { Duration::ZERO };
     CANDIDACY_JITTER.scaled(fastrand::f64()) + size_delay + after_failure
 }
 
@@ -283,6 +286,7 @@
         cx.view.set_leader(None);
         return;
     }
+    let begun = cx.view.clock().now();
     let earlier = won.earlier.clone();
     let schedule = async {
         match leader::run(settings, cx, active, fence, earlier, latest.restore_timeout).await {
@@ -301,7 +305,7 @@
     cx.view.end_term();
     cx.view.set_leader(None);
     log::info!("event=stopped_scheduling box={} fence={fence} why={ended}", settings.box_id);
-    latest.record_term_end(ended);
+    latest.record_term_end(ended, cx.view.clock().now().since(begun));
     if matches!(ended, Ended::Resigned | Ended::NotRestored | Ended::TaskFailed)
         && let Err(e) = cx.store.revoke_lease(lease).await
     {
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -16,6 +16,7 @@
 mod election;
 mod evacuation;
 mod evacuation_revisions;
+pub mod failed_terms;
 mod follow;
 mod keys;
 mod leader;
