Restart tasks of a box after a panic

The tasks of a box that belong to no term (the watches of the configuration and of the scheduler's key, the probe of the store, the registration, the requests for the configuration from other boxes) ended alone and silently on a panic. A box kept an old configuration, for instance, for as long as it lived.

--- a/crates/martend/tests/failed_tasks.rs
+++ b/crates/martend/tests/failed_tasks.rs
@@ -1,4 +1,4 @@
-//! A scheduler one of whose tasks has failed by a fault of the program.
+//! A scheduler or a box one of whose tasks has failed by a fault of the program.
 //!
 //! A panic ends only the task in which it occurs. The others went on, and so did the renewal of the election: the box
 //! stayed elected, and nothing started any more of the jobs whose progress the failed write held.
@@ -9,7 +9,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Instant,
 };
@@ -17,10 +17,14 @@
 use common::{KEY, World, start_box_with, until};
 use jobs::JobId;
 use martend::deployment::read;
-use model::{Duration, Revision};
+use model::{AvailabilityZoneId, BackendServerId, Duration, Revision};
 use net::{BoxFuture, http::Client};
 use outside::{Committed, CoordinationStore, Item, LeaseId, Page, StoreError, SystemClock, Transaction, Watched};
-use runtime::{OptionalServices, RunningBox};
+use runtime::{
+    Configuration, OptionalServices, RunningBox,
+    platform::{DecodeError, Decoder, ListedServer},
+};
+use scheduler::MaintenanceRequest;
 use smol::net::TcpListener;
 use users_platform::{decode::PlatformDecoder, servers::HttpBackendServers, store::HttpStore};
 use users_platform_standin::{Setup, Work, free_addrs};
@@ -46,6 +50,8 @@
     GrantOfLease,
     /// Every read of the submissions.
     EachReadOfSubmissions,
+    /// The second decoding of a configuration.
+    SecondConfiguration,
 }
 
 /// The platform's store, whose client panics in one call.
@@ -107,6 +113,60 @@
     }
 }
 
+/// The platform's decoder, which panics at the second configuration.
+struct FaultyDecoder {
+    fault: Fault,
+    configurations: AtomicUsize,
+}
+
+impl Decoder for FaultyDecoder {
+    fn configuration_key(&self) -> String {
+        PlatformDecoder.configuration_key()
+    }
+
+    fn configuration(&self, document: &[u8]) -> Result<Configuration, DecodeError> {
+        let earlier = self.configurations.fetch_add(1, Ordering::SeqCst);
+        assert!(self.fault != Fault::SecondConfiguration || earlier != 1, "the fault of this test");
+        PlatformDecoder.configuration(document)
+    }
+
+    fn servers_prefix(&self) -> String {
+        PlatformDecoder.servers_prefix()
+    }
+
+    fn server(&self, item: &Item) -> Result<ListedServer, DecodeError> {
+        PlatformDecoder.server(item)
+    }
+
+    fn maintenance_prefix(&self) -> String {
+        PlatformDecoder.maintenance_prefix()
+    }
+
+    fn maintenance_request(&self, item: &Item) -> Result<MaintenanceRequest, DecodeError> {
+        PlatformDecoder.maintenance_request(item)
+    }
+
+    fn maintenance_status(&self, number: u64, succeeded: bool) -> (String, Vec<u8>) {
+        PlatformDecoder.maintenance_status(number, succeeded)
+    }
+
+    fn evacuations_prefix(&self) -> String {
+        PlatformDecoder.evacuations_prefix()
+    }
+
+    fn evacuation_key(&self, zone: &AvailabilityZoneId) -> String {
+        PlatformDecoder.evacuation_key(zone)
+    }
+
+    fn evacuated_zone(&self, key: &str) -> Option<AvailabilityZoneId> {
+        PlatformDecoder.evacuated_zone(key)
+    }
+
+    fn server_of_key(&self, key: &str) -> Option<BackendServerId> {
+        PlatformDecoder.server_of_key(key)
+    }
+}
+
 /// A box in this process with a fault.
 struct FaultyBox {
     running: RunningBox,
@@ -114,6 +174,7 @@
     peers_addr: SocketAddr,
     /// When its schedulers have read the submissions.
     reads: Arc<Mutex<Vec<Instant>>>,
+    decoder: Arc<FaultyDecoder>,
 }
 
 async fn start_faulty_box(world: &World, fault: Fault) -> FaultyBox {
@@ -126,11 +187,19 @@
     let reads = Arc::<Mutex<Vec<Instant>>>::default();
     let store = FaultyStore { inner, fault, has_panicked: AtomicBool::new(false), reads: Arc::clone(&reads) };
     let servers = Arc::new(HttpBackendServers::default());
-    let decoder = Arc::new(PlatformDecoder);
+    let decoder = Arc::new(FaultyDecoder { fault, configurations: AtomicUsize::new(0) });
     let clock = Arc::new(SystemClock::default());
     let services = OptionalServices::default();
-    let running = RunningBox::start(settings, listener, store, servers, decoder, services, clock);
-    FaultyBox { running, peers_addr: addrs[2], reads }
+    let running = RunningBox::start(
+        settings,
+        listener,
+        store,
+        servers,
+        Arc::clone(&decoder) as Arc<dyn Decoder>,
+        services,
+        clock,
+    );
+    FaultyBox { running, peers_addr: addrs[2], reads, decoder }
 }
 
 /// Guards against a box that stays elected after a write of its scheduler has failed by a panic: the jobs of that write
@@ -202,3 +271,24 @@
         drop(faulty.running);
     });
 }
+
+/// Guards against a box that keeps an old configuration for as long as it lives, since the task that follows the
+/// configuration has ended by a panic.
+#[test]
+fn a_box_follows_the_configuration_after_a_panic() {
+    smol::block_on(async {
+        let setup = Setup { servers: 1, key: KEY.to_owned(), ..Setup::default() };
+        let world = World::start_on(0, &setup).await;
+        let faulty = start_faulty_box(&world, Fault::SecondConfiguration).await;
+        let version = || faulty.running.status().configuration_version;
+        until("the box has a configuration", || async { version().is_some() }).await;
+        let first = version().expect("it has one");
+        world.platform.configure(first + 1);
+        until("the configuration has been decoded", || async {
+            faulty.decoder.configurations.load(Ordering::SeqCst) >= 2
+        })
+        .await;
+        world.platform.configure(first + 2);
+        until("the box follows the next version", || async { version() == Some(first + 2) }).await;
+    });
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -43,6 +43,7 @@
 mod settings;
 mod stored_record;
 mod submissions;
+mod supervised;
 mod telemetry;
 mod term_tasks;
 pub mod timeout_estimator;
--- a/crates/runtime/src/running_box.rs
+++ b/crates/runtime/src/running_box.rs
@@ -26,6 +26,7 @@
     relay_service::RelayService,
     requests::Requests,
     settings::Settings,
+    supervised,
     telemetry::{self, MeasuredStore},
     timers::pause,
     view::View,
@@ -150,11 +151,26 @@
         let guard = Guard::new(settings.guard);
         let tasks = vec![
             smol::spawn(net::grpc::serve(listener, RelayServer::new(relay.clone()), guard.clone())),
-            smol::spawn(follow_configuration(settings.clone(), cx.clone())),
-            smol::spawn(probe::run(Arc::clone(&store), Arc::clone(&view))),
-            smol::spawn(election::follow_leader(Arc::clone(&store), Arc::clone(&view))),
-            smol::spawn(box_list::register_box(settings.clone(), cx.clone())),
-            smol::spawn(request_configuration(relay, cx.clone())),
+            supervised::spawn("follow_configuration", {
+                let (settings, cx) = (settings.clone(), cx.clone());
+                move || follow_configuration(settings.clone(), cx.clone())
+            }),
+            supervised::spawn("probe", {
+                let (store, view) = (Arc::clone(&store), Arc::clone(&view));
+                move || probe::run(Arc::clone(&store), Arc::clone(&view))
+            }),
+            supervised::spawn("follow_leader", {
+                let (store, view) = (Arc::clone(&store), Arc::clone(&view));
+                move || election::follow_leader(Arc::clone(&store), Arc::clone(&view))
+            }),
+            supervised::spawn("register_box", {
+                let (settings, cx) = (settings.clone(), cx.clone());
+                move || box_list::register_box(settings.clone(), cx.clone())
+            }),
+            supervised::spawn("request_configuration", {
+                let cx = cx.clone();
+                move || request_configuration(relay.clone(), cx.clone())
+            }),
             smol::spawn(election::run(settings.clone(), cx, active.clone())),
         ];
         RunningBox {
