Do not make a connection younger by refusing its request

A connection whose request was refused counted as idle since the refusal until it was closed. Where many were refused while an ordinary request was being received, all that could have made room were younger than it, so that it was refused in its turn. Such a connection now counts from when it was accepted.

--- a/crates/net/src/account.rs
+++ b/crates/net/src/account.rs
@@ -287,7 +287,8 @@
 
     /// Sets the phase of a connection without a request.
     fn set_waiting(&self, progress: &Progress) {
-        let since = self.guard.now();
+        // A connection that is to be closed after a refusal does not become younger by it.
+        let since = if progress.refused { self.opened } else { self.guard.now() };
         let phase = if progress.unsent > 0 { Phase::Sending { since } } else { Phase::Idle { since } };
         self.guard.set_phase(self.id, phase);
     }
