--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""AVAIL: one urgent job stops two subtasks of a lasting step that allows one to be away."""
+"""LOST: beside one gang that no fleet of this size can run, no other job of its tenant's queue starts on idle runners."""
 
 import asyncio
 import os
@@ -8,57 +8,56 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin-2"))
 from platform2 import configuration, job_id, main, route, step
 
-NOTICE_S = 4.5
-MAY_MISS = 1
+RUNNERS = 24
+GPUS = 8
+IDLE_S = 3.0
+JOBS = 30
+EVERY_S = 0.8
+# One job in thirty-one: a gang of 26 subtasks of 8 GPUs, where there are 24 runners of 8 GPUs.
+GANG = 26
 
 
 async def case(platform, trouble):
-    # Two lasting subtasks and two long ones fill four runners; the lasting ones have run for a shorter time.
-    broken = []
-    for i in range(4):
-        await platform.add_runner(f"m-{i}", ["z1", "z2"][i % 2], ["a", "r1-0"])
-    await platform.begin(configuration([route("serve", 2), route("urgent", 0)]))
+    for i in range(RUNNERS):
+        await platform.add_runner(f"m-{i:02}", f"z{i % 3 + 1}", ["a", f"r1-{i // 8}"])
+    await platform.begin(configuration([route("transcribe", 1)]))
     await platform.start_box("box-1", "z1")
     await platform.start_box("box-2", "z2", 0.5)
     await platform.until_ready("box-1")
     await platform.until_ready("box-2")
-    lasting = job_id()
-    away_since = {}
-
-    def members():
-        return {task: run for r in platform.runners for task, run in r.running.items() if task.startswith(lasting)}
-
-    def on_start(runner, task, run, box):
-        away_since.pop(task, None)
-
-    def on_end(runner, task, run, how):
-        if not task.startswith(lasting):
-            return
-        now = time.monotonic()
-        # Away: ended by an order of the system, or not at work for `notice_ms`.
-        others = [t for t, since in away_since.items() if t != task]
-        if how == "stopped" and run.at_work(now) and len(others) >= MAY_MISS:
-            broken.append(f"AVAIL: a stop ends {task} at work on {runner.id}, while {sorted(others)} are away")
-        away_since[task] = now
-
-    platform.on_start, platform.on_end = on_start, on_end
-    body = {"spec": '{"lasting": true, "gpu": 8}',
-            "steps": [step(4, 8, longRunning=True, may_miss=MAY_MISS, antiAffinity=1)]}
-    await platform.until("the lasting job is accepted",
-                         lambda: accepted(platform, f"/serve/{lasting}", body), 20)
-    now = time.monotonic
-    await platform.until("all lasting subtasks are at work",
-                         lambda: len(members()) == 4 and all(run.at_work(now()) for run in members().values()), 20)
-    await asyncio.sleep(2.5)
+    await platform.until("a box is elected", platform.scheduler, 15)
+    accepted, started, busy_at = {}, {}, [time.monotonic()]
+    platform.on_start = lambda runner, task, run, box: started.setdefault(task.split(".")[0], time.monotonic())
     if trouble:
-        urgent = {"spec": '{"ms": 11000, "gpu": 8}', "steps": [dict(step(2, 8), estimateMs=11000)]}
-        await platform.call("box-1", "POST", f"/urgent/{job_id()}", urgent)
-    await asyncio.sleep(8)
-    return broken
-
-
-async def accepted(platform, path, body):
-    return (await platform.call("box-1", "POST", path, body))[0] == 200
+        gang = dict(step(GANG, 8), gang=True, estimateMs=4000)
+        await platform.call("box-1", "POST", f"/transcribe/{job_id()}", {"spec": '{"ms": 4000, "gpu": 8}', "steps": [gang]})
+
+    async def watch_use():
+        while True:
+            used = sum(run.spec["gpu"] for runner in platform.runners for run in runner.running.values())
+            if used >= RUNNERS * GPUS / 2:
+                busy_at.append(time.monotonic())
+            await asyncio.sleep(0.02)
+
+    watch = asyncio.get_running_loop().create_task(watch_use())
+    body = {"spec": '{"ms": 300, "gpu": 1}', "steps": [dict(step(1, 1), estimateMs=300)]}
+    for _ in range(JOBS):
+        job = job_id()
+        if (await platform.call("box-2", "POST", f"/transcribe/{job}", body))[0] == 200:
+            accepted[job] = time.monotonic()
+        await asyncio.sleep(EVERY_S)
+    await asyncio.sleep(IDLE_S + 1)
+    watch.cancel()
+    now = time.monotonic()
+    # Less than half of the service is in use all the while, and a job needs one GPU of 192.
+    waits = {job: started.get(job, now) - max(at, busy_at[-1]) for job, at in accepted.items()}
+    late = {job: wait for job, wait in waits.items() if wait > IDLE_S}
+    for job, wait in late.items():
+        platform.record(f"{job} waited {wait:.1f} s" + ("" if job in started else ", and has not started"))
+    if not late:
+        return []
+    return [f"LOST: {len(late)} of {len(accepted)} accepted jobs had nothing running for more than {IDLE_S:.0f} s, up to "
+            f"{max(late.values()):.1f} s, with less than half of the service in use throughout"]
 
 
 main(case)
--- a/review/standin-2/platform2.py
+++ b/review/standin-2/platform2.py
@@ -1,6 +1,6 @@
 """Small stand-in of the users' platform for the scripts of this review: store, runners, machine service, consumers.
 
-It follows PROTOCOL.md as far as the cases need it, runs in one asyncio loop on 127.0.0.1, and records what it is told
+It follows PROTOCOL.md as far as the cases need it, runs in one asyncio loop on loopback, and records what it is told
 and what it answers. Boxes are started as processes with the command of the deploy file. A cut between two zones is
 silent: calls across it are neither carried out nor answered, and a channel that has lost an answer says nothing more.
 """
@@ -23,6 +23,7 @@
 HOST = "jobs.example"
 HEARTBEAT_S = 1.5
 STORE_ANSWER_S = 0.004
+VALUE_BYTES = 1_048_576
 HANG = object()
 
 
@@ -44,9 +45,14 @@
             print(line)
 
 
+# Listeners have a loopback address of their own: outgoing connections use 127.0.0.1, so none of them takes a port that
+# is closed for a time.
+LOOPBACK = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 250}.1"
+
+
 def free_port():
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
+        sock.bind((LOOPBACK, 0))
         return sock.getsockname()[1]
 
 
@@ -58,15 +64,20 @@
         self.writers = set()
         self.server = None
         self.port = None
+        self.silences = 0
+
+    def silence(self):
+        """Makes the channels that are open now silent for good; new ones work."""
+        self.silences += 1
 
     async def open(self, port=0):
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port or self.port or 0, reuse_address=True)
+        self.server = await asyncio.start_server(self._serve, LOOPBACK, port or self.port or 0, reuse_address=True)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
     @property
     def addr(self):
-        return f"127.0.0.1:{self.port}"
+        return f"{LOOPBACK}:{self.port}"
 
     def close(self):
         """Closes the port and resets all channels."""
@@ -78,6 +89,7 @@
 
     async def _serve(self, reader, writer):
         self.writers.add(writer)
+        silences = self.silences
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -95,7 +107,7 @@
                 params = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
                 call = {"method": method, "path": path, "query": params, "headers": headers, "body": body}
                 answer = await self.handler(call)
-                if answer is HANG:
+                if answer is HANG or silences != self.silences:
                     await asyncio.sleep(3600)
                 status, value = answer
                 data = json.dumps(value).encode()
@@ -245,6 +257,11 @@
         return 400, {}
 
     def _transaction(self, body):
+        for put in body.get("put", []):
+            size = len(base64.b64decode(put["value"]))
+            if size > VALUE_BYTES:
+                self.platform.record(f"store: refuses {put['key']}, a value of {size} bytes")
+                return 400, {}
         expect = body.get("expectRev", [])
         if any(self.items.get(row["key"], {"rev": 0})["rev"] != row["rev"] for row in expect):
             return 412, {"items": [self.items.get(row["key"]) for row in expect]}
@@ -270,6 +287,11 @@
         self.ready_at = now + spec.get("start_ms", 300) / 1000
         self.done_at = None if self.lasting else now + spec.get("ms", 1000) / 1000
 
+    def saved(self, now):
+        """The checkpoint, renewed with each half second of work; empty before, and for a run that makes none."""
+        halves = int((now - self.started) / 0.5)
+        return f"{halves:08x}{self.number:08x}".ljust(self.spec["save"], "0") if self.spec.get("save") and halves else ""
+
     def at_work(self, now):
         return now >= self.ready_at
 
@@ -347,7 +369,7 @@
     def _end(self, task, how):
         run = self.running.pop(task)
         self.serial += 1
-        self.ended.append([self.serial, task, run.number, how, ""])
+        self.ended.append([self.serial, task, run.number, how, run.saved(time.monotonic())])
         self.over[task] = max(self.over.get(task, 0), run.number)
         self.platform.ended(self, task, run, how)
 
@@ -390,8 +412,10 @@
                 await asyncio.sleep(0.01)
                 self._update()
             now = time.monotonic()
-            running = [[task, run.number, "", run.progress(now), 0] for task, run in self.running.items()]
-            return 200, {"timestampMs": self.clock_ms(), "running": running, "ended": self.ended}
+            running = [
+                [task, run.number, run.saved(now), run.progress(now), 0] for task, run in self.running.items()
+            ]
+            return 200, {"timestampMs": self.clock_ms(), "running": running, "ended": self.ended[:500]}
         task, number = body.get("task"), body.get("run", 0)
         if path == "/v1/run-start":
             return self._start(task, number, body, box)
@@ -415,6 +439,8 @@
             return 200, {"timestampMs": clock}
         if task in self.running or number <= self.over.get(task, 0):
             return 409, {"timestampMs": clock, "reason": "old"}
+        if self.platform.advice and not self.platform.advice.allows(self, task, body.get("token")):
+            return 409, {"timestampMs": clock, "reason": "ticket"}
         run = Run(number, json.loads(body["spec"]), time.monotonic())
         taken = sum(other.spec.get("gpu", 0) for other in self.running.values())
         if taken + run.spec.get("gpu", 0) > self.gpu:
@@ -434,6 +460,8 @@
         self.runners, self.boxes, self.zone_of_box = [], {}, {}
         self.cut_zones = set()
         self.cloud_zone = None
+        # The service that gives tickets, and its address; none by default.
+        self.advice, self.advice_addr = None, ""
         self.temp = tempfile.mkdtemp(prefix="martenscale-review-")
         self.tasks = []
         self.on_start = lambda runner, task, run, box: None
@@ -502,6 +530,7 @@
             return 409, {"reason": "busy"}
         self.record(f"upkeep of {runner.machine} ordered by {holder}, fence {fence}: begins")
         runner.waves.add(body["wave"])
+        runner.wave = body["wave"]
         runner.state = "upkeep"
         died = runner.end_life("upkeep")
         self.on_upkeep(runner, holder, fence, died)
@@ -512,11 +541,11 @@
         self.zone_of_box[name] = zone
         store = await Http(lambda call: self.store.answer(name, call)).open()
         machines = await Http(lambda call: self.machine_service(name, call)).open()
-        addrs = [f"127.0.0.1:{free_port()}" for _ in range(4)]
+        addrs = [f"{LOOPBACK}:{free_port()}" for _ in range(4)]
         settings = {"deployment": {
             "box": name, "availability_zone": zone, "callers_address": addrs[0], "readiness_address": addrs[1],
             "peers_address": addrs[2], "metrics_address": addrs[3], "store_address": store.addr,
-            "adviser_address": "", "machines_address": machines.addr,
+            "adviser_address": self.advice_addr, "machines_address": machines.addr,
             "seeds": [box["addrs"][2] for box in self.boxes.values()] or [addrs[2]],
             "cpu_share": cpu_share, "link_mbps": 1000.0, "memory_mb": 260, "descriptors": 4100,
             "shortest_ttl_ms": 1000, "lease_ms": self.lease_ms, "server_heartbeat_ms": int(HEARTBEAT_S * 1000),
@@ -525,7 +554,7 @@
         path = os.path.join(self.temp, f"{name}.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
-        self.boxes[name] = {"addrs": addrs, "settings": path}
+        self.boxes[name] = {"addrs": addrs, "settings": path, "channels": [store, machines]}
         await self._spawn(name)
         return self.boxes[name]
 
