--- a/review/standin-2/platform2.py
+++ b/review/standin-2/platform2.py
@@ -225,7 +225,13 @@
         if path == "/v1/kv-range":
             keys = sorted(key for key in self.items if key.startswith(query["prefix"]))
             keys = [key for key in keys if key > query.get("sinceRev", "")]
-            return 200, {"items": [self.items[key] for key in keys[:500]], "more": len(keys) > 500, "at": self.rev}
+            page, size = [], 0
+            for key in keys[:500]:
+                size += len(self.items[key]["value"])
+                if page and size > 1_000_000:
+                    break
+                page.append(self.items[key])
+            return 200, {"items": page, "more": len(keys) > len(page), "at": self.rev}
         if path == "/v1/kv-watch":
             since, until = int(query["sinceRev"]), time.monotonic() + int(query.get("waitMs", 0)) / 1000
             while True:
